Add the thin whole path

Cause: nothing exists yet; the users ask for a thin whole path first.

Change: an entry instance (filter chain, controllers, decision modules without input or output), stand-ins for platform, weight store, engine and service, a trial of all of them in one process, the command line and a zip application.

Ruled out: a bucket that gives back all unused tokens at settlement; it admits more than burst + rate * window when it was full in between, which tests/decisions/test_bucket.py shows (red with that mutation).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Commands of the project; the README names the two that a newcomer needs.
+
+PYTHON ?= python3
+BIN := .venv/bin
+SEED ?= 1
+
+.PHONY: run test lint format binary smoke clean
+
+run: .venv/ready
+	$(BIN)/tanagerloft trial
+
+test: .venv/ready
+	$(BIN)/python -m pytest
+
+lint: .venv/ready
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: .venv/ready
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+binary: .venv/ready
+	mkdir -p dist
+	$(BIN)/shiv --quiet --reproducible --root /dev/shm/tanagerloft \
+	  --python "/usr/bin/env python3" --output-file dist/tanagerloft \
+	  --console-script tanagerloft . -r requirements.txt
+
+smoke: binary
+	$(BIN)/python scripts/smoke.py dist/tanagerloft
+
+.venv/ready: requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch .venv/ready
+
+clean:
+	rm -rf .venv build dist *.egg-info
--- /dev/null
+++ b/tanagerloft/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: modules here parse arguments and call the rest."""
--- /dev/null
+++ b/tanagerloft/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process, and the inventory shared by the fleet."""
--- /dev/null
+++ b/tanagerloft/config/store.py
@@ -0,0 +1,80 @@
+"""Versions of the configuration in the platform's table."""
+
+from typing import NamedTuple
+
+from tanagerloft.config import errors
+from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.platform import errors as platform_errors
+from tanagerloft.platform import rows
+from tanagerloft.platform import table as table_lib
+from tanagerloft.util import ids
+
+
+class Version(NamedTuple):
+    """One version of the configuration.
+
+    Attributes:
+        number: Rises by one with each accepted change, 0 for none.
+        inventory: Its contents.
+    """
+
+    number: int
+    inventory: inventory_lib.Inventory
+
+
+NONE = Version(0, inventory_lib.empty())
+
+
+def read_number(table: table_lib.Table) -> int | platform_errors.TableError:
+    """Returns the number of the version in force, 0 if there is none."""
+    head = table.read(rows.configuration_head())
+    if isinstance(head, platform_errors.TableError):
+        return head
+    return head.revision
+
+
+def read(
+    table: table_lib.Table, number: int
+) -> Version | platform_errors.TableError:
+    """Returns the contents of version ``number``."""
+    if number == 0:
+        return NONE
+    row = table.read(rows.configuration_version(number))
+    if isinstance(row, platform_errors.TableError):
+        return row
+    inventory = inventory_lib.parse(row.body.get("text", ""))
+    if isinstance(inventory, errors.InventoryError):
+        return platform_errors.unavailable(f"version {number}: {inventory}")
+    return Version(number, inventory)
+
+
+def apply(
+    table: table_lib.Table,
+    inventory: inventory_lib.Inventory,
+    expected_number: int,
+) -> Version | errors.ApplyError:
+    """Makes ``inventory`` the version after ``expected_number``.
+
+    The change is accepted once its conditional write has committed.
+    """
+    number = expected_number + 1
+    body = {"text": inventory_lib.dump(inventory)}
+    transaction = table_lib.Transaction(
+        ids.new_id(),
+        (
+            table_lib.Put(rows.configuration_head(), expected_number, {}),
+            table_lib.Put(rows.configuration_version(number), 0, body),
+        ),
+    )
+    result = table_lib.commit_resolved(table, transaction)
+    if isinstance(result, platform_errors.TableError):
+        return _apply_error(table, result)
+    return Version(number, inventory)
+
+
+def _apply_error(
+    table: table_lib.Table, error: platform_errors.TableError
+) -> errors.ApplyError:
+    number = read_number(table)
+    in_force = 0 if isinstance(number, platform_errors.TableError) else number
+    return errors.ApplyError(error.code, in_force, error.reason)
--- /dev/null
+++ b/tanagerloft/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: each owns one kind of state and drives its decisions."""
--- /dev/null
+++ b/tanagerloft/controllers/configuration.py
@@ -0,0 +1,155 @@
+"""Controller of the configuration in force and of the keys in it."""
+
+import logging
+import threading
+from typing import Any
+
+from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import store
+from tanagerloft.decisions import freshness
+from tanagerloft.filters import context as context_lib
+from tanagerloft.filters import errors
+from tanagerloft.peers import bus as bus_lib
+from tanagerloft.peers import errors as peer_errors
+from tanagerloft.platform import errors as platform_errors
+from tanagerloft.platform import table as table_lib
+from tanagerloft.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+_NEVER_MS = -(10**12)
+_FETCH_TIMEOUT_MS = 2_000
+
+
+class ConfigurationController:
+    """Follows the table's version; the version in force only rises."""
+
+    def __init__(
+        self, table: table_lib.Table, clock: clock_lib.Clock, freshness_ms: int
+    ):
+        self._table = table
+        self._clock = clock
+        self._freshness_ms = freshness_ms
+        self._lock = threading.Lock()
+        self._version = store.NONE
+        self._accounts_by_digest: dict[str, str] = {}
+        self._confirmed_ms = _NEVER_MS
+        self._peer_count = 0
+        self._sights: dict[str, freshness.PeerSight] = {}
+        self._last_freshness = freshness.Freshness.CURRENT
+
+    @property
+    def version(self) -> store.Version:
+        """The version in force at this instance."""
+        return self._version
+
+    def tick(self) -> None:
+        """Reads the number of the version in force, and it if it is new."""
+        asked_ms = self._clock.now_ms()
+        number = store.read_number(self._table)
+        if isinstance(number, platform_errors.TableError):
+            return
+        if number > self._version.number:
+            version = store.read(self._table, number)
+            if isinstance(version, platform_errors.TableError):
+                logger.warning("version %d unreadable: %s", number, version)
+                return
+            self.adopt(version)
+        if number >= self._version.number:
+            self._confirmed_ms = asked_ms
+
+    def adopt(self, version: store.Version) -> None:
+        """Puts ``version`` in force if it is later than the present one."""
+        with self._lock:
+            if version.number <= self._version.number:
+                return
+            self._accounts_by_digest = {
+                key.sha256: key.account
+                for key in version.inventory.keys.values()
+            }
+            self._version = version
+        logger.info("configuration version %d in force", version.number)
+
+    def answer_peer(self, _payload: Any) -> list[Any]:
+        """Returns the version in force in the form that peers exchange."""
+        version = self._version
+        return [version.number, inventory_lib.dump(version.inventory)]
+
+    def fetch_from_peer(self, bus: bus_lib.Bus, address: str) -> None:
+        """Takes over a peer's version if it is later than the one in force."""
+        answer = bus.call(address, "configuration", None, _FETCH_TIMEOUT_MS)
+        if isinstance(answer, peer_errors.CallFailed):
+            return
+        number, text = answer
+        inventory = inventory_lib.parse(text)
+        if isinstance(inventory, inventory_lib.Inventory):
+            self.adopt(store.Version(number, inventory))
+
+    def needs_peers(self) -> bool:
+        """Returns whether the table has been silent for a while."""
+        return 2 * self.table_age_ms() > self._freshness_ms
+
+    def hear_peers(
+        self, peer_count: int, sights: dict[str, freshness.PeerSight]
+    ) -> None:
+        """Takes in how many peers live and what each said of the table."""
+        self._peer_count = peer_count
+        self._sights = sights
+
+    def table_age_ms(self) -> int:
+        """Returns the time since the table last confirmed the version."""
+        return self._clock.now_ms() - self._confirmed_ms
+
+    def freshness(self) -> freshness.Freshness:
+        """Returns whether the keys in force may be used."""
+        result = freshness.judge(
+            self._version.number,
+            self._confirmed_ms,
+            self._clock.now_ms(),
+            self._freshness_ms,
+            self._peer_count,
+            self._sights,
+        )
+        if result is not self._last_freshness:
+            self._last_freshness = result
+            logger.warning("keys are now: %s", result.value)
+        return result
+
+    def is_ready(self) -> bool:
+        """Returns whether requests can be judged by this configuration."""
+        return self._version.number > 0 and self._keys_usable()
+
+    def target(self, name: str) -> inventory_lib.Target | None:
+        """Returns a target of the version in force."""
+        return self._version.inventory.targets.get(name)
+
+    def check_key(
+        self, context: context_lib.RequestContext
+    ) -> errors.Refusal | None:
+        """Sets the client account of the request from its key's digest."""
+        if not self._keys_usable():
+            return errors.KEYS_UNCONFIRMED
+        name = self._accounts_by_digest.get(context.key_digest)
+        if name is None:
+            return errors.KEY_INVALID
+        context.account = self._version.inventory.accounts[name]
+        return None
+
+    def recheck_key(
+        self, context: context_lib.RequestContext
+    ) -> errors.Refusal | None:
+        """Checks that the key of an admitted request still holds."""
+        if context.account is None:
+            return None
+        name = self._accounts_by_digest.get(context.key_digest)
+        if name != context.account.name:
+            return errors.KEY_WITHDRAWN
+        if not self._keys_usable():
+            return errors.KEYS_UNCONFIRMED
+        return None
+
+    def _keys_usable(self) -> bool:
+        return self.freshness() in (
+            freshness.Freshness.CURRENT,
+            freshness.Freshness.TABLE_DOWN,
+        )
--- /dev/null
+++ b/tanagerloft/controllers/health.py
@@ -0,0 +1,180 @@
+"""Controller of what is known of the targets."""
+
+from concurrent import futures
+import logging
+import threading
+from typing import NamedTuple
+
+from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.controllers import configuration as configuration_lib
+from tanagerloft.decisions import attempts
+from tanagerloft.decisions import reconcile
+from tanagerloft.decisions import routing
+from tanagerloft.targets import engine
+from tanagerloft.targets import errors as target_errors
+from tanagerloft.util import clock as clock_lib
+from tanagerloft.util import http
+
+logger = logging.getLogger(__name__)
+
+_WATCHED_POLL_MS = 500
+_IDLE_POLL_MS = 5_000
+_URGENT_POLL_MS = 50
+_REPORT_MAX_AGE_MS = 12_000
+_FAILURE_HALF_LIFE_MS = 5_000
+_MAX_FAILURES = 16
+_POLL_THREADS = 4
+
+
+class Known(NamedTuple):
+    """Latest report of a target.
+
+    Attributes:
+        report: The report.
+        asked_ms: When it was asked for.
+    """
+
+    report: reconcile.Report
+    asked_ms: int
+
+
+class _Failures(NamedTuple):
+    number: int
+    at_ms: int
+
+
+class HealthController:
+    """Polls load reports and remembers failed attempts.
+
+    A target that this instance uses is polled often, others seldom.
+    """
+
+    def __init__(
+        self,
+        client: http.HttpClient,
+        configuration: configuration_lib.ConfigurationController,
+        clock: clock_lib.Clock,
+        data_centre: str,
+    ):
+        self._client = client
+        self._configuration = configuration
+        self._clock = clock
+        self._data_centre = data_centre
+        self._lock = threading.Lock()
+        self._known: dict[str, Known] = {}
+        self._failures: dict[str, _Failures] = {}
+        self._missing: dict[tuple[str, str], int] = {}
+        self._poll_due_ms: dict[str, int] = {}
+        self._polling: set[str] = set()
+        self._watched: frozenset[str] = frozenset()
+        self._urgent: frozenset[str] = frozenset()
+        self._executor = futures.ThreadPoolExecutor(
+            _POLL_THREADS, thread_name_prefix="reports"
+        )
+
+    def tick(self) -> None:
+        """Starts polls that are due."""
+        now_ms = self._clock.now_ms()
+        for target in self._configuration.version.inventory.targets.values():
+            if target.type != "engine" or target.name in self._polling:
+                continue
+            if now_ms >= self._poll_due_ms.get(target.name, 0):
+                self._polling.add(target.name)
+                self._poll_due_ms[target.name] = now_ms + self._interval_ms(
+                    target.name
+                )
+                self._executor.submit(self._poll, target)
+
+    def stop(self) -> None:
+        """Ends polling."""
+        self._executor.shutdown(wait=True, cancel_futures=True)
+
+    def watch(self, names: frozenset[str], urgent: frozenset[str]) -> None:
+        """Sets which targets are polled often, and which at once."""
+        self._watched = names
+        for name in urgent - self._urgent:
+            self._poll_due_ms[name] = 0
+        self._urgent = urgent
+
+    def known(self, name: str) -> Known | None:
+        """Returns the latest report of a target unless it is old."""
+        known = self._known.get(name)
+        if known is None:
+            return None
+        if self._clock.now_ms() - known.asked_ms > _REPORT_MAX_AGE_MS:
+            return None
+        return known
+
+    def candidates(self, subject: str) -> list[routing.Candidate]:
+        """Returns the targets that can run ``subject`` now."""
+        inventory = self._configuration.version.inventory
+        if subject.startswith("route:"):
+            route = inventory.routes.get(subject.removeprefix("route:"))
+            names = route.targets if route else ()
+            return [self._candidate(inventory.targets[name]) for name in names]
+        return [
+            self._candidate(target)
+            for target in inventory.targets.values()
+            if self._is_ready(target.name, subject)
+        ]
+
+    def note_success(self, name: str) -> None:
+        """Forgets failures of a target that has answered."""
+        self._failures.pop(name, None)
+
+    def note_failure(
+        self, name: str, subject: str, evidence: attempts.Evidence
+    ) -> None:
+        """Counts a failed attempt against a target."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            if evidence is attempts.Evidence.REFUSED:
+                self._missing[name, subject] = now_ms
+            else:
+                number = min(self._decayed(name, now_ms) + 1, _MAX_FAILURES)
+                self._failures[name] = _Failures(number, now_ms)
+        self._poll_due_ms[name] = 0
+
+    def _interval_ms(self, name: str) -> int:
+        if name in self._urgent:
+            return _URGENT_POLL_MS
+        return _WATCHED_POLL_MS if name in self._watched else _IDLE_POLL_MS
+
+    def _poll(self, target: inventory_lib.Target) -> None:
+        asked_ms = self._clock.now_ms()
+        report = engine.fetch_report(self._client, target)
+        self._polling.discard(target.name)
+        if isinstance(report, target_errors.ReportFailed):
+            if self._known.pop(target.name, None) is not None:
+                logger.warning("%s: no report: %s", target.name, report.reason)
+            return
+        before = self._known.get(target.name)
+        self._known[target.name] = Known(report, asked_ms)
+        if before is None or before.report.incarnation != report.incarnation:
+            logger.info("%s: incarnation %s", target.name, report.incarnation)
+            self._failures.pop(target.name, None)
+
+    def _is_ready(self, name: str, subject: str) -> bool:
+        known = self.known(name)
+        if known is None or known.report.leaving:
+            return False
+        if known.asked_ms <= self._missing.get((name, subject), -1):
+            return False
+        return known.report.items.get(subject) == "ready"
+
+    def _candidate(self, target: inventory_lib.Target) -> routing.Candidate:
+        known = self._known.get(target.name)
+        return routing.Candidate(
+            name=target.name,
+            in_flight=0,
+            reported_active=known.report.active if known else 0,
+            recent_failures=self._decayed(target.name, self._clock.now_ms()),
+            same_data_centre=target.data_centre == self._data_centre,
+        )
+
+    def _decayed(self, name: str, now_ms: int) -> int:
+        failures = self._failures.get(name)
+        if failures is None:
+            return 0
+        halvings = (now_ms - failures.at_ms) // _FAILURE_HALF_LIFE_MS
+        return failures.number >> min(halvings, _MAX_FAILURES)
--- /dev/null
+++ b/tanagerloft/controllers/intents.py
@@ -0,0 +1,86 @@
+"""Controller of the records of non-idempotent requests."""
+
+from tanagerloft.decisions import intents
+from tanagerloft.filters import context as context_lib
+from tanagerloft.filters import errors
+from tanagerloft.platform import errors as platform_errors
+from tanagerloft.platform import rows
+from tanagerloft.platform import table as table_lib
+from tanagerloft.util import ids
+
+
+class IntentController:
+    """Reads and writes intent records; holds no state of its own."""
+
+    def __init__(self, table: table_lib.Table):
+        self._table = table
+
+    def recall(self, context: context_lib.RequestContext) -> context_lib.Result:
+        """Answers from the record, or returns None if the request may run."""
+        row = self._table.read(_key_of(context))
+        if isinstance(row, platform_errors.TableError):
+            return errors.RECORD_UNAVAILABLE
+        return _answer(intents.judge(row.body, _digest_of(context)))
+
+    def claim(self, context: context_lib.RequestContext) -> context_lib.Result:
+        """Records that the request is about to be sent.
+
+        Returns:
+            None if this request owns the record and may send; otherwise the
+            final answer.
+        """
+        key = _key_of(context)
+        row = self._table.read(key)
+        if isinstance(row, platform_errors.TableError):
+            return errors.RECORD_UNAVAILABLE
+        digest = _digest_of(context)
+        verdict = intents.judge(row.body, digest)
+        if not isinstance(verdict, intents.MayRun):
+            return _answer(verdict)
+        result = self._write(context, row, intents.running_record(digest))
+        if isinstance(result, table_lib.Committed):
+            return None
+        if result.code == platform_errors.CONFLICT:
+            return self.recall(context) or errors.RECORD_UNAVAILABLE
+        return errors.RECORD_UNAVAILABLE
+
+    def complete(
+        self, context: context_lib.RequestContext, outcome: intents.Replay
+    ) -> None:
+        """Records the answer, for repeats. Without it they get "unknown"."""
+        record = intents.done_record(_digest_of(context), outcome)
+        self._overwrite(context, record)
+
+    def abandon(self, context: context_lib.RequestContext) -> None:
+        """Records that the request was never sent, so that a repeat may run."""
+        self._overwrite(context, intents.not_run_record(_digest_of(context)))
+
+    def _overwrite(self, context: context_lib.RequestContext, record) -> None:
+        row = self._table.read(_key_of(context))
+        if isinstance(row, table_lib.Row):
+            self._write(context, row, record)
+
+    def _write(self, context, row: table_lib.Row, record):
+        transaction = table_lib.Transaction(
+            ids.new_id(), (table_lib.Put(row.key, row.revision, record),)
+        )
+        return table_lib.commit_resolved(self._table, transaction)
+
+
+def _key_of(context: context_lib.RequestContext) -> table_lib.RowKey:
+    return rows.intent(context.account_name, context.idempotency_key)
+
+
+def _digest_of(context: context_lib.RequestContext) -> str:
+    target = f"{context.method} {context.work.target_path}\n".encode()
+    return ids.sha256_hex(target + context.body)
+
+
+def _answer(verdict: intents.Verdict) -> context_lib.Result:
+    if isinstance(verdict, intents.MayRun):
+        return None
+    if isinstance(verdict, intents.DigestMismatch):
+        return errors.IDEMPOTENCY_KEY_REUSED
+    if isinstance(verdict, intents.OutcomeUnknown):
+        return errors.OUTCOME_UNKNOWN
+    return context_lib.Answered(verdict)
--- /dev/null
+++ b/tanagerloft/controllers/placement.py
@@ -0,0 +1,444 @@
+"""Controller of replicas: decides loads and unloads, and sends the orders."""
+
+import logging
+from typing import NamedTuple
+
+from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.controllers import configuration as configuration_lib
+from tanagerloft.controllers import dispatch as dispatch_lib
+from tanagerloft.controllers import health as health_lib
+from tanagerloft.controllers import membership as membership_lib
+from tanagerloft.decisions import errors as decision_errors
+from tanagerloft.decisions import homes
+from tanagerloft.decisions import reconcile
+from tanagerloft.decisions import replicas
+from tanagerloft.filters import errors as filter_errors
+from tanagerloft.platform import errors as platform_errors
+from tanagerloft.platform import rows
+from tanagerloft.platform import table as table_lib
+from tanagerloft.targets import engine
+from tanagerloft.util import clock as clock_lib
+from tanagerloft.util import http
+from tanagerloft.util import ids
+
+logger = logging.getLogger(__name__)
+
+_NOT_HOME_DELAY_MS = 250
+_READ_INTERVAL_MS = 200
+_TEND_INTERVAL_MS = 5_000
+_MIN_IDLE_FOR_EVICTION_MS = 1_000
+
+
+class _Observed(NamedTuple):
+    """A model's row, and since when it has been seen like this."""
+
+    row: table_lib.Row
+    since_ms: int
+
+
+class PlacementController:
+    """Loads what requests wait for and unloads what has been idle long.
+
+    A decision counts once the transaction over the model's row and the
+    target's row has committed; only then is the order sent.
+    """
+
+    def __init__(
+        self,
+        table: table_lib.Table,
+        client: http.HttpClient,
+        configuration: configuration_lib.ConfigurationController,
+        membership: membership_lib.MembershipController,
+        health: health_lib.HealthController,
+        dispatcher: dispatch_lib.Dispatcher,
+        clock: clock_lib.Clock,
+        keep_warm_ms: int,
+    ):
+        self._table = table
+        self._client = client
+        self._configuration = configuration
+        self._membership = membership
+        self._health = health
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._keep_warm_ms = keep_warm_ms
+        self._observed: dict[str, _Observed] = {}
+        self._wanted_since_ms: dict[str, int] = {}
+        self._read_due_ms: dict[str, int] = {}
+        self._tend_due_ms = 0
+
+    def tick(self) -> None:
+        """Acts on all models that requests wait for, then on idle ones."""
+        now_ms = self._clock.now_ms()
+        self._dispatcher.pump_all(now_ms)
+        wanted = self._wanted_items()
+        self._wanted_since_ms = {
+            name: self._wanted_since_ms.get(name, now_ms) for name in wanted
+        }
+        for name in wanted:
+            if now_ms >= self._read_due_ms.get(name, 0):
+                self._read_due_ms[name] = now_ms + _READ_INTERVAL_MS
+                self._serve_demand(name)
+        self._watch(wanted)
+        if now_ms >= self._tend_due_ms:
+            self._tend_due_ms = now_ms + _TEND_INTERVAL_MS
+            self._tend()
+
+    def _wanted_items(self) -> list[str]:
+        """Returns waited-for models and adapters that no target has ready."""
+        inventory = self._configuration.version.inventory
+        wanted = []
+        for subject in self._dispatcher.waiting():
+            if subject.startswith("route:"):
+                continue
+            if _item(inventory, subject) is None:
+                refusal = filter_errors.UNKNOWN_MODEL
+                self._dispatcher.refuse(subject, refusal)
+            elif not self._health.candidates(subject):
+                wanted.append(subject)
+        return wanted
+
+    def _watch(self, wanted: list[str]) -> None:
+        """Tells which targets' reports are needed soon."""
+        inventory = self._configuration.version.inventory
+        urgent: set[str] = set()
+        for name in wanted:
+            for row_name in (name, _parent(inventory, name)):
+                observed = self._observed.get(row_name)
+                if observed is not None:
+                    urgent |= set(replicas.replicas_of(observed.row.body))
+        used = {
+            name
+            for name in inventory.targets
+            if self._dispatcher.in_flight(name)
+        }
+        self._health.watch(frozenset(used | urgent), frozenset(urgent))
+
+    def _serve_demand(self, name: str) -> None:
+        """Takes the next step towards a ready replica of one item."""
+        inventory = self._configuration.version.inventory
+        item = _item(inventory, name)
+        row = self._read(name)
+        if item is None or row is None:
+            return
+        decided = replicas.replicas_of(row.body)
+        for target_name in decided:
+            self._reconcile(item, row, target_name, wanted=True)
+        if not decided and self._may_decide(name):
+            self._decide_load(item, row)
+
+    def _may_decide(self, name: str) -> bool:
+        """Lets the home decide first; others only after a while."""
+        home = homes.home(name, self._membership.live())
+        if home == self._membership.identity.instance_id:
+            return True
+        waited_ms = self._clock.now_ms() - self._wanted_since_ms[name]
+        return waited_ms >= _NOT_HOME_DELAY_MS
+
+    def _read(self, name: str) -> table_lib.Row | None:
+        row = self._table.read(rows.model(name))
+        if isinstance(row, platform_errors.TableError):
+            return None
+        before = self._observed.get(name)
+        if before is None or before.row.revision != row.revision:
+            self._observed[name] = _Observed(row, self._clock.now_ms())
+        return row
+
+    def _decide_load(self, item: replicas.Item, row: table_lib.Row) -> None:
+        inventory = self._configuration.version.inventory
+        targets = self._target_states(item)
+        if item.parent:
+            parent_row = self._read(item.parent)
+            parent = _item(inventory, item.parent)
+            if parent_row is None or parent is None:
+                return
+            targets = self._with_parent(parent, parent_row, targets)
+        if not targets:
+            return
+        states = [target.state for target in targets.values()]
+        plan = replicas.plan_load(item, row.body, states)
+        if isinstance(plan, decision_errors.NoRoom):
+            self._no_room(item, plan, targets)
+            return
+        self._carry_out(item, row, targets[plan.order.target], plan)
+
+    def _with_parent(
+        self,
+        parent: replicas.Item,
+        parent_row: table_lib.Row,
+        targets: dict[str, "_Target"],
+    ) -> dict[str, "_Target"]:
+        """Returns the targets with a ready parent, after a step to have one."""
+        decided = replicas.replicas_of(parent_row.body)
+        if not decided:
+            self._decide_load(parent, parent_row)
+            return {}
+        for target_name in decided:
+            self._reconcile(parent, parent_row, target_name, wanted=True)
+        return {
+            name: target
+            for name, target in targets.items()
+            if name in decided and self._reports_ready(name, parent.name)
+        }
+
+    def _reports_ready(self, target_name: str, item_name: str) -> bool:
+        known = self._health.known(target_name)
+        return known is not None and (
+            known.report.items.get(item_name) == "ready"
+        )
+
+    def _no_room(
+        self,
+        item: replicas.Item,
+        no_room: decision_errors.NoRoom,
+        targets: dict[str, "_Target"],
+    ) -> None:
+        """Makes room by unloading something idle, or refuses if none helps."""
+        if no_room.permanent:
+            self._dispatcher.refuse(item.name, filter_errors.NO_TARGET)
+            return
+        states = [target.state for target in targets.values()]
+        choice = replicas.choose_eviction(
+            item, states, _MIN_IDLE_FOR_EVICTION_MS
+        )
+        if choice is not None:
+            target_name, item_name = choice
+            self._unload(item_name, target_name)
+
+    def _unload(self, name: str, target_name: str) -> None:
+        item = _item(self._configuration.version.inventory, name)
+        row = self._read(name)
+        target = self._read_target(target_name)
+        if item is None or row is None or target is None:
+            return
+        plan = replicas.plan_unload(item, row.body, target.state)
+        if isinstance(plan, replicas.Plan):
+            self._carry_out(item, row, target, plan)
+
+    def _reconcile(
+        self,
+        item: replicas.Item,
+        row: table_lib.Row,
+        target_name: str,
+        wanted: bool,
+    ) -> None:
+        """Compares a decided replica with its target's report."""
+        known = self._health.known(target_name)
+        observed = self._observed[item.name]
+        entry = self._configuration.target(target_name)
+        if known is None or entry is None:
+            return
+        if known.asked_ms < observed.since_ms:
+            return
+        action = reconcile.judge(
+            replicas.replicas_of(row.body)[target_name],
+            item.name,
+            known.report,
+            self._clock.now_ms() - observed.since_ms,
+            entry.checks_fencing,
+            wanted,
+        )
+        if action is reconcile.Action.WAIT:
+            return
+        target = self._read_target(target_name)
+        if target is not None:
+            self._act(action, item, row, target)
+
+    def _act(
+        self,
+        action: reconcile.Action,
+        item: replicas.Item,
+        row: table_lib.Row,
+        target: "_Target",
+    ) -> None:
+        if action is reconcile.Action.RELEASE:
+            bodies = replicas.release(
+                item.name, row.body, target.state.name, target.row.body
+            )
+            self._commit(row, target.row, *bodies)
+            return
+        if action is reconcile.Action.CONFIRM_READY:
+            plan = replicas.confirm_ready(item, row.body, target.state)
+        else:
+            plan = replicas.plan_repeat(item, row.body, target.state)
+        if isinstance(plan, replicas.Plan):
+            self._carry_out(item, row, target, plan)
+
+    def _carry_out(
+        self,
+        item: replicas.Item,
+        row: table_lib.Row,
+        target: "_Target",
+        plan: replicas.Plan,
+    ) -> None:
+        """Commits a plan and, once it has committed, sends its order."""
+        if not self._commit(row, target.row, plan.model_body, plan.target_body):
+            return
+        if plan.order.verb == "none":
+            return
+        logger.info(
+            "%s %s on %s, token %d",
+            plan.order.verb,
+            item.name,
+            plan.order.target,
+            plan.order.token,
+        )
+        failed = engine.send_order(self._client, target.entry, plan.order, item)
+        if failed is not None:
+            logger.warning(
+                "%s %s on %s: %s",
+                plan.order.verb,
+                item.name,
+                plan.order.target,
+                failed.reason,
+            )
+
+    def _commit(
+        self,
+        model_row: table_lib.Row,
+        target_row: table_lib.Row,
+        model_body: dict,
+        target_body: dict,
+    ) -> bool:
+        puts = (
+            table_lib.Put(model_row.key, model_row.revision, model_body),
+            table_lib.Put(target_row.key, target_row.revision, target_body),
+        )
+        result = table_lib.commit_resolved(
+            self._table, table_lib.Transaction(ids.new_id(), puts)
+        )
+        committed = isinstance(result, table_lib.Committed)
+        if committed:
+            self._read(model_row.key.name)
+        return committed
+
+    def _target_states(self, item: replicas.Item) -> dict[str, "_Target"]:
+        """Returns the engines that report now, with their rows."""
+        found = self._table.scan(rows.TARGET)
+        if isinstance(found, platform_errors.TableError):
+            return {}
+        by_name = {row.key.name: row for row in found}
+        inventory = self._configuration.version.inventory
+        states = {}
+        for name, entry in inventory.targets.items():
+            known = self._health.known(name)
+            if entry.type != "engine" or known is None or known.report.leaving:
+                continue
+            row = by_name.get(name) or table_lib.Row(
+                rows.target(name), 0, "", {}
+            )
+            states[name] = _make_target(inventory, entry, row, known.report)
+        return states
+
+    def _read_target(self, name: str) -> "_Target | None":
+        row = self._table.read(rows.target(name))
+        known = self._health.known(name)
+        inventory = self._configuration.version.inventory
+        entry = inventory.targets.get(name)
+        if isinstance(row, platform_errors.TableError):
+            return None
+        if known is None or entry is None:
+            return None
+        return _make_target(inventory, entry, row, known.report)
+
+    def _tend(self) -> None:
+        """As home, reconciles decided replicas and unloads idle ones."""
+        found = self._table.scan(rows.MODEL)
+        if isinstance(found, platform_errors.TableError):
+            return
+        live = self._membership.live()
+        me = self._membership.identity.instance_id
+        inventory = self._configuration.version.inventory
+        for row in found:
+            name = row.key.name
+            item = _item(inventory, name)
+            if item is None or homes.home(name, live) != me:
+                continue
+            current = self._read(name)
+            if current is None:
+                return
+            for target_name in replicas.replicas_of(current.body):
+                wanted = name in self._wanted_since_ms
+                self._reconcile(item, current, target_name, wanted)
+                self._unload_if_idle(name, target_name)
+
+    def _unload_if_idle(self, name: str, target_name: str) -> None:
+        known = self._health.known(target_name)
+        if known is None:
+            return
+        inventory = self._configuration.version.inventory
+        idle_ms = _unloadable(inventory, known.report).get(name, 0)
+        if idle_ms >= self._keep_warm_ms:
+            self._unload(name, target_name)
+
+
+class _Target(NamedTuple):
+    """A target with its inventory entry and its row."""
+
+    entry: inventory_lib.Target
+    row: table_lib.Row
+    state: replicas.TargetState
+
+
+def _make_target(
+    inventory: inventory_lib.Inventory,
+    entry: inventory_lib.Target,
+    row: table_lib.Row,
+    report: reconcile.Report,
+) -> _Target:
+    state = replicas.TargetState(
+        name=entry.name,
+        incarnation=report.incarnation,
+        capacity_mb=min(entry.memory_mb, report.memory_mb),
+        checks_fencing=entry.checks_fencing,
+        body=row.body,
+        idle_ms=_unloadable(inventory, report),
+    )
+    return _Target(entry, row, state)
+
+
+def _unloadable(
+    inventory: inventory_lib.Inventory, report: reconcile.Report
+) -> dict[str, int]:
+    """Returns idle times, without models that have adapters loaded."""
+    in_use = {
+        inventory.adapters[name].model
+        for name in report.items
+        if name in inventory.adapters
+    }
+    return {
+        name: idle_ms
+        for name, idle_ms in report.idle_ms.items()
+        if name not in in_use
+    }
+
+
+def _item(
+    inventory: inventory_lib.Inventory, name: str
+) -> replicas.Item | None:
+    model = inventory.models.get(name)
+    if model is not None:
+        return replicas.Item(
+            model.name,
+            model.version,
+            model.size_mb,
+            model.load_peak_mb,
+            model.max_replicas,
+        )
+    adapter = inventory.adapters.get(name)
+    if adapter is None:
+        return None
+    parent = inventory.models[adapter.model]
+    return replicas.Item(
+        adapter.name,
+        adapter.version,
+        adapter.size_mb,
+        adapter.size_mb,
+        parent.max_replicas,
+        parent.name,
+    )
+
+
+def _parent(inventory: inventory_lib.Inventory, name: str) -> str:
+    adapter = inventory.adapters.get(name)
+    return adapter.model if adapter else name
--- /dev/null
+++ b/tanagerloft/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without input or output: time and events are arguments."""
--- /dev/null
+++ b/tanagerloft/decisions/freshness.py
@@ -0,0 +1,81 @@
+"""Whether an instance may still use its set of keys.
+
+While an instance reads the table, its keys are current. When it cannot, a key
+may have been withdrawn without its knowledge, unless the table is down for
+all, in which case nothing can have been withdrawn.
+"""
+
+import enum
+from typing import NamedTuple
+
+
+class PeerSight(NamedTuple):
+    """What a peer said of the table.
+
+    Attributes:
+        asked_ms: When this instance asked, by its own clock.
+        version: Version that the peer has in force.
+        table_age_ms: Time since the peer last read the table, by its clock.
+    """
+
+    asked_ms: int
+    version: int
+    table_age_ms: int
+
+
+class Freshness(enum.Enum):
+    """What the evidence allows."""
+
+    CURRENT = "current"
+    TABLE_DOWN = "the table is down for all"
+    BEHIND = "a peer has a later version"
+    UNCONFIRMED = "unconfirmed"
+
+
+def judge(
+    version: int,
+    confirmed_ms: int,
+    now_ms: int,
+    freshness_ms: int,
+    peer_count: int,
+    sights: dict[str, PeerSight],
+) -> Freshness:
+    """Decides whether keys of ``version`` may be used.
+
+    Args:
+        version: Version that this instance has in force.
+        confirmed_ms: When the table last confirmed it, by the time at which
+            the read was sent.
+        now_ms: Reading of the clock.
+        freshness_ms: Age up to which evidence counts.
+        peer_count: Number of other instances known to live.
+        sights: Latest word of each peer.
+
+    Returns:
+        ``CURRENT`` or ``TABLE_DOWN`` if they may be used. A majority of the
+        fleet must agree that the table is down, this instance included, so
+        that a part of the fleet that is cut off does not rely on itself.
+    """
+    if now_ms - confirmed_ms <= freshness_ms:
+        return Freshness.CURRENT
+    recent = [
+        sight
+        for sight in sights.values()
+        if now_ms - sight.asked_ms <= freshness_ms
+    ]
+    if any(sight.version > version for sight in recent):
+        return Freshness.BEHIND
+    if any(_confirms(sight, version, now_ms, freshness_ms) for sight in recent):
+        return Freshness.CURRENT
+    cut_off = [sight for sight in recent if sight.table_age_ms > freshness_ms]
+    if 2 * (len(cut_off) + 1) > peer_count + 1:
+        return Freshness.TABLE_DOWN
+    return Freshness.UNCONFIRMED
+
+
+def _confirms(
+    sight: PeerSight, version: int, now_ms: int, freshness_ms: int
+) -> bool:
+    """Returns whether a peer has read this version from the table lately."""
+    age_ms = now_ms - sight.asked_ms + sight.table_age_ms
+    return sight.version == version and age_ms <= freshness_ms
--- /dev/null
+++ b/tanagerloft/decisions/queueing.py
@@ -0,0 +1,130 @@
+"""Fair queue of requests that wait for a replica."""
+
+from typing import NamedTuple
+
+from tanagerloft.decisions import errors
+
+
+class Waiter(NamedTuple):
+    """A request that waits.
+
+    Attributes:
+        request_id: Identity of the request.
+        account: Client account, empty on open routes.
+        subject: Model, adapter or route that it waits for.
+        cost_tokens: Tokens it is charged with in the queue.
+        weight: Weight of its account.
+        priority: Priority of its class, higher first.
+        enqueued_ms: When it began to wait.
+        deadline_ms: When it must have been answered.
+    """
+
+    request_id: str
+    account: str
+    subject: str
+    cost_tokens: int
+    weight: int
+    priority: int
+    enqueued_ms: int
+    deadline_ms: int
+
+
+class _Entry(NamedTuple):
+    waiter: Waiter
+    virtual_start: float
+
+
+class FairQueue:
+    """Weighted fair queue over accounts, with priorities and aging.
+
+    Within a priority, requests go in order of virtual start time (start-time
+    fair queueing), so an account's share of served tokens follows its weight.
+    A request that has waited for half of its time is served before all that
+    have not, whatever its priority, so none starves.
+    """
+
+    def __init__(self, max_waiting: int):
+        self._max_waiting = max_waiting
+        self._entries: dict[str, _Entry] = {}
+        self._account_finish: dict[str, float] = {}
+        self._virtual_time = 0.0
+
+    def __len__(self) -> int:
+        """Returns the number of waiting requests."""
+        return len(self._entries)
+
+    def add(self, waiter: Waiter) -> errors.QueueFull | None:
+        """Adds a request, unless the queue is full."""
+        if len(self._entries) >= self._max_waiting:
+            return errors.QueueFull(self._max_waiting)
+        start = max(
+            self._virtual_time, self._account_finish.get(waiter.account, 0.0)
+        )
+        cost = max(1, waiter.cost_tokens) / waiter.weight
+        self._account_finish[waiter.account] = start + cost
+        self._entries[waiter.request_id] = _Entry(waiter, start)
+        return None
+
+    def remove(self, request_id: str) -> Waiter | None:
+        """Takes a request out, if it still waits."""
+        entry = self._entries.pop(request_id, None)
+        if not self._entries:
+            self._account_finish.clear()
+            self._virtual_time = 0.0
+        return entry.waiter if entry else None
+
+    def expire(self, now_ms: int) -> list[Waiter]:
+        """Takes out and returns the requests whose deadline has come."""
+        late = [
+            entry.waiter
+            for entry in self._entries.values()
+            if entry.waiter.deadline_ms <= now_ms
+        ]
+        for waiter in late:
+            self.remove(waiter.request_id)
+        return late
+
+    def subjects(self) -> dict[str, int]:
+        """Returns what is waited for, with the earliest deadline of each."""
+        earliest: dict[str, int] = {}
+        for entry in self._entries.values():
+            subject = entry.waiter.subject
+            deadline_ms = entry.waiter.deadline_ms
+            earliest[subject] = min(
+                deadline_ms, earliest.get(subject, deadline_ms)
+            )
+        return earliest
+
+    def waiting_for(self, subject: str) -> list[Waiter]:
+        """Returns the requests that wait for ``subject``."""
+        return [
+            entry.waiter
+            for entry in self._entries.values()
+            if entry.waiter.subject == subject
+        ]
+
+    def pop(self, subject: str, now_ms: int) -> Waiter | None:
+        """Takes out the next request for ``subject``."""
+        candidates = [
+            entry
+            for entry in self._entries.values()
+            if entry.waiter.subject == subject
+        ]
+        if not candidates:
+            return None
+        entry = min(candidates, key=lambda entry: _order(entry, now_ms))
+        self._virtual_time = max(self._virtual_time, entry.virtual_start)
+        self.remove(entry.waiter.request_id)
+        return entry.waiter
+
+
+def _order(entry: _Entry, now_ms: int) -> tuple[int, int, float, int]:
+    waiter = entry.waiter
+    half_ms = (waiter.deadline_ms - waiter.enqueued_ms) // 2
+    aged = now_ms - waiter.enqueued_ms >= half_ms
+    return (
+        0 if aged else 1,
+        0 if aged else -waiter.priority,
+        entry.virtual_start,
+        waiter.enqueued_ms,
+    )
--- /dev/null
+++ b/tanagerloft/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Filters of the request path."""
--- /dev/null
+++ b/tanagerloft/filters/admit.py
@@ -0,0 +1,37 @@
+"""Filter that charges a request against its account's limit."""
+
+from tanagerloft import registry as registry_lib
+from tanagerloft.decisions import errors as decision_errors
+from tanagerloft.filters import context as context_lib
+from tanagerloft.filters import errors
+
+
+def setup(registry: registry_lib.Registry) -> None:
+    """Declares the filter."""
+    registry.add("filter", "admit", build)
+
+
+def build(services) -> context_lib.Filter:
+    """Builds the filter over the limit controller."""
+    limits = services.limits
+
+    def admit(context: context_lib.RequestContext) -> context_lib.Result:
+        cost_tokens = context.work.cost_tokens
+        if context.account is None or cost_tokens == 0:
+            return None
+        charge = limits.charge(context.account, cost_tokens)
+        if isinstance(charge, decision_errors.LimitExceeded):
+            if charge.retry_after_ms == 0:
+                return errors.LIMIT_NEVER
+            return errors.limit_exceeded(charge.retry_after_ms)
+        context.on_finish(lambda: _settle(limits, charge, context))
+        return None
+
+    return admit
+
+
+def _settle(limits, charge, context: context_lib.RequestContext) -> None:
+    used_tokens = context.used_tokens
+    if used_tokens is None:
+        used_tokens = context.work.cost_tokens
+    limits.settle(charge, used_tokens)
--- /dev/null
+++ b/tanagerloft/filters/recall.py
@@ -0,0 +1,31 @@
+"""Filter that answers repeats of non-idempotent requests."""
+
+from tanagerloft import registry as registry_lib
+from tanagerloft.filters import context as context_lib
+from tanagerloft.filters import errors
+
+KEY_HEADER = "Idempotency-Key"
+_MAX_KEY_LENGTH = 200
+
+
+def setup(registry: registry_lib.Registry) -> None:
+    """Declares the filter."""
+    registry.add("filter", "recall", build)
+
+
+def build(services) -> context_lib.Filter:
+    """Builds the filter over the controller of intent records."""
+    records = services.intents
+
+    def recall(context: context_lib.RequestContext) -> context_lib.Result:
+        if context.work.idempotent:
+            return None
+        key = context.headers.get(KEY_HEADER, "")
+        if not key:
+            return errors.IDEMPOTENCY_KEY_MISSING
+        if len(key) > _MAX_KEY_LENGTH or not key.isprintable():
+            return errors.IDEMPOTENCY_KEY_INVALID
+        context.idempotency_key = key
+        return records.recall(context)
+
+    return recall
--- /dev/null
+++ b/tanagerloft/filters/serve.py
@@ -0,0 +1,273 @@
+"""Filter that queues a request, sends it to a target and relays the answer."""
+
+from concurrent import futures
+
+from tanagerloft import registry as registry_lib
+from tanagerloft.controllers import dispatch
+from tanagerloft.decisions import attempts
+from tanagerloft.decisions import intents
+from tanagerloft.decisions import queueing
+from tanagerloft.filters import authenticate
+from tanagerloft.filters import context as context_lib
+from tanagerloft.filters import errors
+from tanagerloft.targets import relay
+from tanagerloft.util import http
+
+_POLL_S = 0.25
+# An engine answers these before it runs anything.
+_REFUSED_BY_ENGINE = frozenset({404, 429, 503})
+_LOSSLESS = intents.BODY_ENCODING
+# Headers that concern one connection, or that carry a key.
+_DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "cookie",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-request-id",
+        *authenticate.KEY_HEADERS,
+    }
+)
+
+
+def setup(registry: registry_lib.Registry) -> None:
+    """Declares the filter."""
+    registry.add("filter", "serve", build)
+
+
+def build(services) -> context_lib.Filter:
+    """Builds the filter over the dispatcher and its neighbours."""
+
+    def serve(context: context_lib.RequestContext) -> context_lib.Result:
+        return _Service(services, context).run()
+
+    return serve
+
+
+class _Service:
+    """The attempts of one request."""
+
+    def __init__(self, services, context: context_lib.RequestContext):
+        self._services = services
+        self._context = context
+        self._attempts = 0
+        self._maybe_run = False
+        self._tried: frozenset[str] = frozenset()
+        self._claimed = False
+        self._gone_checked_ms = 0
+
+    def run(self) -> context_lib.Result:
+        """Makes attempts until one gives a final result."""
+        while True:
+            assignment = self._wait_for_target()
+            if isinstance(assignment, errors.Refusal):
+                return self._refused(assignment)
+            try:
+                result = self._attempt(assignment)
+            finally:
+                now_ms = self._services.clock.now_ms()
+                self._services.dispatcher.release(assignment, now_ms)
+            if result is not None:
+                return result
+
+    def _refused(self, refusal: errors.Refusal) -> errors.Refusal:
+        """Ends the request; says "not run" only if no attempt may have run."""
+        if self._maybe_run:
+            return refusal._replace(run=errors.UNKNOWN)
+        if self._claimed:
+            self._services.intents.abandon(self._context)
+        return refusal
+
+    def _wait_for_target(self) -> dispatch.Assignment | errors.Refusal:
+        services, context = self._services, self._context
+        started_ms = services.clock.now_ms()
+        future = services.dispatcher.submit(
+            self._waiter(started_ms), self._tried, started_ms
+        )
+        if isinstance(future, errors.Refusal):
+            return future
+        result = self._wait(future)
+        services.metrics.observe_wait(
+            context, services.clock.now_ms() - started_ms
+        )
+        return result
+
+    def _wait(
+        self, future: futures.Future
+    ) -> dispatch.Assignment | errors.Refusal:
+        while True:
+            try:
+                return future.result(timeout=_POLL_S)
+            except futures.TimeoutError:
+                refusal = self._must_stop()
+            if refusal is None:
+                continue
+            self._services.dispatcher.cancel(self._context.request_id)
+            result = future.result()
+            if isinstance(result, dispatch.Assignment):
+                now_ms = self._services.clock.now_ms()
+                self._services.dispatcher.release(result, now_ms)
+            return refusal
+
+    def _must_stop(self) -> errors.Refusal | None:
+        if self._context.responder.is_gone():
+            return errors.CLIENT_GONE
+        return self._services.configuration.recheck_key(self._context)
+
+    def _waiter(self, now_ms: int) -> queueing.Waiter:
+        context = self._context
+        return queueing.Waiter(
+            request_id=context.request_id,
+            account=context.account_name,
+            subject=context.work.subject,
+            cost_tokens=context.work.cost_tokens,
+            weight=context.account.weight if context.account else 1,
+            priority=context.request_class.priority,
+            enqueued_ms=now_ms,
+            deadline_ms=context.deadline_ms,
+        )
+
+    def _attempt(self, assignment: dispatch.Assignment) -> context_lib.Result:
+        """Makes one attempt; None means that another one follows."""
+        services, context = self._services, self._context
+        refusal = services.configuration.recheck_key(context)
+        if refusal is not None:
+            return self._refused(refusal)
+        target = services.configuration.target(assignment.target)
+        if target is None:
+            return self._refused(errors.NO_TARGET)
+        if not context.work.idempotent and not self._claimed:
+            result = services.intents.claim(context)
+            if result is not None:
+                return result
+            self._claimed = True
+        self._attempts += 1
+        self._tried |= {assignment.target}
+        outcome = relay.run(
+            services.client,
+            self._target_request(target.url),
+            context.request_id,
+            context.work.stream,
+            _REFUSED_BY_ENGINE if context.work.model else frozenset(),
+            self._callbacks(),
+        )
+        if isinstance(outcome, relay.Whole):
+            return self._answered(assignment, outcome)
+        return self._after_failure(assignment, outcome)
+
+    def _answered(
+        self, assignment: dispatch.Assignment, outcome: relay.Whole
+    ) -> context_lib.Answered:
+        context = self._context
+        self._services.health.note_success(assignment.target)
+        context.used_tokens = outcome.tokens
+        if not context.work.idempotent and outcome.body is not None:
+            recorded = intents.Replay(
+                outcome.status,
+                outcome.content_type,
+                outcome.body.decode(_LOSSLESS),
+            )
+            self._services.intents.complete(context, recorded)
+        return context_lib.Answered()
+
+    def _after_failure(
+        self, assignment: dispatch.Assignment, failed: relay.Failed
+    ) -> context_lib.Result:
+        context = self._context
+        if failed.evidence is attempts.Evidence.NOT_SENT:
+            context.used_tokens = 0
+        if failed.caller_gone:
+            return errors.CLIENT_GONE._replace(run=errors.UNKNOWN)
+        if failed.stopped:
+            return self._stopped(failed)
+        self._services.health.note_failure(
+            assignment.target, context.work.subject, failed.evidence
+        )
+        self._services.metrics.count_attempt_failure(failed.evidence)
+        history = attempts.History(
+            self._attempts,
+            self._maybe_run,
+            context.work.idempotent,
+            context.deadline_ms,
+        )
+        now_ms = self._services.clock.now_ms()
+        step = attempts.next_step(history, failed.evidence, now_ms)
+        self._maybe_run |= failed.evidence is attempts.Evidence.UNKNOWN
+        return self._take(step)
+
+    def _take(self, step: attempts.Step) -> context_lib.Result:
+        if step is attempts.Step.RETRY:
+            return None
+        if step is attempts.Step.END_CUT:
+            return errors.ANSWER_CUT
+        if step is attempts.Step.REFUSE_UNKNOWN:
+            return errors.OUTCOME_UNKNOWN
+        return self._refused(errors.NO_TARGET)
+
+    def _stopped(self, failed: relay.Failed) -> errors.Refusal:
+        refusal = self._services.configuration.recheck_key(self._context)
+        if refusal is None:
+            refusal = errors.CLIENT_GONE
+        if failed.evidence is attempts.Evidence.NOT_SENT:
+            return self._refused(refusal)
+        return refusal._replace(run=errors.UNKNOWN)
+
+    def _callbacks(self) -> relay.Callbacks:
+        services, context = self._services, self._context
+
+        def begin(status: int, headers: list[tuple[str, str]]) -> None:
+            context.responded = True
+            context.first_byte_ms = services.clock.now_ms()
+            services.metrics.observe_first_byte(context)
+            headers = [*headers, ("X-Request-Id", context.request_id)]
+            context.responder.begin(status, headers)
+
+        def allowed() -> bool:
+            if self._caller_is_gone():
+                return False
+            return services.configuration.recheck_key(context) is None
+
+        def events(count: int) -> None:
+            services.metrics.observe_events(
+                context, count, services.clock.now_ms()
+            )
+
+        return relay.Callbacks(begin, context.responder.write, allowed, events)
+
+    def _caller_is_gone(self) -> bool:
+        """Looks at the caller's connection, at most every ``_POLL_S``."""
+        now_ms = self._services.clock.now_ms()
+        if now_ms - self._gone_checked_ms < _POLL_S * 1_000:
+            return False
+        self._gone_checked_ms = now_ms
+        return self._context.responder.is_gone()
+
+    def _target_request(self, base_url: str) -> http.HttpRequest:
+        context = self._context
+        headers = [
+            (name, value)
+            for name, value in context.headers
+            if name.lower() not in _DROPPED_HEADERS
+            and name.lower() not in context.key_headers
+        ]
+        headers.append(("X-Request-Id", context.request_id))
+        relay_idle_ms = self._services.settings.get("relay", "idle_timeout_ms")
+        streams = context.work.stream
+        return http.HttpRequest(
+            method=context.method,
+            url=base_url + context.work.target_path,
+            headers=tuple(headers),
+            body=context.body,
+            timeout_ms=context.request_class.answer_ms,
+            idle_timeout_ms=relay_idle_ms if streams else 0,
+            fresh_connection=(
+                not context.work.idempotent or self._attempts > 0
+            ),
+        )
--- /dev/null
+++ b/tanagerloft/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances."""
--- /dev/null
+++ b/tanagerloft/server/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP front of an instance and the wiring of its parts."""
--- /dev/null
+++ b/tanagerloft/server/http_server.py
@@ -0,0 +1,92 @@
+"""HTTP server: cheroot with bounded threads and access to the connection."""
+
+from collections.abc import Callable
+import select
+import socket
+import threading
+
+import cheroot.server
+import cheroot.wsgi
+
+SOCKET_KEY = "tanagerloft.socket"
+_BACKLOG = 512
+_KEEP_ALIVE_CONNECTIONS = 4_096
+
+
+class _Gateway(cheroot.wsgi.Gateway_10):
+    """Gateway that passes the caller's socket to the application."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.req.conn.socket
+        return environ
+
+
+class HttpServer:
+    """Serves a WSGI application on one address.
+
+    Args:
+        host: Address to listen on.
+        port: Port, 0 to let the system choose.
+        application: WSGI application.
+        threads: Worker threads.
+        max_header_bytes: Bound on request headers.
+        max_body_bytes: Bound on request bodies.
+        read_timeout_ms: Bound on silence while a request is read.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        application: Callable,
+        threads: int = 8,
+        max_header_bytes: int = 16_384,
+        max_body_bytes: int = 2_000_000,
+        read_timeout_ms: int = 5_000,
+    ):
+        self._server = cheroot.wsgi.Server(
+            (host, port),
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=_BACKLOG,
+            shutdown_timeout=1,
+        )
+        self._server.gateway = _Gateway
+        self._server.timeout = read_timeout_ms / 1_000
+        self._server.keep_alive_conn_limit = _KEEP_ALIVE_CONNECTIONS
+        self._server.max_request_header_size = max_header_bytes
+        self._server.max_request_body_size = max_body_bytes
+        self._thread = threading.Thread(
+            target=self._serve, name="http", daemon=True
+        )
+
+    def start(self) -> int:
+        """Binds and serves; returns the port."""
+        self._server.prepare()
+        self._thread.start()
+        return self._server.bind_addr[1]
+
+    def stop(self) -> None:
+        """Stops at once."""
+        self._server.stop()
+        self._thread.join()
+
+    def _serve(self) -> None:
+        self._server.serve()
+
+
+def is_closed(connection: socket.socket) -> bool:
+    """Returns whether the other side has closed a connection."""
+    try:
+        poller = select.poll()
+        poller.register(connection, select.POLLIN | select.POLLHUP)
+        if not poller.poll(0):
+            return False
+        peeked = connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except (OSError, ValueError):
+        return True
+    return not peeked
--- /dev/null
+++ b/tanagerloft/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for trials and tests."""
--- /dev/null
+++ b/tanagerloft/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/tanagerloft/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers with no knowledge of the rest of the package."""
