Run the whole path as separate processes

Cause: requests in the first seconds of an instance were refused with 429: it had not read who holds the shares of limits.

Change: readiness waits until the holders are known, an instance without the row asks any peer, a conflict on taking shares is followed by a read at once. A test runs 8 instances, 2 engines, service, weight store and platform as processes.

Ruled out: waiting inside the charge for the first read; it holds a thread for what readiness can tell the balancer.

--- a/tanagerloft/controllers/limits.py
+++ b/tanagerloft/controllers/limits.py
@@ -10,6 +10,7 @@
 from tanagerloft.controllers import membership as membership_lib
 from tanagerloft.decisions import bucket as bucket_lib
 from tanagerloft.decisions import errors as decision_errors
+from tanagerloft.decisions import homes
 from tanagerloft.decisions import shares
 from tanagerloft.peers import bus as bus_lib
 from tanagerloft.peers import errors as peer_errors
@@ -97,6 +98,8 @@
         self._accounts: dict[str, _AccountState] = {}
         self._silent_until_ms: dict[str, int] = {}
         self._read_due_ms = 0
+        self._has_read = False
+        self._settled = False
         bus.handle("grant", self._answer_grant)
         bus.handle("settle", self._answer_settle)
 
@@ -159,11 +162,33 @@
         if isinstance(found, platform_errors.TableError):
             return
         self._read_due_ms = now_ms + interval_ms
+        self._has_read = True
         by_name = {row.key.name: row for row in found}
         for account in self._configuration.version.inventory.accounts.values():
             key = rows.limit(account.name)
             absent = table_lib.Row(key, 0, "", {})
             self._follow(account, by_name.get(account.name, absent))
+        if not self.is_settled():
+            self._read_due_ms = 0
+            self._membership.refresh()
+
+    def is_settled(self) -> bool:
+        """Returns whether requests of each account can be charged somewhere.
+
+        Once true it stays so: a holder that dies later costs tokens, not
+        readiness. Without the table it is true, because any peer is asked for
+        grants then.
+        """
+        if not self._settled:
+            self._settled = self._all_have_holders()
+        return self._settled or self._configuration.needs_peers()
+
+    def _all_have_holders(self) -> bool:
+        reachable = {self._me.instance_id, *self._membership.peer_addresses()}
+        return self._has_read and all(
+            reachable.intersection(self._holders(name))
+            for name in self._configuration.version.inventory.accounts
+        )
 
     def hand_back_all(self) -> None:
         """Hands back all shares, with their tokens, before the process ends."""
@@ -267,6 +292,7 @@
             self._table, table_lib.Transaction(ids.new_id(), (put,), checks)
         )
         if not isinstance(result, table_lib.Committed):
+            self._read_due_ms = 0
             return
         now_ms = self._clock.now_ms()
         with self._lock:
@@ -325,12 +351,13 @@
         """Asks the other holders, one after another, for what is missing."""
         grants: list[Grant] = []
         addresses = self._membership.peer_addresses()
-        for holder in self._other_holders(name):
+        me = self._me.instance_id
+        for holder in self._holders(name) or homes.rank(name, addresses):
             now_ms = self._clock.now_ms()
             left_ms = self._grant_ms - (now_ms - asked_ms)
             if missing == 0 or left_ms <= 0:
                 break
-            if holder not in addresses:
+            if holder == me or holder not in addresses:
                 continue
             if self._silent_until_ms.get(holder, 0) > now_ms:
                 continue
@@ -340,12 +367,12 @@
                 missing -= grant.reservation.micro_tokens
         return grants
 
-    def _other_holders(self, name: str) -> list[str]:
-        row = self._accounts[name].row
-        if row is None:
+    def _holders(self, name: str) -> list[str]:
+        """Returns who holds shares as far as known, nobody if not known."""
+        state = self._accounts.get(name)
+        if state is None or state.row is None:
             return []
-        me = self._me.instance_id
-        return [holder for holder in shares.holders(row.body) if holder != me]
+        return shares.holders(state.row.body)
 
     def _ask(
         self, holder: str, address: str, name: str, missing: int, left_ms: int
--- a/tanagerloft/controllers/membership.py
+++ b/tanagerloft/controllers/membership.py
@@ -108,6 +108,10 @@
             self._scan()
         self._ask_peers()
 
+    def refresh(self) -> None:
+        """Makes the next tick read the rows of all instances."""
+        self._scan_due_ms = 0
+
     def heartbeat(self) -> None:
         """Writes this instance's row; that renews its lease."""
         started_ms = self._clock.now_ms()
--- a/tanagerloft/server/application.py
+++ b/tanagerloft/server/application.py
@@ -197,6 +197,9 @@
         if not self._services.configuration.is_ready():
             start_response("503 Service Unavailable", _TEXT)
             return [b"no configuration confirmed\n"]
+        if not self._services.limits.is_settled():
+            start_response("503 Service Unavailable", _TEXT)
+            return [b"holders of limits not known\n"]
         start_response("200 OK", _TEXT)
         return [b"ready\n"]
 
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -199,7 +199,10 @@
         services = self.services
         deadline_ms = services.clock.now_ms() + timeout_ms
         while services.clock.now_ms() < deadline_ms:
-            if services.configuration.is_ready() and services.limits.held():
+            if (
+                services.configuration.is_ready()
+                and services.limits.is_settled()
+            ):
                 return True
             time.sleep(_READY_POLL_S)
         return False
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,398 @@
+"""A deployment of real processes on loopback, for tests and measurements."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from typing import NamedTuple
+
+from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import store
+from tanagerloft.platform import dynamo_table
+from tanagerloft.util import http
+from tanagerloft.util import ids
+
+_HOST = "127.0.0.1"
+_START_TIMEOUT_S = 60
+_STOP_TIMEOUT_S = 60
+_POLL_S = 0.05
+_CALL_TIMEOUT_MS = 5_000
+_MEMORY_MB = 20_000
+KEYS = {"quito": "key-quito-1", "limon": "key-limon-1"}
+
+
+class Answer(NamedTuple):
+    """What a caller got: status 0 if the connection ended without one."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def reason(self) -> str:
+        """Machine-readable reason of a refusal, or of a cut stream."""
+        with contextlib.suppress(ValueError, KeyError):
+            return json.loads(self.body)["reason"]
+        with contextlib.suppress(ValueError, KeyError, IndexError):
+            last = self.body.strip().rsplit(b"data: ", 1)[1]
+            return json.loads(last)["error"]["code"]
+        return ""
+
+    @property
+    def run(self) -> str:
+        """What a refusal says about whether the request was run."""
+        with contextlib.suppress(ValueError, KeyError, TypeError):
+            return json.loads(self.body)["run"]
+        return ""
+
+    @property
+    def whole(self) -> bool:
+        """Whether this is a whole answer of a target."""
+        if self.status != 200:
+            return False
+        if self.headers.get("content-type", "").startswith("text/event"):
+            return self.body.rstrip().endswith(b"data: [DONE]")
+        return True
+
+
+class _Process:
+    """One process of the deployment."""
+
+    def __init__(self, name: str, arguments: list[str], directory: str):
+        self.name = name
+        self._arguments = arguments
+        self._log = pathlib.Path(directory, f"{name}.log")
+        self.port = 0
+        self.popen: subprocess.Popen | None = None
+
+    def launch(self) -> None:
+        with self._log.open("a") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "tanagerloft", *self._arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+            )
+
+    def wait_started(self) -> None:
+        line = self.popen.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{self.name}: {self.log()[-2_000:]}")
+        if line.startswith("{"):
+            self.port = json.loads(line)["port"]
+        else:
+            self.port = int(line.rsplit(maxsplit=1)[1])
+
+    def log(self) -> str:
+        return self._log.read_text()
+
+
+class Fleet:
+    """Stand-ins and entry instances, each a process of its own.
+
+    Args:
+        directory: Folder for settings and logs.
+        instances: Number of entry instances.
+        engines: Number of model engines.
+        settings: Settings of the instances that differ from the defaults, by
+            ``section.key``.
+        engine_arguments: Further arguments of the engine stand-ins.
+        classes: Request classes.
+        accounts: Client accounts.
+        models: Models.
+    """
+
+    def __init__(
+        self,
+        directory,
+        instances: int = 8,
+        engines: int = 2,
+        settings: dict[str, object] | None = None,
+        engine_arguments: tuple[str, ...] = (),
+        classes: tuple[inventory_lib.RequestClass, ...] = (),
+        accounts: tuple[inventory_lib.Account, ...] = (),
+        models: tuple[inventory_lib.Model, ...] = (),
+    ):
+        self._directory = str(directory)
+        self._instance_count = instances
+        self._engine_count = engines
+        self._settings = settings or {}
+        self._engine_arguments = engine_arguments
+        self._classes = classes or (
+            inventory_lib.RequestClass("default", 60_000),
+        )
+        self._accounts = accounts or (
+            inventory_lib.Account("quito", 100_000, 1_000_000),
+            inventory_lib.Account("limon", 100_000, 1_000_000),
+        )
+        self._models = models or tuple(
+            inventory_lib.Model(f"model-{n}", "1", 2_000, 2_200)
+            for n in range(6)
+        )
+        self._processes: dict[str, _Process] = {}
+        self.client = http.HttpClient()
+
+    def __enter__(self):
+        try:
+            self._start_all()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_exc):
+        self.close()
+
+    def close(self) -> None:
+        """Ends all processes."""
+        for process in self._processes.values():
+            if process.popen is not None and process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGKILL)
+                process.popen.wait()
+                process.popen.stdout.close()
+
+    def _start_all(self) -> None:
+        self._start("platform", ["stand-in", "platform"])
+        self._start("weights", ["stand-in", "weights"])
+        self._start("service-1", ["stand-in", "service"])
+        draft = self._make_inventory({})
+        path = pathlib.Path(self._directory, "sizes.jsonl")
+        path.write_text(inventory_lib.dump(draft))
+        names = [f"engine-{n}" for n in range(1, self._engine_count + 1)]
+        for name in names:
+            self._launch_engine(name, str(path))
+        for name in names:
+            self._processes[name].wait_started()
+        ports = {name: self.port(name) for name in names}
+        self.inventory = self._make_inventory(ports)
+        applied = store.apply(self.table(), self.inventory, 0)
+        assert isinstance(applied, store.Version), applied
+        for name in self.instance_names():
+            self.launch_instance(name)
+        for name in self.instance_names():
+            self._processes[name].wait_started()
+        for name in self.instance_names():
+            self.wait_ready(name)
+
+    def _launch_engine(self, name: str, sizes: str) -> None:
+        arguments = [
+            *("stand-in", "engine", "--inventory", sizes),
+            *("--memory-mb", str(_MEMORY_MB)),
+            *("--weights-url", self.url("weights")),
+            *self._engine_arguments,
+        ]
+        self._processes[name] = _Process(name, arguments, self._directory)
+        self._processes[name].launch()
+
+    def _start(self, name: str, arguments: list[str]) -> None:
+        process = _Process(name, arguments, self._directory)
+        self._processes[name] = process
+        process.launch()
+        process.wait_started()
+
+    def _make_inventory(self, engine_ports: dict[str, int]):
+        targets = [
+            inventory_lib.Target(
+                name, self.url(name), "engine", "dc-1", _MEMORY_MB, True
+            )
+            for name in engine_ports
+        ]
+        service = inventory_lib.Target(
+            "service-1", self.url("service-1"), "service", "dc-1"
+        )
+        keys = [
+            inventory_lib.Key(f"{account}-1", account, ids.sha256_hex(key))
+            for account, key in KEYS.items()
+        ]
+        routes = [
+            inventory_lib.Route(
+                "payments", "/payments", ("service-1",), False, tokens=1
+            ),
+            inventory_lib.Route("public", "/public", ("service-1",), open=True),
+        ]
+        adapter = inventory_lib.Adapter("adapter-0", "model-0", "1", 50)
+        return inventory_lib.Inventory(
+            targets={t.name: t for t in [*targets, service]},
+            models={m.name: m for m in self._models},
+            adapters={adapter.name: adapter},
+            routes={r.name: r for r in routes},
+            accounts={a.name: a for a in self._accounts},
+            keys={k.name: k for k in keys},
+            classes={c.name: c for c in self._classes},
+        )
+
+    def instance_names(self) -> list[str]:
+        """Returns the names of all entry instances."""
+        return [f"instance-{n}" for n in range(1, self._instance_count + 1)]
+
+    def launch_instance(self, name: str) -> None:
+        """Starts an entry instance, again at its port if it had one."""
+        earlier = self._processes.get(name)
+        port = earlier.port if earlier else 0
+        path = pathlib.Path(self._directory, f"{name}.ini")
+        path.write_text(self._settings_text(name, port))
+        process = _Process(name, ["serve", str(path)], self._directory)
+        self._processes[name] = process
+        process.launch()
+
+    def _settings_text(self, name: str, port: int) -> str:
+        values = {
+            "instance.id": name,
+            "instance.data_centre": "dc-1",
+            "instance.address": f"{_HOST}:{port}",
+            "instance.peer_address": f"{_HOST}:0",
+            "platform.table_url": self.url("platform"),
+            "platform.instances_url": self.url("platform") + "/instances",
+            "server.lame_duck_ms": 0,
+            **self._settings,
+        }
+        sections: dict[str, list[str]] = {}
+        for name_, value in values.items():
+            section, key = name_.split(".")
+            sections.setdefault(section, []).append(f"{key} = {value}")
+        return "\n".join(
+            "\n".join([f"[{section}]", *lines])
+            for section, lines in sections.items()
+        )
+
+    def restart_instance(self, name: str) -> None:
+        """Starts an instance that has ended and waits until it is ready."""
+        self.launch_instance(name)
+        self._processes[name].wait_started()
+        self.wait_ready(name)
+
+    def table(self):
+        """Returns a client of the platform's table."""
+        return dynamo_table.DynamoTable(
+            http.HttpClient(),
+            self.url("platform"),
+            "tanagerloft",
+            _CALL_TIMEOUT_MS,
+        )
+
+    def port(self, name: str) -> int:
+        """Returns the port of a process."""
+        return self._processes[name].port
+
+    def pid(self, name: str) -> int:
+        """Returns the id of a process."""
+        return self._processes[name].popen.pid
+
+    def log(self, name: str) -> str:
+        """Returns what a process has logged."""
+        return self._processes[name].log()
+
+    def url(self, name: str) -> str:
+        """Returns the base URL of a process."""
+        return f"http://{_HOST}:{self.port(name)}"
+
+    def signal(self, name: str, number: int) -> None:
+        """Sends a signal to a process."""
+        os.kill(self.pid(name), number)
+
+    def wait_ended(self, name: str) -> int:
+        """Waits for the end of a process; returns its exit code."""
+        return self._processes[name].popen.wait(_STOP_TIMEOUT_S)
+
+    def get(self, name: str, path: str):
+        """Returns the JSON that a process answers with."""
+        answer = self.request(name, "GET", path)
+        return json.loads(answer.body) if answer.status == 200 else None
+
+    def fault(self, name: str, **faults) -> None:
+        """Sets faults of a stand-in."""
+        body = json.dumps(faults).encode()
+        answer = self.request(name, "POST", "/faults", body=body)
+        assert answer.status == 200, answer
+
+    def list_instance(self, name: str, state: str = "live") -> None:
+        """Sets what the platform's list says of an instance."""
+        entry = {
+            "instance": name,
+            "peer_address": self.get(name, "/status")["peer_address"]
+            if state == "live"
+            else f"{_HOST}:1",
+            "state": state,
+        }
+        body = json.dumps(entry).encode()
+        self.request("platform", "POST", "/instances", body=body)
+
+    def wait_ready(self, name: str) -> None:
+        """Waits until an instance is ready."""
+        self.eventually(
+            lambda: self.request(name, "GET", "/readyz").status == 200
+        )
+
+    def eventually(self, condition) -> None:
+        """Waits until a condition holds; fails only if it never does."""
+        deadline_s = time.monotonic() + _START_TIMEOUT_S
+        while not condition():
+            assert time.monotonic() < deadline_s, "condition never held"
+            time.sleep(_POLL_S)
+
+    def request(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+    ) -> Answer:
+        """Sends a request to a process."""
+        pieces: list[bytes] = []
+        begun: dict[str, object] = {"status": 0, "headers": {}}
+
+        def begin(status, answer_headers):
+            begun.update(status=status, headers=answer_headers)
+
+        def data(piece):
+            pieces.append(piece)
+            return True
+
+        request = http.HttpRequest(
+            method,
+            self.url(name) + path,
+            tuple((headers or {}).items()),
+            body,
+            timeout_ms=_START_TIMEOUT_S * 1_000,
+        )
+        sink = http.Sink(begin, data, lambda: True)
+        self.client.send(request, sink)
+        return Answer(begun["status"], begun["headers"], b"".join(pieces))
+
+    def complete(
+        self,
+        name: str,
+        model: str,
+        key: str = KEYS["quito"],
+        tokens: int = 5,
+        stream: bool = True,
+        **fields,
+    ) -> Answer:
+        """Asks an instance for a completion."""
+        payload = {
+            "model": model,
+            "prompt": "Is this harness safe?",
+            "max_tokens": tokens,
+            "stream": stream,
+            **fields,
+        }
+        return self.request(
+            name,
+            "POST",
+            "/v1/completions",
+            {"Authorization": f"Bearer {key}"},
+            json.dumps(payload).encode(),
+        )
+
+    def pay(self, name: str, key: str, body: bytes = b"{}") -> Answer:
+        """Sends a non-idempotent request through an instance."""
+        headers = {
+            "Authorization": f"Bearer {KEYS['quito']}",
+            "Idempotency-Key": key,
+        }
+        return self.request(name, "POST", "/payments/1", headers, body)
