--- a/tanagerloft/filters/errors.py
+++ b/tanagerloft/filters/errors.py
@@ -65,6 +65,9 @@
     422,
     "The key was used before for another request.",
 )
+LENGTH_REQUIRED = Refusal(
+    "length_required", 411, "The request must have a Content-Length."
+)
 BODY_TOO_LARGE = Refusal("body_too_large", 413, "The body is too large.")
 LIMIT_NEVER = Refusal(
     "limit_too_small", 400, "The request needs more than the account's burst."
--- a/tanagerloft/filters/serve.py
+++ b/tanagerloft/filters/serve.py
@@ -16,7 +16,7 @@
 _POLL_S = 0.25
 # An engine answers these before it runs anything.
 _REFUSED_BY_ENGINE = frozenset({404, 429, 503})
-_LOSSLESS = intents.BODY_ENCODING
+_MAX_RECORDED_BYTES = 131_072
 # Headers that concern one connection, or that carry a key.
 _DROPPED_HEADERS = frozenset(
     {
@@ -81,6 +81,7 @@
         """Ends the request; says "not run" only if no attempt may have run."""
         if self._maybe_run:
             return refusal._replace(run=errors.UNKNOWN)
+        self._context.used_tokens = 0
         if self._claimed:
             self._services.intents.abandon(self._context)
         return refusal
@@ -137,9 +138,6 @@
     def _attempt(self, assignment: dispatch.Assignment) -> context_lib.Result:
         """Makes one attempt; None means that another one follows."""
         services, context = self._services, self._context
-        refusal = services.configuration.recheck_key(context)
-        if refusal is not None:
-            return self._refused(refusal)
         target = services.configuration.target(assignment.target)
         if target is None:
             return self._refused(errors.NO_TARGET)
@@ -148,6 +146,9 @@
             if result is not None:
                 return result
             self._claimed = True
+        refusal = services.configuration.recheck_key(context)
+        if refusal is not None:
+            return self._refused(refusal)
         self._attempts += 1
         self._tried |= {assignment.target}
         outcome = relay.run(
@@ -168,21 +169,12 @@
         context = self._context
         self._services.health.note_success(assignment.target)
         context.used_tokens = outcome.tokens
-        if not context.work.idempotent and outcome.body is not None:
-            recorded = intents.Replay(
-                outcome.status,
-                outcome.content_type,
-                outcome.body.decode(_LOSSLESS),
-            )
-            self._services.intents.complete(context, recorded)
         return context_lib.Answered()
 
     def _after_failure(
         self, assignment: dispatch.Assignment, failed: relay.Failed
     ) -> context_lib.Result:
         context = self._context
-        if failed.evidence is attempts.Evidence.NOT_SENT:
-            context.used_tokens = 0
         if failed.caller_gone:
             return errors.CLIENT_GONE._replace(run=errors.UNKNOWN)
         if failed.stopped:
@@ -239,7 +231,15 @@
                 context, count, services.clock.now_ms()
             )
 
-        return relay.Callbacks(begin, context.responder.write, allowed, events)
+        def record(status: int, content_type: str, body: bytes) -> None:
+            if context.work.idempotent or len(body) > _MAX_RECORDED_BYTES:
+                return
+            text = body.decode(intents.BODY_ENCODING)
+            outcome = intents.Replay(status, content_type, text)
+            services.intents.complete(context, outcome)
+
+        write = context.responder.write
+        return relay.Callbacks(begin, write, allowed, events, record)
 
     def _caller_is_gone(self) -> bool:
         """Looks at the caller's connection, at most every ``_POLL_S``."""
--- a/tanagerloft/server/application.py
+++ b/tanagerloft/server/application.py
@@ -26,15 +26,17 @@
     """Way back to the caller over WSGI; a ``context.Responder``."""
 
     def __init__(self, environ: dict, start_response: Callable, stopping: bool):
-        self._socket = environ.get(http_server.SOCKET_KEY)
+        self._connection = environ[http_server.CONNECTION_KEY]
         self._start_response = start_response
-        self._stopping = stopping
         self._write: Callable | None = None
         self._gone = False
+        if stopping:
+            self.close_after_answer()
+
+    def close_after_answer(self) -> None:
+        self._connection.close_after_answer()
 
     def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
-        if self._stopping:
-            headers = [*headers, ("Connection", "close")]
         self._write = self._start_response(_status_line(status), headers)
 
     def write(self, data: bytes) -> bool:
@@ -48,8 +50,8 @@
         return not self._gone
 
     def is_gone(self) -> bool:
-        if not self._gone and self._socket is not None:
-            self._gone = http_server.is_closed(self._socket)
+        if not self._gone:
+            self._gone = self._connection.is_closed()
         return self._gone
 
 
@@ -98,6 +100,7 @@
         request_id = ids.new_id()
         refusal = self._enter()
         if refusal is not None:
+            connection.close_after_answer()
             self._services.metrics.count_early_refusal(refusal)
             return _refuse(connection, refusal, request_id)
         try:
@@ -156,6 +159,8 @@
             self._services.clock,
         )
         if isinstance(body, errors.Refusal):
+            # What is left of the body must not be taken for a request.
+            connection.close_after_answer()
             self._services.metrics.count_early_refusal(body)
             return _refuse(connection, body, request_id)
         inventory = self._services.configuration.version.inventory
@@ -217,13 +222,11 @@
     environ: dict, max_bytes: int, timeout_ms: int, clock: clock_lib.Clock
 ) -> bytes | errors.Refusal:
     """Reads the whole body within bounds on its size and on time."""
-    length = environ.get("CONTENT_LENGTH") or "0"
-    if not length.isdigit() or int(length) > max_bytes:
-        return errors.BODY_TOO_LARGE
     if environ.get("HTTP_TRANSFER_ENCODING"):
-        wanted = max_bytes + 1
-    else:
-        wanted = int(length)
+        return errors.LENGTH_REQUIRED
+    wanted = int(environ.get("CONTENT_LENGTH") or 0)
+    if wanted > max_bytes:
+        return errors.BODY_TOO_LARGE
     deadline_ms = clock.now_ms() + timeout_ms
     pieces: list[bytes] = []
     received = 0
@@ -234,13 +237,9 @@
         if isinstance(piece, errors.Refusal):
             return piece
         if not piece:
-            break
+            return errors.CLIENT_GONE
         pieces.append(piece)
         received += len(piece)
-    if received > max_bytes:
-        return errors.BODY_TOO_LARGE
-    if received < wanted and not environ.get("HTTP_TRANSFER_ENCODING"):
-        return errors.CLIENT_GONE
     return b"".join(pieces)
 
 
@@ -250,9 +249,7 @@
         return stream.read(size)
     except TimeoutError:
         return errors.SLOW_SENDER
-    except (OSError, ValueError) as error:
-        if type(error).__name__ == "MaxSizeExceeded":
-            return errors.BODY_TOO_LARGE
+    except OSError:
         return errors.CLIENT_GONE
 
 
--- a/tanagerloft/server/http_server.py
+++ b/tanagerloft/server/http_server.py
@@ -8,17 +8,32 @@
 import cheroot.server
 import cheroot.wsgi
 
-SOCKET_KEY = "tanagerloft.socket"
+CONNECTION_KEY = "tanagerloft.connection"
 _BACKLOG = 512
 _KEEP_ALIVE_CONNECTIONS = 4_096
 
 
+class Connection:
+    """The caller's connection, for the application."""
+
+    def __init__(self, request: cheroot.server.HTTPRequest):
+        self._request = request
+
+    def close_after_answer(self) -> None:
+        """Closes the connection after the answer, and tells the caller so."""
+        self._request.close_connection = True
+
+    def is_closed(self) -> bool:
+        """Returns whether the caller has closed it."""
+        return _is_closed(self._request.conn.socket)
+
+
 class _Gateway(cheroot.wsgi.Gateway_10):
-    """Gateway that passes the caller's socket to the application."""
+    """Gateway that passes the caller's connection to the application."""
 
     def get_environ(self):
         environ = super().get_environ()
-        environ[SOCKET_KEY] = self.req.conn.socket
+        environ[CONNECTION_KEY] = Connection(self.req)
         return environ
 
 
@@ -31,7 +46,6 @@
         application: WSGI application.
         threads: Worker threads.
         max_header_bytes: Bound on request headers.
-        max_body_bytes: Bound on request bodies.
         read_timeout_ms: Bound on silence while a request is read.
     """
 
@@ -42,7 +56,6 @@
         application: Callable,
         threads: int = 8,
         max_header_bytes: int = 16_384,
-        max_body_bytes: int = 2_000_000,
         read_timeout_ms: int = 5_000,
     ):
         self._server = cheroot.wsgi.Server(
@@ -57,7 +70,6 @@
         self._server.timeout = read_timeout_ms / 1_000
         self._server.keep_alive_conn_limit = _KEEP_ALIVE_CONNECTIONS
         self._server.max_request_header_size = max_header_bytes
-        self._server.max_request_body_size = max_body_bytes
         self._thread = threading.Thread(
             target=self._serve, name="http", daemon=True
         )
@@ -77,7 +89,7 @@
         self._server.serve()
 
 
-def is_closed(connection: socket.socket) -> bool:
+def _is_closed(connection: socket.socket) -> bool:
     """Returns whether the other side has closed a connection."""
     try:
         poller = select.poll()
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -178,7 +178,6 @@
             self.application,
             settings.get("server", "threads"),
             settings.get("server", "max_header_bytes"),
-            settings.get("server", "max_body_bytes"),
             settings.get("server", "read_timeout_ms"),
         )
         self._runner = runner_lib.Runner(self._loops())
--- a/tanagerloft/targets/relay.py
+++ b/tanagerloft/targets/relay.py
@@ -18,7 +18,6 @@
 _REQUEST_ID = "x-request-id"
 _LENGTH = "content-length"
 _PASSED_HEADERS = ("content-type", _LENGTH)
-_MAX_KEPT_BYTES = 131_072
 
 
 class Callbacks(NamedTuple):
@@ -30,27 +29,24 @@
         allowed: Whether the request may still go on; polled about every second
             and before each piece.
         events: Told the number of stream events in each piece.
+        record: Told status, type and body of a whole answer that is no stream,
+            before any of it goes to the caller.
     """
 
     begin: Callable[[int, list[tuple[str, str]]], None]
     write: Callable[[bytes], bool]
     allowed: Callable[[], bool]
     events: Callable[[int], None]
+    record: Callable[[int, str, bytes], None]
 
 
 class Whole(NamedTuple):
     """The answer reached the caller whole.
 
     Attributes:
-        status: Status that the target gave.
-        content_type: Type of the body.
-        body: The body, None if it is a stream or too long to keep.
-        tokens: Tokens it took, None if it did not say.
+        tokens: Tokens it took, None if the target did not say.
     """
 
-    status: int
-    content_type: str
-    body: bytes | None
     tokens: int | None
 
 
@@ -153,11 +149,11 @@
             return self._finish_stream()
         body = b"".join(self._held)
         self._headers[_LENGTH] = str(len(body))
+        content_type = self._headers.get("content-type", "")
+        self._callbacks.record(self._status, content_type, body)
         if not self._pass_on(body):
             return self._failed(attempts.Evidence.UNKNOWN, "caller gone")
-        content_type = self._headers.get("content-type", "")
-        kept = body if len(body) <= _MAX_KEPT_BYTES else None
-        return Whole(self._status, content_type, kept, _tokens_of(body))
+        return Whole(_tokens_of(body))
 
     def _says_not_run(self, response: http.HttpResponse) -> bool:
         return (
@@ -169,9 +165,7 @@
         if _STREAM_END not in self._tail[-_TAIL_BYTES:]:
             return self.cut("the stream ended without its terminator")
         found = _TOTAL_TOKENS.search(self._tail)
-        tokens = int(found.group(1)) if found else None
-        content_type = self._headers.get("content-type", "")
-        return Whole(self._status, content_type, None, tokens)
+        return Whole(int(found.group(1)) if found else None)
 
     def cut(self, reason: str) -> Failed:
         evidence = attempts.Evidence.UNKNOWN
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tanagerloft; the folders mirror the package."""
--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests."""
