--- a/tests/server/test_bad_input.py
+++ b/tests/server/test_bad_input.py
@@ -120,7 +120,10 @@
 
 @pytest.mark.parametrize("length", ["many", "-1"])
 def test_malformed_length_is_refused(fleet, length):
-    head = f"POST {_COMPLETIONS} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n"
+    head = (
+        f"POST {_COMPLETIONS} HTTP/1.1\r\nHost: x\r\n"
+        f"Content-Length: {length}\r\n\r\n"
+    )
     with _connect(fleet) as connection:
         connection.sendall(head.encode())
         answer = connection.recv(65_536)
