Log JSON lines, answer chats in their own form, look for leaked tokens

Cause: log lines had no structure; the engine stand-in answered chats in the form of completions; the check for leaks did not see reserved tokens or threads.

Change: python-json-logger writes the lines; the stand-in knows both forms; /status shows open tokens and threads, and the tests of bad input look at them.

--- a/tanagerloft/cmd/serve.py
+++ b/tanagerloft/cmd/serve.py
@@ -6,13 +6,14 @@
 import threading
 
 import click
+from pythonjsonlogger import json as jsonlogger
 
 from tanagerloft.cmd import exits
 from tanagerloft.config import errors
 from tanagerloft.config import settings as settings_lib
 from tanagerloft.server import instance as instance_lib
 
-LOG_FORMAT = "%(asctime)s %(levelname)s %(name)s: %(message)s"
+_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
 @click.command()
@@ -33,8 +34,10 @@
 
 
 def set_up_logging(level: str) -> None:
-    """Sends log lines to standard error."""
-    logging.basicConfig(level=level, format=LOG_FORMAT)
+    """Sends log lines to standard error, each a JSON object."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(jsonlogger.JsonFormatter(_FIELDS))
+    logging.basicConfig(level=level, handlers=[handler])
 
 
 def stop_event() -> threading.Event:
--- a/tanagerloft/controllers/limits.py
+++ b/tanagerloft/controllers/limits.py
@@ -99,6 +99,7 @@
         self._silent_until_ms: dict[str, int] = {}
         self._read_due_ms = 0
         self._has_read = False
+        self._open_tokens = 0
         self._settled = False
         bus.handle("grant", self._answer_grant)
         bus.handle("settle", self._answer_settle)
@@ -115,6 +116,7 @@
             state = self._state(account.name, asked_ms)
             self._drop_if_lapsed(state, asked_ms)
             local = state.bucket.take_up_to(cost_micro, asked_ms)
+            self._open_tokens += cost_tokens
         missing = cost_micro - local.micro_tokens
         if missing == 0:
             return Charge(account.name, cost_tokens, local)
@@ -149,6 +151,11 @@
         with self._lock:
             state = self._state(charge.account, now_ms)
             state.bucket.settle(charge.local, left, now_ms)
+            self._open_tokens -= charge.cost_tokens
+
+    def open_tokens(self) -> int:
+        """Returns the tokens that requests have taken and not yet settled."""
+        return self._open_tokens
 
     def tick(self) -> None:
         """Reads the shares' rows, takes free shares and hands back surplus."""
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -260,6 +260,8 @@
             **services.membership.identity._asdict(),
             **services.describe(),
             "in_flight": self.application.in_flight,
+            "open_tokens": services.limits.open_tokens(),
+            "threads": threading.active_count(),
             "keys": services.configuration.freshness().value,
             "table_age_ms": services.configuration.table_age_ms(),
             "live": services.membership.live(),
--- a/tanagerloft/standins/engine.py
+++ b/tanagerloft/standins/engine.py
@@ -248,12 +248,13 @@
         time.sleep(self.faults.get("slow_ms") / _MS_PER_S)
         request_id = request.headers.get("X-Request-Id", "")
         count = payload.get("max_tokens", _DEFAULT_TOKENS)
+        chat = request.path.startswith("/v1/chat/")
         if payload.get("stream"):
-            events = self._stream(payload, item, count)
+            events = self._stream(payload, item, count, chat)
             response = wrappers.Response(events, mimetype="text/event-stream")
             response.call_on_close(lambda: self._leave(payload["model"], item))
         else:
-            response = self._answer_whole(payload, item, count)
+            response = self._answer_whole(payload, item, count, chat)
         response.headers["X-Request-Id"] = request_id
         return response
 
@@ -273,32 +274,33 @@
                 self._items.pop(name, None)
 
     def _answer_whole(
-        self, payload: dict[str, Any], item: _Item, count: int
+        self, payload: dict[str, Any], item: _Item, count: int, chat: bool
     ) -> wrappers.Response:
         time.sleep(count * self._token_ms / _MS_PER_S)
         self._leave(payload["model"], item)
         text = " ".join(f"token{index}" for index in range(count))
         return faults_lib.json_response(
             {
-                "object": "text_completion",
+                "object": "chat.completion" if chat else "text_completion",
                 "model": payload["model"],
-                "choices": [{"index": 0, "text": text}],
+                "choices": [_choice("message", text, chat)],
                 "usage": _usage(payload, count),
             }
         )
 
     def _stream(
-        self, payload: dict[str, Any], item: _Item, count: int
+        self, payload: dict[str, Any], item: _Item, count: int, chat: bool
     ) -> Iterator[bytes]:
+        kind = "chat.completion.chunk" if chat else "text_completion"
         cut = self.faults.take("cut")
         for index in range(count):
             if cut and index * 2 >= count:
                 raise ConnectionResetError("stream cut by a fault")
             time.sleep(self._token_ms / _MS_PER_S)
             event = {
-                "object": "text_completion",
+                "object": kind,
                 "model": payload["model"],
-                "choices": [{"index": 0, "text": f"token{index} "}],
+                "choices": [_choice("delta", f"token{index} ", chat)],
             }
             yield b"data: " + json.dumps(event).encode() + b"\n\n"
         last = {"choices": [], "usage": _usage(payload, count)}
@@ -306,6 +308,12 @@
         yield b"data: [DONE]\n\n"
 
 
+def _choice(member: str, text: str, chat: bool) -> dict[str, Any]:
+    if chat:
+        return {"index": 0, member: {"role": "assistant", "content": text}}
+    return {"index": 0, "text": text}
+
+
 def _usage(payload: dict[str, Any], count: int) -> dict[str, int]:
     prompt = payload.get("prompt") or json.dumps(payload.get("messages", ""))
     prompt_tokens = len(str(prompt).split())
--- a/tests/server/test_bad_input.py
+++ b/tests/server/test_bad_input.py
@@ -11,6 +11,8 @@
 _BEARER = {"Authorization": f"Bearer {_KEY}"}
 _GOOD = json.dumps({"model": "model-0", "prompt": "a", "max_tokens": 2})
 _COMPLETIONS = "/v1/completions"
+# Workers by the settings' default, and those of controllers, reports and peers.
+_MAX_THREADS = 96 + 20
 
 
 @pytest.fixture(scope="module")
@@ -185,9 +187,12 @@
 
 def _check_no_leak(fleet):
     """No request stays open, no place is taken, no token stays reserved."""
+    kept = ("in_flight", "waiting", "open_tokens")
 
     def is_idle():
         status = fleet.get("instance-1", "/status")
-        return status["in_flight"] == status["waiting"] == 0
+        return [status[name] for name in kept] == [0, 0, 0]
 
     fleet.eventually(is_idle)
+    status = fleet.get("instance-1", "/status")
+    assert status["threads"] <= _MAX_THREADS
