--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := .venv/bin
 SEED ?= 1
 
-.PHONY: run test lint format binary smoke clean
+.PHONY: run test fuzz bench lint format binary smoke clean
 
 run: .venv/ready
 	$(BIN)/tanagerloft trial
@@ -12,6 +12,13 @@
 test: .venv/ready
 	$(BIN)/python -m pytest
 
+EXAMPLES ?= 2000
+fuzz: .venv/ready
+	EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest tests/fuzz
+
+bench: .venv/ready
+	$(BIN)/tanagerloft bench limits
+
 lint: .venv/ready
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/tanagerloft/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that drive decisions and controllers on a virtual clock."""
--- /dev/null
+++ b/tanagerloft/bench/local.py
@@ -0,0 +1,275 @@
+"""Fakes at the interfaces, in one process: peers, table and instances."""
+
+from collections.abc import Callable
+from concurrent import futures
+from typing import Any
+
+import msgpack
+
+from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import store
+from tanagerloft.controllers import configuration as configuration_lib
+from tanagerloft.controllers import limits as limits_lib
+from tanagerloft.controllers import membership as membership_lib
+from tanagerloft.peers import bus as bus_lib
+from tanagerloft.peers import errors as peer_errors
+from tanagerloft.platform import errors as platform_errors
+from tanagerloft.platform import instances as instances_lib
+from tanagerloft.platform import memory
+from tanagerloft.platform import table as table_lib
+from tanagerloft.util import clock as clock_lib
+
+FRESHNESS_MS = 4_000
+GRANT_MS = 150
+LEASE_MS = 1_200_000
+
+
+class Network:
+    """Connects buses in one process; calls are answered at once."""
+
+    def __init__(self):
+        self.buses: dict[str, Bus] = {}
+        self.dead: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.bytes = 0
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Returns whether a message gets through."""
+        if receiver not in self.buses or {sender, receiver} & self.dead:
+            return False
+        return frozenset((sender, receiver)) not in self.cut
+
+    def count(self, message: Any) -> None:
+        """Counts the size of a message as the real bus would send it."""
+        self.bytes += len(msgpack.packb([0, message]))
+
+
+class Bus:
+    """An instance's end of the network; a ``bus.Peers``."""
+
+    def __init__(self, network: Network, address: str):
+        self.address = address
+        self._network = network
+        self._handlers: dict[str, bus_lib.Handler] = {}
+        network.buses[address] = self
+
+    def handle(self, kind: str, handler: bus_lib.Handler) -> None:
+        """Registers the handler for calls of one kind."""
+        self._handlers[kind] = handler
+
+    def call(
+        self, address: str, kind: str, payload: Any, _timeout_ms: int
+    ) -> Any | peer_errors.CallFailed:
+        """Calls a peer and returns its answer."""
+        network = self._network
+        network.count([kind, payload])
+        if not network.reaches(self.address, address):
+            return peer_errors.CallFailed("cut")
+        answer = network.buses[address].answer(kind, payload)
+        network.count(answer)
+        return answer
+
+    def begin_call(
+        self, address: str, kind: str, payload: Any, timeout_ms: int
+    ) -> futures.Future:
+        """Calls a peer; the future has its answer already."""
+        future: futures.Future = futures.Future()
+        future.set_result(self.call(address, kind, payload, timeout_ms))
+        return future
+
+    def answer(self, kind: str, payload: Any) -> Any:
+        """Answers a call of a peer."""
+        return self._handlers[kind](payload)
+
+
+class SharedTable:
+    """The table that all instances of a fleet use, with counts and faults.
+
+    Attributes:
+        rows: The table itself.
+        down: Whether it answers nobody.
+        cut: Instances that cannot reach it.
+        reads: Calls that read.
+        writes: Calls that write.
+        late: Transactions that were answered with "unknown" and may still
+            take effect.
+    """
+
+    def __init__(self):
+        self.rows = memory.MemoryTable()
+        self.down = False
+        self.cut: set[str] = set()
+        self.reads = 0
+        self.writes = 0
+        self.late: list[table_lib.Transaction] = []
+
+    def land_late(self) -> None:
+        """Lets the transactions that are still under way take effect."""
+        for transaction in self.late:
+            self.rows.commit(transaction)
+        self.late.clear()
+
+
+class TableHandle:
+    """One instance's way to the shared table; a ``table.Table``.
+
+    Attributes:
+        next_writes: What becomes of the next writes: ``lost answer`` (takes
+            effect, answered "unknown"), ``lost`` (no effect, "unknown") or
+            ``late`` ("unknown", takes effect when ``land_late`` is called).
+    """
+
+    def __init__(self, shared: SharedTable, instance_id: str):
+        self._shared = shared
+        self._instance_id = instance_id
+        self.next_writes: list[str] = []
+
+    def read(
+        self, key: table_lib.RowKey
+    ) -> table_lib.Row | platform_errors.TableError:
+        """Returns the row, unless the table cannot be reached."""
+        if self._is_cut():
+            return platform_errors.unavailable("cut")
+        self._shared.reads += 1
+        return self._shared.rows.read(key)
+
+    def scan(
+        self, kind: str
+    ) -> list[table_lib.Row] | platform_errors.TableError:
+        """Returns all rows of a kind, unless the table cannot be reached."""
+        if self._is_cut():
+            return platform_errors.unavailable("cut")
+        self._shared.reads += 1
+        return self._shared.rows.scan(kind)
+
+    def commit(
+        self, transaction: table_lib.Transaction
+    ) -> table_lib.Committed | platform_errors.TableError:
+        """Commits, subject to the faults set."""
+        if self._is_cut():
+            return platform_errors.unavailable("cut")
+        self._shared.writes += 1
+        fate = self.next_writes.pop(0) if self.next_writes else ""
+        if fate == "lost":
+            return platform_errors.unknown(fate)
+        if fate == "late":
+            self._shared.late.append(transaction)
+            return platform_errors.unknown(fate)
+        result = self._shared.rows.commit(transaction)
+        return platform_errors.unknown(fate) if fate else result
+
+    def _is_cut(self) -> bool:
+        return self._shared.down or self._instance_id in self._shared.cut
+
+
+class Node:
+    """The control path of one instance: configuration, membership, limits."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        incarnation: str,
+        shared: SharedTable,
+        network: Network,
+        clock: clock_lib.Clock,
+        fetch_list: Callable[[], list[instances_lib.Listed]],
+        lease_ms: int = LEASE_MS,
+    ):
+        self.instance_id = instance_id
+        self.table = TableHandle(shared, instance_id)
+        self.bus = Bus(network, f"{instance_id}/{incarnation}")
+        self.configuration = configuration_lib.ConfigurationController(
+            self.table, clock, FRESHNESS_MS
+        )
+        self.bus.handle("configuration", self.configuration.answer_peer)
+        identity = membership_lib.Identity(
+            instance_id, incarnation, "dc-1", "", self.bus.address
+        )
+        self.membership = membership_lib.MembershipController(
+            identity,
+            self.table,
+            fetch_list,
+            self.bus,
+            self.configuration,
+            clock,
+            lease_ms,
+            dict,
+        )
+        self.limits = limits_lib.LimitController(
+            self.table,
+            self.configuration,
+            self.membership,
+            self.bus,
+            clock,
+            GRANT_MS,
+        )
+
+    def tick(self) -> None:
+        """Runs each controller once."""
+        self.configuration.tick()
+        self.membership.tick()
+        self.limits.tick()
+
+
+class LocalFleet:
+    """Several instances' control paths over one table and network.
+
+    Attributes:
+        clock: The clock of all instances.
+        shared: The table.
+        network: The peers' messages.
+        nodes: The instances that run, by name.
+        gone: Instances that the platform says have ended.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        inventory: inventory_lib.Inventory,
+        lease_ms: int = LEASE_MS,
+    ):
+        self.clock = clock_lib.ManualClock()
+        self.shared = SharedTable()
+        self.network = Network()
+        self.nodes: dict[str, Node] = {}
+        self.gone: set[str] = set()
+        self._lease_ms = lease_ms
+        self._starts = 0
+        store.apply(self.shared.rows, inventory, 0)
+        for number in range(count):
+            self.start(f"instance-{number}")
+
+    def start(self, name: str) -> Node:
+        """Starts an instance, or its successor at the same address."""
+        if name in self.nodes:
+            self.kill(name)
+        self._starts += 1
+        self.gone.discard(name)
+        self.nodes[name] = Node(
+            name,
+            f"life-{self._starts}",
+            self.shared,
+            self.network,
+            self.clock,
+            self._list,
+            self._lease_ms,
+        )
+        return self.nodes[name]
+
+    def kill(self, name: str) -> None:
+        """Ends an instance without notice."""
+        node = self.nodes.pop(name)
+        self.network.dead.add(node.bus.address)
+
+    def run(self, duration_ms: int, step_ms: int = 500) -> None:
+        """Lets time pass, all instances ticking once a step."""
+        for _ in range(duration_ms // step_ms):
+            self.clock.advance(step_ms)
+            for node in list(self.nodes.values()):
+                node.tick()
+
+    def _list(self) -> list[instances_lib.Listed]:
+        return [
+            instances_lib.Listed(name, "", instances_lib.GONE)
+            for name in sorted(self.gone)
+        ]
--- a/tanagerloft/cmd/main.py
+++ b/tanagerloft/cmd/main.py
@@ -3,6 +3,7 @@
 import click
 
 import tanagerloft
+from tanagerloft.cmd import bench
 from tanagerloft.cmd import config
 from tanagerloft.cmd import inventory
 from tanagerloft.cmd import keys
@@ -27,6 +28,7 @@
     click.echo(tanagerloft.__version__)
 
 
+main.add_command(bench.bench)
 main.add_command(config.config)
 main.add_command(inventory.inventory)
 main.add_command(keys.keys)
--- a/tanagerloft/controllers/configuration.py
+++ b/tanagerloft/controllers/configuration.py
@@ -75,7 +75,7 @@
         version = self._version
         return [version.number, inventory_lib.dump(version.inventory)]
 
-    def fetch_from_peer(self, bus: bus_lib.Bus, address: str) -> None:
+    def fetch_from_peer(self, bus: bus_lib.Peers, address: str) -> None:
         """Takes over a peer's version if it is later than the one in force."""
         answer = bus.call(address, "configuration", None, _FETCH_TIMEOUT_MS)
         if isinstance(answer, peer_errors.CallFailed):
--- a/tanagerloft/controllers/membership.py
+++ b/tanagerloft/controllers/membership.py
@@ -1,17 +1,18 @@
 """Controller of the view of the other instances.
 
 Each instance writes its own row from time to time and reads all of them more
-seldom the larger the fleet is. The row also renews the instance's lease on its
-shares of limits.
+seldom the larger the fleet is. The row also renews the instance's lease.
 """
 
-import logging
+from collections.abc import Callable
+import threading
 from typing import Any
 from typing import NamedTuple
 
 from tanagerloft.controllers import configuration as configuration_lib
 from tanagerloft.decisions import freshness
 from tanagerloft.decisions import homes
+from tanagerloft.decisions import membership
 from tanagerloft.peers import bus as bus_lib
 from tanagerloft.peers import errors as peer_errors
 from tanagerloft.platform import errors as platform_errors
@@ -21,17 +22,13 @@
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import ids
 
-logger = logging.getLogger(__name__)
-
-_MIN_HEARTBEAT_MS = 2_000
-_HEARTBEAT_PER_INSTANCE_MS = 30
-_MIN_SCAN_MS = 2_000
-_SCAN_PER_INSTANCE_MS = 100
-_MISSED_HEARTBEATS = 3
-_LEASE_MARGIN_MS = 5_000
 _MAX_ASKED_PEERS = 8
 _ASK_TIMEOUT_MS = 300
 
+FetchList = Callable[
+    [], "list[instances_lib.Listed] | platform_errors.TableError"
+]
+
 
 class Identity(NamedTuple):
     """What an instance says of itself.
@@ -51,28 +48,30 @@
     peer_address: str
 
 
-class _Seen(NamedTuple):
-    row: table_lib.Row
-    changed_ms: int
-
-
 class MembershipController:
-    """Live view of the fleet. It may be wrong; it is only a hint.
-
-    The two things it says that others rely on are ``lease_holds`` and
-    ``lapsed``, which follow from leases and from the platform's word.
+    """Keeps the view of the fleet and this instance's lease.
+
+    Args:
+        identity: This instance.
+        table: The platform's table.
+        fetch_list: Asks the platform for its list of instances.
+        bus: Messages between instances.
+        configuration: Controller that needs peers' word when cut off.
+        clock: Clock of the process.
+        lease_ms: Time for which a heartbeat lets an instance use its shares.
+        describe: Returns what else the instance tells in its row.
     """
 
     def __init__(
         self,
         identity: Identity,
         table: table_lib.Table,
-        fetch_list,
-        bus: bus_lib.Bus,
+        fetch_list: FetchList,
+        bus: bus_lib.Peers,
         configuration: configuration_lib.ConfigurationController,
         clock: clock_lib.Clock,
         lease_ms: int,
-        describe,
+        describe: Callable[[], dict[str, Any]],
     ):
         self.identity = identity
         self._table = table
@@ -80,14 +79,12 @@
         self._bus = bus
         self._configuration = configuration
         self._clock = clock
-        self._lease_ms = lease_ms
         self._describe = describe
+        self._view = membership.View(identity.instance_id, lease_ms)
+        self._row_lock = threading.Lock()
         self._row: table_lib.Row | None = None
-        self._renewed_ms: int | None = None
         self._heartbeat_due_ms = 0
         self._scan_due_ms = 0
-        self._seen: dict[str, _Seen] = {}
-        self._listed: dict[str, instances_lib.Listed] = {}
         self._sights: dict[str, freshness.PeerSight] = {}
         self.leaving = False
         bus.handle("sight", self._answer_sight)
@@ -100,11 +97,11 @@
         """Writes the heartbeat, reads the others' and asks peers if need be."""
         now_ms = self._clock.now_ms()
         if now_ms >= self._heartbeat_due_ms:
-            self._heartbeat_due_ms = now_ms + self.heartbeat_ms()
+            interval_ms = self._view.heartbeat_interval_ms()
+            self._heartbeat_due_ms = now_ms + interval_ms
             self.heartbeat()
         if now_ms >= self._scan_due_ms:
-            self._scan_due_ms = now_ms + self._scan_ms()
-            self._read_list()
+            self._scan_due_ms = now_ms + self._view.scan_interval_ms()
             self._scan()
         self._ask_peers()
 
@@ -114,116 +111,70 @@
 
     def heartbeat(self) -> None:
         """Writes this instance's row; that renews its lease."""
-        started_ms = self._clock.now_ms()
+        with self._row_lock:
+            self._write_row()
+
+    def lease_until_ms(self) -> int:
+        """Returns when this instance's lease ends, with a margin."""
+        return self._view.lease_until_ms()
+
+    def lapsed(self) -> dict[str, int]:
+        """Returns instances that cannot use what they hold any more."""
+        return self._view.lapsed(self._clock.now_ms())
+
+    def live(self) -> tuple[str, ...]:
+        """Returns the instances believed to live, with this one."""
+        return self._view.live(self._clock.now_ms())
+
+    def peer_addresses(self) -> dict[str, str]:
+        """Returns the addresses of the other instances believed to live."""
+        return self._view.peer_addresses(self._clock.now_ms())
+
+    def _write_row(self) -> None:
+        sent_ms = self._clock.now_ms()
+        key = rows.instance(self.identity.instance_id)
         if self._row is None:
-            row = self._table.read(rows.instance(self.identity.instance_id))
+            row = self._table.read(key)
             if isinstance(row, platform_errors.TableError):
                 return
             self._row = row
-        body = {**self.identity._asdict(), **self._describe()}
-        put = table_lib.Put(self._row.key, self._row.revision, body)
-        transaction = table_lib.Transaction(ids.new_id(), (put,))
-        result = table_lib.commit_resolved(self._table, transaction)
+        state = membership.LEAVING if self.leaving else membership.SERVING
+        body = {
+            **self.identity._asdict(),
+            **self._describe(),
+            "state": state,
+        }
+        put = table_lib.Put(key, self._row.revision, body)
+        result = table_lib.commit_resolved(
+            self._table, table_lib.Transaction(ids.new_id(), (put,))
+        )
         if isinstance(result, platform_errors.TableError):
             self._row = None
             return
-        self._row = table_lib.Row(
-            put.key, put.expected_revision + 1, result.operation_id, body
-        )
-        self._renewed_ms = started_ms
-
-    def lease_holds(self, now_ms: int) -> bool:
-        """Returns whether this instance's lease holds, with a margin."""
-        if self._renewed_ms is None:
-            return False
-        return now_ms - self._renewed_ms < self._lease_ms - _LEASE_MARGIN_MS
-
-    def lapsed(self, now_ms: int) -> dict[str, int]:
-        """Returns instances that cannot use what they hold any more.
-
-        Returns:
-            By instance, the revision at which its row must still be when
-            something is taken from it.
-        """
-        result = {}
-        for instance_id, seen in self._seen.items():
-            if instance_id == self.identity.instance_id:
-                continue
-            listed = self._listed.get(instance_id)
-            gone = listed is not None and listed.state == instances_lib.GONE
-            unchanged_ms = now_ms - seen.changed_ms
-            if gone or unchanged_ms > self._lease_ms + _LEASE_MARGIN_MS:
-                result[instance_id] = seen.row.revision
-        return result
-
-    def live(self) -> list[str]:
-        """Returns the instances believed to live, with this one."""
-        now_ms = self._clock.now_ms()
-        live = {self.identity.instance_id}
-        for instance_id, seen in self._seen.items():
-            if self._is_live(instance_id, seen, now_ms):
-                live.add(instance_id)
-        return sorted(live)
+        self._row = table_lib.written(put, result)
+        self._view.on_renewed(sent_ms)
 
-    def peer_addresses(self) -> dict[str, str]:
-        """Returns the addresses of the other instances believed to live."""
-        addresses = {
-            listed.instance_id: listed.peer_address
-            for listed in self._listed.values()
-            if listed.state == instances_lib.LIVE
-        }
-        for instance_id in self.live():
-            if instance_id in self._seen:
-                row = self._seen[instance_id].row
-                addresses[instance_id] = row.body["peer_address"]
-        addresses.pop(self.identity.instance_id, None)
-        return addresses
-
-    def heartbeat_ms(self) -> int:
-        """Returns the interval between heartbeats."""
-        count = len(self._seen)
-        return max(_MIN_HEARTBEAT_MS, count * _HEARTBEAT_PER_INSTANCE_MS)
-
-    def _scan_ms(self) -> int:
-        return max(_MIN_SCAN_MS, len(self._seen) * _SCAN_PER_INSTANCE_MS)
-
-    def _is_live(self, instance_id: str, seen: _Seen, now_ms: int) -> bool:
-        listed = self._listed.get(instance_id)
-        if listed is not None and listed.state != instances_lib.LIVE:
-            return False
-        if seen.row.body.get("state") != "serving":
-            return False
-        patience_ms = _MISSED_HEARTBEATS * self.heartbeat_ms() + self._scan_ms()
-        own_silence_ms = now_ms - (self._renewed_ms or 0)
-        # While the table cannot be reached, silence of others means nothing.
-        return now_ms - seen.changed_ms <= patience_ms + own_silence_ms
-
-    def _read_list(self) -> None:
+    def _scan(self) -> None:
         listed = self._fetch_list()
         if not isinstance(listed, platform_errors.TableError):
-            self._listed = {entry.instance_id: entry for entry in listed}
-
-    def _scan(self) -> None:
+            self._view.on_list([_to_listed(entry) for entry in listed])
         found = self._table.scan(rows.INSTANCE)
         if isinstance(found, platform_errors.TableError):
             return
-        now_ms = self._clock.now_ms()
-        seen = {}
-        for row in found:
-            before = self._seen.get(row.key.name)
-            if before is not None and before.row.revision == row.revision:
-                seen[row.key.name] = before
-            else:
-                seen[row.key.name] = _Seen(row, now_ms)
-        self._seen = seen
+        decoded = [
+            membership.decode_row(row.key.name, row.revision, row.body)
+            for row in found
+        ]
+        self._view.on_rows(decoded, self._clock.now_ms())
 
     def _ask_peers(self) -> None:
         """Asks some peers for their view of the table while it is silent."""
+        if not self._configuration.needs_peers():
+            return
         addresses = self.peer_addresses()
         asked = homes.rank(self.identity.instance_id, addresses)
         asked = asked[:_MAX_ASKED_PEERS]
-        if self._configuration.needs_peers():
-            self._ask(asked, addresses)
+        self._ask(asked, addresses)
         self._configuration.hear_peers(len(asked), self._sights)
 
     def _ask(self, asked: list[str], addresses: dict[str, str]) -> None:
@@ -247,3 +198,12 @@
     def _answer_sight(self, _payload: Any) -> list[int]:
         configuration = self._configuration
         return [configuration.version.number, configuration.table_age_ms()]
+
+
+def _to_listed(entry: instances_lib.Listed) -> membership.Listed:
+    return membership.Listed(
+        entry.instance_id,
+        entry.peer_address,
+        entry.state == instances_lib.LIVE,
+        entry.state == instances_lib.GONE,
+    )
--- a/tanagerloft/controllers/placement.py
+++ b/tanagerloft/controllers/placement.py
@@ -324,9 +324,7 @@
             known = self._health.known(name)
             if entry.type != "engine" or known is None or known.report.leaving:
                 continue
-            row = by_name.get(name) or table_lib.Row(
-                rows.target(name), 0, "", {}
-            )
+            row = by_name.get(name) or table_lib.absent(rows.target(name))
             states[name] = _make_target(inventory, entry, row, known.report)
         return states
 
--- a/tanagerloft/decisions/bucket.py
+++ b/tanagerloft/decisions/bucket.py
@@ -102,7 +102,10 @@
         self._refill(now_ms)
         unused = reservation.micro_tokens - used_micro_tokens
         room = self._cap_micro - self._peak_since(reservation.sequence)
-        self._set_level(self._level_micro + max(0, min(unused, room)))
+        returned = min(unused, room)
+        if returned > 0:
+            self._level_micro += returned
+            self._raise_peaks(reservation.sequence, returned)
 
     def wait_ms(self, micro_tokens: int, now_ms: int) -> int:
         """Returns how long until the amount is there, were nothing taken."""
@@ -141,6 +144,21 @@
             self._forgotten_before = self._peak_sequences[1]
             del self._peak_levels[0], self._peak_sequences[0]
 
+    def _raise_peaks(self, sequence: int, micro_tokens: int) -> None:
+        """Raises the levels since ``sequence`` to what they would have been.
+
+        Without that, two reservations settled one after the other would each
+        be given the same room.
+        """
+        index = bisect.bisect_left(self._peak_sequences, sequence)
+        for later in range(index, len(self._peak_levels)):
+            self._peak_levels[later] += micro_tokens
+        while (
+            index and self._peak_levels[index - 1] <= self._peak_levels[index]
+        ):
+            index -= 1
+            del self._peak_levels[index], self._peak_sequences[index]
+
     def _peak_since(self, sequence: int) -> int:
         if sequence < self._forgotten_before:
             return self._cap_micro
--- /dev/null
+++ b/tanagerloft/decisions/membership.py
@@ -0,0 +1,164 @@
+"""View of the other instances, and this instance's own lease.
+
+The view may be wrong; its users may lose time by it, never a guarantee. Two
+things are more than hints: this instance's lease, and which instances cannot
+use what they hold any more.
+"""
+
+from typing import Any
+from typing import NamedTuple
+
+_MIN_HEARTBEAT_MS = 2_000
+_HEARTBEAT_PER_INSTANCE_MS = 30
+_MIN_SCAN_MS = 2_000
+_SCAN_PER_INSTANCE_MS = 100
+_MISSED_HEARTBEATS = 3
+_LEASE_MARGIN_MS = 5_000
+
+SERVING = "serving"
+LEAVING = "leaving"
+
+
+class InstanceRow(NamedTuple):
+    """An instance's own row.
+
+    Attributes:
+        instance_id: Name of the instance.
+        revision: Rises with each heartbeat.
+        state: ``serving`` or ``leaving``.
+        peer_address: Address for other instances.
+    """
+
+    instance_id: str
+    revision: int
+    state: str
+    peer_address: str
+
+
+class Listed(NamedTuple):
+    """An instance in the platform's list.
+
+    Attributes:
+        instance_id: Name of the instance.
+        peer_address: Address for other instances.
+        live: Whether the platform calls it live.
+        gone: Whether the platform says that it has ended for good.
+    """
+
+    instance_id: str
+    peer_address: str
+    live: bool
+    gone: bool
+
+
+class _Seen(NamedTuple):
+    row: InstanceRow
+    changed_ms: int
+
+
+class View:
+    """What one instance knows of the fleet.
+
+    Args:
+        me: Name of this instance.
+        lease_ms: Time for which an instance's heartbeat lets it use what it
+            holds.
+    """
+
+    def __init__(self, me: str, lease_ms: int):
+        self._me = me
+        self._lease_ms = lease_ms
+        self._renewed_ms: int | None = None
+        self._seen: dict[str, _Seen] = {}
+        self._listed: dict[str, Listed] = {}
+
+    def on_renewed(self, sent_ms: int) -> None:
+        """Takes in that a heartbeat sent at ``sent_ms`` has committed."""
+        self._renewed_ms = sent_ms
+
+    def on_rows(self, rows: list[InstanceRow], now_ms: int) -> None:
+        """Takes in the rows of all instances."""
+        seen = {}
+        for row in rows:
+            before = self._seen.get(row.instance_id)
+            unchanged = before and before.row.revision == row.revision
+            changed_ms = before.changed_ms if before and unchanged else now_ms
+            seen[row.instance_id] = _Seen(row, changed_ms)
+        self._seen = seen
+
+    def on_list(self, listed: list[Listed]) -> None:
+        """Takes in the platform's list."""
+        self._listed = {entry.instance_id: entry for entry in listed}
+
+    def lease_until_ms(self) -> int:
+        """Returns when this instance's lease ends, with a margin."""
+        if self._renewed_ms is None:
+            return 0
+        return self._renewed_ms + self._lease_ms - _LEASE_MARGIN_MS
+
+    def lapsed(self, now_ms: int) -> dict[str, int]:
+        """Returns instances that cannot use what they hold any more.
+
+        Returns:
+            By instance, the revision at which its row must still be when
+            something is taken from it.
+        """
+        result = {}
+        for name, seen in self._seen.items():
+            listed = self._listed.get(name)
+            gone = listed is not None and listed.gone
+            unchanged_ms = now_ms - seen.changed_ms
+            lease_over = unchanged_ms > self._lease_ms + _LEASE_MARGIN_MS
+            if name != self._me and (gone or lease_over):
+                result[name] = seen.row.revision
+        return result
+
+    def live(self, now_ms: int) -> tuple[str, ...]:
+        """Returns the instances believed to live, with this one."""
+        live = {
+            name
+            for name, seen in self._seen.items()
+            if self._is_live(name, seen, now_ms)
+        }
+        return tuple(sorted(live | {self._me}))
+
+    def peer_addresses(self, now_ms: int) -> dict[str, str]:
+        """Returns the addresses of the other instances believed to live."""
+        addresses = {
+            entry.instance_id: entry.peer_address
+            for entry in self._listed.values()
+            if entry.live and entry.instance_id not in self._seen
+        }
+        for name in self.live(now_ms):
+            if name in self._seen:
+                addresses[name] = self._seen[name].row.peer_address
+        addresses.pop(self._me, None)
+        return addresses
+
+    def heartbeat_interval_ms(self) -> int:
+        """Returns the time between heartbeats, longer in a larger fleet."""
+        grown_ms = len(self._seen) * _HEARTBEAT_PER_INSTANCE_MS
+        return max(_MIN_HEARTBEAT_MS, grown_ms)
+
+    def scan_interval_ms(self) -> int:
+        """Returns the time between scans, longer in a larger fleet."""
+        return max(_MIN_SCAN_MS, len(self._seen) * _SCAN_PER_INSTANCE_MS)
+
+    def _is_live(self, name: str, seen: _Seen, now_ms: int) -> bool:
+        listed = self._listed.get(name)
+        if listed is not None and not listed.live:
+            return False
+        if seen.row.state != SERVING:
+            return False
+        patience_ms = (
+            _MISSED_HEARTBEATS * self.heartbeat_interval_ms()
+            + self.scan_interval_ms()
+        )
+        # While the table cannot be reached, silence of others means nothing.
+        own_silence_ms = now_ms - (self._renewed_ms or 0)
+        return now_ms - seen.changed_ms <= patience_ms + own_silence_ms
+
+
+def decode_row(name: str, revision: int, body: dict[str, Any]) -> InstanceRow:
+    """Returns an instance's row from the contents of the table."""
+    return InstanceRow(name, revision, body["state"], body["peer_address"])
--- a/tanagerloft/peers/bus.py
+++ b/tanagerloft/peers/bus.py
@@ -7,6 +7,7 @@
 import threading
 from typing import Any
 from typing import NamedTuple
+from typing import Protocol
 
 import msgpack
 import zmq
@@ -24,6 +25,23 @@
 Handler = Callable[[Any], Any]
 
 
+class Peers(Protocol):
+    """What controllers need of the messages between instances."""
+
+    def handle(self, kind: str, handler: Handler) -> None:
+        """Registers the handler for calls of one kind."""
+
+    def call(
+        self, address: str, kind: str, payload: Any, timeout_ms: int
+    ) -> Any | errors.CallFailed:
+        """Calls a peer and waits for its answer."""
+
+    def begin_call(
+        self, address: str, kind: str, payload: Any, timeout_ms: int
+    ) -> futures.Future:
+        """Calls a peer; the future gives its answer or a ``CallFailed``."""
+
+
 class _Call(NamedTuple):
     address: str
     kind: str
--- a/tanagerloft/platform/dynamo_table.py
+++ b/tanagerloft/platform/dynamo_table.py
@@ -42,7 +42,7 @@
         if isinstance(reply, errors.TableError):
             return reply
         if "Item" not in reply:
-            return table_lib.Row(key, 0, "", {})
+            return table_lib.absent(key)
         return dynamo_codec.decode_row(reply["Item"])
 
     def scan(self, kind: str) -> list[table_lib.Row] | errors.TableError:
--- a/tanagerloft/platform/memory.py
+++ b/tanagerloft/platform/memory.py
@@ -47,4 +47,4 @@
         return table_lib.Committed(transaction.operation_id)
 
     def _get(self, key: table_lib.RowKey) -> table_lib.Row:
-        return self._rows.get(key) or table_lib.Row(key, 0, "", {})
+        return self._rows.get(key) or table_lib.absent(key)
--- a/tanagerloft/platform/table.py
+++ b/tanagerloft/platform/table.py
@@ -68,6 +68,18 @@
     operation_id: str
 
 
+def absent(key: RowKey) -> Row:
+    """Returns the row that does not exist."""
+    return Row(key, 0, "", {})
+
+
+def written(put: Put, committed: Committed) -> Row:
+    """Returns the row as a committed write has left it."""
+    return Row(
+        put.key, put.expected_revision + 1, committed.operation_id, put.body
+    )
+
+
 class Table(Protocol):
     """The platform's table. Calls block; errors are returned."""
 
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -143,7 +143,6 @@
         """Returns what the instance tells of itself in its row."""
         return {
             "version": self.configuration.version.number,
-            "state": "leaving" if self.membership.leaving else "serving",
             "waiting": self.dispatcher.depth(),
             "shares": self.limits.held(),
         }
@@ -259,6 +258,7 @@
         status = {
             **services.membership.identity._asdict(),
             **services.describe(),
+            "state": "leaving" if services.membership.leaving else "serving",
             "in_flight": self.application.in_flight,
             "open_tokens": services.limits.open_tokens(),
             "threads": threading.active_count(),
--- a/tests/decisions/test_bucket.py
+++ b/tests/decisions/test_bucket.py
@@ -52,6 +52,15 @@
     assert bucket.available(0) == 0
 
 
+def test_two_settlements_share_the_room_of_one(bucket):
+    first = bucket.take(_BURST // 2, 0)
+    second = bucket.take(_BURST // 2, 0)
+    bucket.take(bucket_lib.to_micro(50), 1_000)
+    bucket.settle(first, 0, 1_000)
+    bucket.settle(second, 0, 1_000)
+    assert bucket.available(1_000) == _BURST - bucket_lib.to_micro(50)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_settled_tokens_never_exceed_burst_and_rate(bucket, seed):
     """Any window holds at most burst + rate * window of settled tokens."""
