Prove keys, configuration and the first guarantees by scenarios and fuzzing

Cause, each found by a scenario or a fuzz run and then traced: - an instance that started together with others and was cut off at once had read no other's row, took itself for the whole fleet and went on to use a withdrawn key (keys.scenario, 60 s without refusal); - while the table was down, peers' word fell into a gap between "confirms" and "cannot either", so requests were refused with keys_unconfirmed (outage.scenario); - a replica on a leaving target counted against the bound, so what waited for the model never moved (leaving-target.scenario, 60 s); - one frozen holder used up the whole time for grants (membership.scenario); - a part of the fleet cut off together was a majority of itself.

Change: a starting instance greets the peers it sees; a peer that has not read the table for half the freshness counts as unable to; every data centre must be heard before the table counts as down for all; new versions are announced to three peers each; replicas on lost targets do not count; an ask for a grant takes at most a third of the time.

Ruled out: unanimity of the peers instead of a majority, since one dead peer in an outage would refuse every request of the fleet.

--- a/tanagerloft/bench/local.py
+++ b/tanagerloft/bench/local.py
@@ -174,16 +174,18 @@
         clock: clock_lib.Clock,
         fetch_list: Callable[[], list[instances_lib.Listed]],
         lease_ms: int = LEASE_MS,
+        data_centre: str = "dc-1",
     ):
         self.instance_id = instance_id
+        self._awake = False
         self.table = TableHandle(shared, instance_id)
         self.bus = Bus(network, f"{instance_id}/{incarnation}")
         self.configuration = configuration_lib.ConfigurationController(
-            self.table, clock, FRESHNESS_MS
+            self.table, clock, FRESHNESS_MS, self._wake
         )
         self.bus.handle("configuration", self.configuration.answer_peer)
         identity = membership_lib.Identity(
-            instance_id, incarnation, "dc-1", "", self.bus.address
+            instance_id, incarnation, data_centre, "", self.bus.address
         )
         self.membership = membership_lib.MembershipController(
             identity,
@@ -204,6 +206,16 @@
             GRANT_MS,
         )
 
+    def _wake(self) -> None:
+        self._awake = True
+
+    def run_woken(self) -> bool:
+        """Runs the configuration's controller if it has been woken."""
+        was_awake, self._awake = self._awake, False
+        if was_awake:
+            self.configuration.tick()
+        return was_awake
+
     def tick(self) -> None:
         """Runs each controller once."""
         self.configuration.tick()
@@ -227,6 +239,7 @@
         count: int,
         inventory: inventory_lib.Inventory,
         lease_ms: int = LEASE_MS,
+        data_centres: int = 1,
     ):
         self.clock = clock_lib.ManualClock()
         self.shared = SharedTable()
@@ -234,6 +247,7 @@
         self.nodes: dict[str, Node] = {}
         self.gone: set[str] = set()
         self._lease_ms = lease_ms
+        self._data_centres = data_centres
         self._starts = 0
         store.apply(self.shared.rows, inventory, 0)
         for number in range(count):
@@ -253,9 +267,14 @@
             self.clock,
             self._list,
             self._lease_ms,
+            self._data_centre(name),
         )
         return self.nodes[name]
 
+    def _data_centre(self, name: str) -> str:
+        number = int(name.rpartition("-")[2])
+        return f"dc-{number % self._data_centres + 1}"
+
     def kill(self, name: str) -> None:
         """Ends an instance without notice."""
         node = self.nodes.pop(name)
@@ -267,6 +286,8 @@
             self.clock.advance(step_ms)
             for node in list(self.nodes.values()):
                 node.tick()
+            while any(node.run_woken() for node in self.nodes.values()):
+                pass
 
     def _list(self) -> list[instances_lib.Listed]:
         return [
--- a/tanagerloft/controllers/configuration.py
+++ b/tanagerloft/controllers/configuration.py
@@ -1,5 +1,6 @@
 """Controller of the configuration in force and of the keys in it."""
 
+from collections.abc import Callable
 import logging
 import threading
 from typing import Any
@@ -22,11 +23,24 @@
 
 
 class ConfigurationController:
-    """Follows the table's version; the version in force only rises."""
+    """Follows the table's version; the version in force only rises.
+
+    Args:
+        table: The platform's table.
+        clock: Clock of the process.
+        freshness_ms: Age at which an unconfirmed set of keys is not used.
+        wake: Makes ``tick`` be called soon.
+    """
 
     def __init__(
-        self, table: table_lib.Table, clock: clock_lib.Clock, freshness_ms: int
+        self,
+        table: table_lib.Table,
+        clock: clock_lib.Clock,
+        freshness_ms: int,
+        wake: Callable[[], None] = lambda: None,
     ):
+        self._wake = wake
+        self._announce: Callable[[int], None] = lambda _number: None
         self._table = table
         self._clock = clock
         self._freshness_ms = freshness_ms
@@ -34,7 +48,7 @@
         self._version = store.NONE
         self._accounts_by_digest: dict[str, str] = {}
         self._confirmed_ms = _NEVER_MS
-        self._peer_count = 0
+        self._peers: dict[str, str] = {}
         self._sights: dict[str, freshness.PeerSight] = {}
         self._last_freshness = freshness.Freshness.CURRENT
 
@@ -58,6 +72,15 @@
         if number >= self._version.number:
             self._confirmed_ms = asked_ms
 
+    def on_adopted(self, announce: Callable[[int], None]) -> None:
+        """Sets what is called with the number of each new version."""
+        self._announce = announce
+
+    def hear_version(self, payload: Any) -> None:
+        """Takes in that a peer has put a version in force."""
+        if payload > self._version.number:
+            self._wake()
+
     def adopt(self, version: store.Version) -> None:
         """Puts ``version`` in force if it is later than the present one."""
         with self._lock:
@@ -69,6 +92,7 @@
             }
             self._version = version
         logger.info("configuration version %d in force", version.number)
+        self._announce(version.number)
 
     def answer_peer(self, _payload: Any) -> list[Any]:
         """Returns the version in force in the form that peers exchange."""
@@ -90,10 +114,15 @@
         return 2 * self.table_age_ms() > self._freshness_ms
 
     def hear_peers(
-        self, peer_count: int, sights: dict[str, freshness.PeerSight]
+        self, peers: dict[str, str], sights: dict[str, freshness.PeerSight]
     ) -> None:
-        """Takes in how many peers live and what each said of the table."""
-        self._peer_count = peer_count
+        """Takes in which peers were asked, and what each said of the table.
+
+        Args:
+            peers: Data centre of each peer asked.
+            sights: Latest word of each peer.
+        """
+        self._peers = peers
         self._sights = sights
 
     def table_age_ms(self) -> int:
@@ -107,7 +136,7 @@
             self._confirmed_ms,
             self._clock.now_ms(),
             self._freshness_ms,
-            self._peer_count,
+            self._peers,
             self._sights,
         )
         if result is not self._last_freshness:
--- a/tanagerloft/controllers/health.py
+++ b/tanagerloft/controllers/health.py
@@ -21,6 +21,7 @@
 _IDLE_POLL_MS = 5_000
 _URGENT_POLL_MS = 50
 _REPORT_MAX_AGE_MS = 12_000
+_LOST_AFTER_MS = 5_000
 _FAILURE_HALF_LIFE_MS = 5_000
 _MAX_FAILURES = 16
 _POLL_THREADS = 4
@@ -62,6 +63,8 @@
         self._data_centre = data_centre
         self._lock = threading.Lock()
         self._known: dict[str, Known] = {}
+        # Latest report, or first attempt to get one.
+        self._heard_ms: dict[str, int] = {}
         self._failures: dict[str, _Failures] = {}
         self._missing: dict[tuple[str, str], int] = {}
         self._poll_due_ms: dict[str, int] = {}
@@ -105,6 +108,16 @@
             return None
         return known
 
+    def is_lost(self, name: str) -> bool:
+        """Returns whether a target leaves, or has not reported for a while."""
+        known = self.known(name)
+        if known is not None:
+            return known.report.leaving
+        heard_ms = self._heard_ms.get(name)
+        if heard_ms is None:
+            return name not in self._configuration.version.inventory.targets
+        return self._clock.now_ms() - heard_ms > _LOST_AFTER_MS
+
     def candidates(self, subject: str) -> list[routing.Candidate]:
         """Returns the targets that can run ``subject`` now."""
         inventory = self._configuration.version.inventory
@@ -142,12 +155,14 @@
 
     def _poll(self, target: inventory_lib.Target) -> None:
         asked_ms = self._clock.now_ms()
+        self._heard_ms.setdefault(target.name, asked_ms)
         report = engine.fetch_report(self._client, target)
         self._polling.discard(target.name)
         if isinstance(report, target_errors.ReportFailed):
             if self._known.pop(target.name, None) is not None:
                 logger.warning("%s: no report: %s", target.name, report.reason)
             return
+        self._heard_ms[target.name] = asked_ms
         before = self._known.get(target.name)
         self._known[target.name] = Known(report, asked_ms)
         if before is None or before.report.incarnation != report.incarnation:
--- a/tanagerloft/controllers/limits.py
+++ b/tanagerloft/controllers/limits.py
@@ -27,6 +27,8 @@
 _MIN_READ_MS = 2_000
 _READ_PER_INSTANCE_MS = 100
 _SILENT_PEER_MS = 2_000
+# Holders that can be asked even if all of them are silent.
+_ASKED_AT_LEAST = 3
 
 
 class Grant(NamedTuple):
@@ -328,7 +330,8 @@
     def _ask(
         self, holder: str, address: str, name: str, missing: int, left_ms: int
     ) -> Grant | None:
-        answer = self._bus.call(address, "grant", [name, missing], left_ms)
+        timeout_ms = min(left_ms, self._grant_ms // _ASKED_AT_LEAST)
+        answer = self._bus.call(address, "grant", [name, missing], timeout_ms)
         if isinstance(answer, peer_errors.CallFailed):
             now_ms = self._clock.now_ms()
             self._silent_until_ms[holder] = now_ms + _SILENT_PEER_MS
--- a/tanagerloft/controllers/membership.py
+++ b/tanagerloft/controllers/membership.py
@@ -22,8 +22,8 @@
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import ids
 
-_MAX_ASKED_PEERS = 8
 _ASK_TIMEOUT_MS = 300
+_TOLD_PEERS = 3
 
 FetchList = Callable[
     [], "list[instances_lib.Listed] | platform_errors.TableError"
@@ -88,6 +88,9 @@
         self._sights: dict[str, freshness.PeerSight] = {}
         self.leaving = False
         bus.handle("sight", self._answer_sight)
+        bus.handle("hello", self._hear_hello)
+        bus.handle("version", configuration.hear_version)
+        configuration.on_adopted(self._announce_version)
 
     def announce(self, address: str) -> None:
         """Sets the address for callers, once it is bound."""
@@ -161,21 +164,41 @@
         found = self._table.scan(rows.INSTANCE)
         if isinstance(found, platform_errors.TableError):
             return
+        before = self.peer_addresses()
         decoded = [
             membership.decode_row(row.key.name, row.revision, row.body)
             for row in found
         ]
         self._view.on_rows(decoded, self._clock.now_ms())
+        self._greet(before)
+
+    def _greet(self, known: dict[str, str]) -> None:
+        """Shows this instance's row to peers that it did not know before.
+
+        Of two that start together, one may have read the rows before the other
+        wrote its own; the other then knows the one and greets it.
+        """
+        row = self._row
+        if row is None:
+            return
+        hello = membership.decode_row(row.key.name, row.revision, row.body)
+        for name, address in self.peer_addresses().items():
+            if name not in known:
+                self._bus.begin_call(
+                    address, "hello", list(hello), _ASK_TIMEOUT_MS
+                )
+
+    def _hear_hello(self, payload: Any) -> None:
+        row = membership.InstanceRow(*payload)
+        self._view.on_hello(row, self._clock.now_ms())
 
     def _ask_peers(self) -> None:
         """Asks some peers for their view of the table while it is silent."""
         if not self._configuration.needs_peers():
             return
-        addresses = self.peer_addresses()
-        asked = homes.rank(self.identity.instance_id, addresses)
-        asked = asked[:_MAX_ASKED_PEERS]
-        self._ask(asked, addresses)
-        self._configuration.hear_peers(len(asked), self._sights)
+        asked = self._view.peers_to_ask(self._clock.now_ms())
+        self._ask(list(asked), self.peer_addresses())
+        self._configuration.hear_peers(asked, self._sights)
 
     def _ask(self, asked: list[str], addresses: dict[str, str]) -> None:
         asked_ms = self._clock.now_ms()
@@ -195,6 +218,15 @@
             if version > self._configuration.version.number:
                 self._configuration.fetch_from_peer(self._bus, addresses[name])
 
+    def _announce_version(self, number: int) -> None:
+        """Tells some peers of a new version, who tell others in turn."""
+        addresses = self.peer_addresses()
+        subject = f"{self.identity.instance_id}/{number}"
+        for name in homes.rank(subject, addresses)[:_TOLD_PEERS]:
+            self._bus.begin_call(
+                addresses[name], "version", number, _ASK_TIMEOUT_MS
+            )
+
     def _answer_sight(self, _payload: Any) -> list[int]:
         configuration = self._configuration
         return [configuration.version.number, configuration.table_age_ms()]
--- a/tanagerloft/controllers/placement.py
+++ b/tanagerloft/controllers/placement.py
@@ -1,5 +1,6 @@
 """Controller of replicas: decides loads and unloads, and sends the orders."""
 
+from collections.abc import Iterable
 import logging
 from typing import NamedTuple
 
@@ -124,9 +125,13 @@
         decided = replicas.replicas_of(row.body)
         for target_name in decided:
             self._reconcile(item, row, target_name, wanted=True)
-        if not decided and self._may_decide(name):
+        if self._is_none_left(decided) and self._may_decide(name):
             self._decide_load(item, row)
 
+    def _is_none_left(self, decided: Iterable[str]) -> bool:
+        """Returns whether no decided replica is on a target that stays."""
+        return all(self._health.is_lost(name) for name in decided)
+
     def _may_decide(self, name: str) -> bool:
         """Lets the home decide first; others only after a while."""
         home = homes.home(name, self._membership.live())
@@ -156,7 +161,12 @@
         if not targets:
             return
         states = [target.state for target in targets.values()]
-        plan = replicas.plan_load(item, row.body, states)
+        lost = frozenset(
+            name
+            for name in replicas.replicas_of(row.body)
+            if self._health.is_lost(name)
+        )
+        plan = replicas.plan_load(item, row.body, states, lost)
         if isinstance(plan, decision_errors.NoRoom):
             self._no_room(item, plan, targets)
             return
@@ -170,7 +180,7 @@
     ) -> dict[str, "_Target"]:
         """Returns the targets with a ready parent, after a step to have one."""
         decided = replicas.replicas_of(parent_row.body)
-        if not decided:
+        if self._is_none_left(decided):
             self._decide_load(parent, parent_row)
             return {}
         for target_name in decided:
--- a/tanagerloft/decisions/freshness.py
+++ b/tanagerloft/decisions/freshness.py
@@ -37,7 +37,7 @@
     confirmed_ms: int,
     now_ms: int,
     freshness_ms: int,
-    peer_count: int,
+    peers: dict[str, str],
     sights: dict[str, PeerSight],
 ) -> Freshness:
     """Decides whether keys of ``version`` may be used.
@@ -47,28 +47,44 @@
         confirmed_ms: When the table last confirmed it, by the time at which
             the read was sent.
         now_ms: Reading of the clock.
-        freshness_ms: Age up to which evidence counts.
-        peer_count: Number of other instances known to live.
+        freshness_ms: Age up to which evidence counts. A peer that has not
+            read the table for half of it counts as unable to.
+        peers: Peers that were asked, and the data centre of each.
         sights: Latest word of each peer.
 
     Returns:
-        ``CURRENT`` or ``TABLE_DOWN`` if they may be used. A majority of the
-        fleet must agree that the table is down, this instance included, so
-        that a part of the fleet that is cut off does not rely on itself.
+        ``CURRENT`` or ``TABLE_DOWN`` if they may be used. That the table is
+        down must be the word of a majority of those asked, this instance
+        included, and of some peer in each data centre, so that a part of the
+        fleet that is cut off does not rely on itself.
     """
     if now_ms - confirmed_ms <= freshness_ms:
         return Freshness.CURRENT
-    recent = [
-        sight
-        for sight in sights.values()
+    recent = {
+        name: sight
+        for name, sight in sights.items()
         if now_ms - sight.asked_ms <= freshness_ms
-    ]
-    if any(sight.version > version for sight in recent):
+    }
+    if any(sight.version > version for sight in recent.values()):
         return Freshness.BEHIND
-    if any(_confirms(sight, version, now_ms, freshness_ms) for sight in recent):
+    if any(
+        _confirms(sight, version, now_ms, freshness_ms)
+        for sight in recent.values()
+    ):
         return Freshness.CURRENT
-    cut_off = [sight for sight in recent if sight.table_age_ms > freshness_ms]
-    if 2 * (len(cut_off) + 1) > peer_count + 1:
+    silent_table = {
+        name
+        for name, sight in recent.items()
+        if name in peers and 2 * sight.table_age_ms > freshness_ms
+    }
+    return _judge_silence(silent_table, peers)
+
+
+def _judge_silence(silent_table: set[str], peers: dict[str, str]) -> Freshness:
+    """Decides by the peers that cannot reach the table either."""
+    majority = 2 * (len(silent_table) + 1) > len(peers) + 1
+    heard = {peers[name] for name in silent_table}
+    if majority and heard == set(peers.values()):
         return Freshness.TABLE_DOWN
     return Freshness.UNCONFIRMED
 
--- a/tanagerloft/decisions/membership.py
+++ b/tanagerloft/decisions/membership.py
@@ -8,12 +8,16 @@
 from typing import Any
 from typing import NamedTuple
 
+from tanagerloft.decisions import homes
+
 _MIN_HEARTBEAT_MS = 2_000
 _HEARTBEAT_PER_INSTANCE_MS = 30
 _MIN_SCAN_MS = 2_000
 _SCAN_PER_INSTANCE_MS = 100
 _MISSED_HEARTBEATS = 3
 _LEASE_MARGIN_MS = 5_000
+_MAX_ASKED_PEERS = 8
+_ASKED_PER_DATA_CENTRE = 2
 
 SERVING = "serving"
 LEAVING = "leaving"
@@ -27,12 +31,14 @@
         revision: Rises with each heartbeat.
         state: ``serving`` or ``leaving``.
         peer_address: Address for other instances.
+        data_centre: Where it runs.
     """
 
     instance_id: str
     revision: int
     state: str
     peer_address: str
+    data_centre: str
 
 
 class Listed(NamedTuple):
@@ -86,6 +92,12 @@
             seen[row.instance_id] = _Seen(row, changed_ms)
         self._seen = seen
 
+    def on_hello(self, row: InstanceRow, now_ms: int) -> None:
+        """Takes in the row of an instance that has just started."""
+        before = self._seen.get(row.instance_id)
+        if before is None or before.row.revision < row.revision:
+            self._seen = {**self._seen, row.instance_id: _Seen(row, now_ms)}
+
     def on_list(self, listed: list[Listed]) -> None:
         """Takes in the platform's list."""
         self._listed = {entry.instance_id: entry for entry in listed}
@@ -135,6 +147,20 @@
         addresses.pop(self._me, None)
         return addresses
 
+    def peers_to_ask(self, now_ms: int) -> dict[str, str]:
+        """Returns some peers of each data centre, with their data centres."""
+        addresses = self.peer_addresses(now_ms)
+        asked: dict[str, str] = {}
+        count: dict[str, int] = {}
+        for name in homes.rank(self._me, addresses):
+            seen = self._seen.get(name)
+            data_centre = seen.row.data_centre if seen else ""
+            count[data_centre] = count.get(data_centre, 0) + 1
+            enough = len(asked) >= _MAX_ASKED_PEERS
+            if not enough or count[data_centre] <= _ASKED_PER_DATA_CENTRE:
+                asked[name] = data_centre
+        return asked
+
     def heartbeat_interval_ms(self) -> int:
         """Returns the time between heartbeats, longer in a larger fleet."""
         grown_ms = len(self._seen) * _HEARTBEAT_PER_INSTANCE_MS
@@ -161,4 +187,10 @@
 
 def decode_row(name: str, revision: int, body: dict[str, Any]) -> InstanceRow:
     """Returns an instance's row from the contents of the table."""
-    return InstanceRow(name, revision, body["state"], body["peer_address"])
+    return InstanceRow(
+        name,
+        revision,
+        body["state"],
+        body["peer_address"],
+        body["data_centre"],
+    )
--- a/tanagerloft/decisions/replicas.py
+++ b/tanagerloft/decisions/replicas.py
@@ -120,11 +120,25 @@
 
 
 def plan_load(
-    item: Item, model_body: dict[str, Any], targets: list[TargetState]
+    item: Item,
+    model_body: dict[str, Any],
+    targets: list[TargetState],
+    lost: frozenset[str] = frozenset(),
 ) -> Plan | errors.NoRoom:
-    """Decides where to load one more replica of ``item``."""
+    """Decides where to load one more replica of ``item``.
+
+    Args:
+        item: What to load.
+        model_body: Contents of its row.
+        targets: Targets that may take it.
+        lost: Targets that leave or do not report. Replicas there do not count
+            against the bound, since they serve nobody.
+
+    Returns:
+        The plan, or why there is none.
+    """
     replicas = replicas_of(model_body)
-    if len(replicas) >= item.max_replicas:
+    if len(set(replicas) - lost) >= item.max_replicas:
         return errors.NoRoom("all replicas are decided", permanent=False)
     if all(target.capacity_mb < item.peak_mb for target in targets):
         return errors.NoRoom("no target is large enough", permanent=True)
--- a/tanagerloft/server/http_server.py
+++ b/tanagerloft/server/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server: cheroot with bounded threads and access to the connection."""
 
 from collections.abc import Callable
+import contextlib
 import select
 import socket
 import threading
@@ -23,6 +24,12 @@
         """Closes the connection after the answer, and tells the caller so."""
         self._request.close_connection = True
 
+    def abort(self) -> None:
+        """Ends the connection at once; the rest of the answer is lost."""
+        self._request.close_connection = True
+        with contextlib.suppress(OSError):
+            self._request.conn.socket.shutdown(socket.SHUT_RDWR)
+
     def is_closed(self) -> bool:
         """Returns whether the caller has closed it."""
         return _is_closed(self._request.conn.socket)
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -80,8 +80,12 @@
             self.metrics.count_peer_bytes,
         )
         self.placement_wake = threading.Event()
+        self.configuration_wake = threading.Event()
         self.configuration = configuration_lib.ConfigurationController(
-            table, clock, settings.get("configuration", "freshness_ms")
+            table,
+            clock,
+            settings.get("configuration", "freshness_ms"),
+            self.configuration_wake.set,
         )
         self.bus.handle("configuration", self.configuration.answer_peer)
         self.membership = self._build_membership()
@@ -231,9 +235,10 @@
             wake = threading.Event()
             return runner_lib.Loop(name, controller.tick, interval_ms, wake)
 
+        configuration = loop("configuration", services.configuration, poll_ms)
         placement = loop("placement", services.placement, _PLACEMENT_MS)
         return [
-            loop("configuration", services.configuration, poll_ms),
+            configuration._replace(wake=services.configuration_wake),
             loop("membership", services.membership, _MEMBERSHIP_MS),
             loop("limits", services.limits, _LIMITS_MS),
             loop("health", services.health, _HEALTH_MS),
--- a/tanagerloft/standins/engine.py
+++ b/tanagerloft/standins/engine.py
@@ -19,6 +19,7 @@
 from werkzeug import wrappers
 
 from tanagerloft import registry as registry_lib
+from tanagerloft.server import http_server
 from tanagerloft.standins import faults as faults_lib
 from tanagerloft.util import ids
 
@@ -250,7 +251,8 @@
         count = payload.get("max_tokens", _DEFAULT_TOKENS)
         chat = request.path.startswith("/v1/chat/")
         if payload.get("stream"):
-            events = self._stream(payload, item, count, chat)
+            connection = request.environ[http_server.CONNECTION_KEY]
+            events = self._stream(payload, connection, count, chat)
             response = wrappers.Response(events, mimetype="text/event-stream")
             response.call_on_close(lambda: self._leave(payload["model"], item))
         else:
@@ -289,13 +291,18 @@
         )
 
     def _stream(
-        self, payload: dict[str, Any], item: _Item, count: int, chat: bool
+        self,
+        payload: dict[str, Any],
+        connection: http_server.Connection,
+        count: int,
+        chat: bool,
     ) -> Iterator[bytes]:
         kind = "chat.completion.chunk" if chat else "text_completion"
         cut = self.faults.take("cut")
         for index in range(count):
             if cut and index * 2 >= count:
-                raise ConnectionResetError("stream cut by a fault")
+                connection.abort()
+                return
             time.sleep(self._token_ms / _MS_PER_S)
             event = {
                 "object": kind,
--- a/tanagerloft/standins/service.py
+++ b/tanagerloft/standins/service.py
@@ -14,6 +14,7 @@
 from werkzeug import wrappers
 
 from tanagerloft import registry as registry_lib
+from tanagerloft.server import http_server
 from tanagerloft.standins import faults as faults_lib
 
 _SILENCE_S = 3_600
@@ -62,7 +63,7 @@
         if self.faults.take("silent"):
             time.sleep(_SILENCE_S)
         if self.faults.take("lost_answers"):
-            raise ConnectionResetError("answer lost by a fault")
+            request.environ[http_server.CONNECTION_KEY].abort()
         response = faults_lib.json_response(
             {"path": request.path, "serial": count, "key": key}
         )
--- /dev/null
+++ b/tests/fuzz/machines.py
@@ -0,0 +1,27 @@
+"""What the stateful fuzz tests share."""
+
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis import stateful
+import pytest
+
+SETTINGS = settings(deadline=None, derandomize=True, database=None)
+_NO_SHRINK = (Phase.explicit, Phase.generate)
+_EXAMPLES_TO_FIND = 200
+
+
+def expect_failure(machine) -> None:
+    """Runs a machine over flawed code and fails if it finds nothing."""
+    try:
+        stateful.run_state_machine_as_test(
+            machine,
+            settings=settings(
+                machine.TestCase.settings,
+                max_examples=_EXAMPLES_TO_FIND,
+                report_multiple_bugs=False,
+                phases=_NO_SHRINK,
+            ),
+        )
+    except AssertionError:
+        return
+    pytest.fail("the machine did not find the flaw", pytrace=False)
--- a/tests/fuzz/test_limits.py
+++ b/tests/fuzz/test_limits.py
@@ -5,11 +5,9 @@
 the same machine finds.
 """
 
-import contextlib
 import os
 from unittest import mock
 
-from hypothesis import Phase
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
@@ -22,6 +20,7 @@
 from tanagerloft.decisions import bucket as bucket_lib
 from tanagerloft.decisions import membership
 from tanagerloft.decisions import shares
+from tests.fuzz import machines
 
 _RATE = 1_000
 _BURST = 4_000
@@ -32,7 +31,6 @@
 _STEPS = 40
 # More than the tries of platform.table.commit_resolved.
 _ALL_ATTEMPTS = 5
-_NO_SHRINK = (Phase.explicit, Phase.generate)
 _FATES = ("lost answer", "lost", "late")
 
 _instances = strategies.integers(0, _COUNT - 1)
@@ -223,11 +221,7 @@
 
 
 LimitMachine.TestCase.settings = settings(
-    max_examples=_EXAMPLES,
-    stateful_step_count=_STEPS,
-    deadline=None,
-    derandomize=True,
-    database=None,
+    machines.SETTINGS, max_examples=_EXAMPLES, stateful_step_count=_STEPS
 )
 TestLimits = LimitMachine.TestCase
 
@@ -294,21 +288,8 @@
 
 @pytest.mark.parametrize("flaw", _FLAWS)
 def test_machine_finds_the_flaw(flaw):
-    owner, name, replacement = _FLAWS[flaw]
-    with (
-        mock.patch.object(owner, name, replacement),
-        contextlib.suppress(AssertionError),
-    ):
-        stateful.run_state_machine_as_test(
-            LimitMachine,
-            settings=settings(
-                LimitMachine.TestCase.settings,
-                max_examples=200,
-                report_multiple_bugs=False,
-                phases=_NO_SHRINK,
-            ),
-        )
-        pytest.fail("the machine did not find the flaw", pytrace=False)
+    with mock.patch.object(*_FLAWS[flaw]):
+        machines.expect_failure(LimitMachine)
 
 
 def test_shares_sum_to_the_limit():
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios in a small test language, run against real processes."""
--- /dev/null
+++ b/tests/scenarios/language.py
@@ -0,0 +1,281 @@
+"""The scenario language: one step on each line, run against a fleet.
+
+A step is a verb, names, and ``field=value`` pairs; ``#`` begins a comment.
+``docs/scenarios.md`` lists the steps.
+"""
+
+from concurrent import futures
+import json
+import shlex
+import signal
+
+from tanagerloft.config import store
+from tests.support import fleet as fleet_lib
+
+_SENDERS = 32
+
+
+class Step:
+    """A parsed step."""
+
+    def __init__(self, line: str):
+        words = shlex.split(line, comments=True)
+        self.verb = words[0]
+        self.names = [word for word in words[1:] if "=" not in word]
+        pairs = [word.split("=", 1) for word in words[1:] if "=" in word]
+        self.fields = dict(pairs)
+
+    def number(self, field: str, default: int) -> int:
+        """Returns a field as a whole number."""
+        return int(self.fields.get(field, default))
+
+
+class Scenario:
+    """Runs the steps of one file.
+
+    Args:
+        directory: Folder for the fleet's files.
+    """
+
+    def __init__(self, directory):
+        self._directory = directory
+        self._fleet: fleet_lib.Fleet | None = None
+        self._executor = futures.ThreadPoolExecutor(_SENDERS)
+        self._sent: dict[str, list[futures.Future]] = {}
+        self._answers: dict[str, list[fleet_lib.Answer]] = {}
+
+    def run(self, text: str) -> None:
+        """Runs all steps; a failed one names its line."""
+        try:
+            for number, line in enumerate(text.splitlines(), start=1):
+                if not line.strip() or line.lstrip().startswith("#"):
+                    continue
+                step = Step(line)
+                method = getattr(self, f"_do_{step.verb.replace('-', '_')}")
+                try:
+                    method(step)
+                except AssertionError as error:
+                    message = f"line {number}: {line}\n{error}"
+                    raise AssertionError(message) from error
+        finally:
+            if self._fleet is not None:
+                self._fleet.close()
+            self._executor.shutdown(wait=True, cancel_futures=True)
+
+    def _do_fleet(self, step: Step) -> None:
+        settings = {k: v for k, v in step.fields.items() if "." in k}
+        arguments = shlex.split(step.fields.get("engine", ""))
+        self._fleet = fleet_lib.Fleet(
+            self._directory,
+            step.number("instances", 3),
+            step.number("engines", 2),
+            settings,
+            tuple(arguments),
+            checks_fencing="--ignore-fencing" not in arguments,
+        )
+        self._fleet.__enter__()
+
+    # Requests.
+
+    def _do_send(self, step: Step) -> None:
+        """Sends completions."""
+
+        def call():
+            return self._fleet.complete(
+                step.fields["at"],
+                step.fields.get("model", "model-0"),
+                fleet_lib.KEYS.get(step.fields.get("key", "quito"), "none"),
+                step.number("tokens", 5),
+                step.fields.get("stream", "yes") == "yes",
+                prompt=step.fields.get("prompt", "Is it safe?"),
+            )
+
+        self._begin(step, call)
+
+    def _do_pay(self, step: Step) -> None:
+        """Sends non-idempotent requests."""
+
+        def call():
+            body = json.dumps({"body": step.fields.get("body", "")}).encode()
+            return self._fleet.pay(step.fields["at"], step.fields["id"], body)
+
+        self._begin(step, call)
+
+    def _do_get(self, step: Step) -> None:
+        """Sends requests to a route that is open to all."""
+
+        def call():
+            headers = {}
+            if "key" in step.fields:
+                headers["Authorization"] = f"Bearer {step.fields['key']}"
+            return self._fleet.request(
+                step.fields["at"], "GET", step.fields["path"], headers
+            )
+
+        self._begin(step, call)
+
+    def _begin(self, step: Step, call) -> None:
+        started = [
+            self._executor.submit(call) for _ in range(step.number("times", 1))
+        ]
+        self._sent.setdefault(step.names[0], []).extend(started)
+
+    def _do_await(self, step: Step) -> None:
+        for name in step.names:
+            self._answers[name] = [f.result() for f in self._sent[name]]
+
+    def _do_expect(self, step: Step) -> None:
+        """All answers of a name have the given fields."""
+        name = step.names[0]
+        if name not in self._answers:
+            self._do_await(step)
+        for answer in self._answers[name]:
+            self._check(answer, step.fields)
+
+    def _do_expect_some(self, step: Step) -> None:
+        """A given number of answers have the given fields."""
+        fields = dict(step.fields)
+        wanted = int(fields.pop("count"))
+        answers = self._answers[step.names[0]]
+        matching = [a for a in answers if _matches(a, fields)]
+        assert len(matching) == wanted, answers
+
+    def _do_same(self, step: Step) -> None:
+        """All answers have one and the same body."""
+        bodies = {
+            answer.body for name in step.names for answer in self._answers[name]
+        }
+        assert len(bodies) == 1, bodies
+
+    def _check(self, answer: fleet_lib.Answer, fields: dict[str, str]) -> None:
+        assert _matches(answer, fields), answer
+
+    def _do_eventually(self, step: Step) -> None:
+        """Requests are sent until one is answered as given."""
+        fields = dict(step.fields)
+        at, key = fields.pop("at"), fields.pop("key", "quito")
+        model = fields.pop("model", "model-0")
+
+        def answered():
+            answer = self._fleet.complete(at, model, fleet_lib.KEYS[key])
+            return _matches(answer, fields)
+
+        self._fleet.eventually(answered)
+
+    # Processes and faults.
+
+    def _do_kill(self, step: Step) -> None:
+        self._signal(step, signal.SIGKILL)
+        for name in step.names:
+            self._fleet.wait_ended(name)
+
+    def _do_freeze(self, step: Step) -> None:
+        self._signal(step, signal.SIGSTOP)
+
+    def _do_thaw(self, step: Step) -> None:
+        self._signal(step, signal.SIGCONT)
+
+    def _do_stop(self, step: Step) -> None:
+        self._signal(step, signal.SIGTERM)
+
+    def _signal(self, step: Step, number: int) -> None:
+        for name in step.names:
+            self._fleet.signal(name, number)
+
+    def _do_ended(self, step: Step) -> None:
+        for name in step.names:
+            assert self._fleet.wait_ended(name) == step.number("code", 0)
+
+    def _do_start(self, step: Step) -> None:
+        for name in step.names:
+            self._fleet.restart(name)
+
+    def _do_fault(self, step: Step) -> None:
+        faults = {k: json.loads(v) for k, v in step.fields.items()}
+        for name in step.names:
+            self._fleet.fault(name, **faults)
+
+    def _do_listed(self, step: Step) -> None:
+        for name in step.names:
+            self._fleet.list_instance(name, step.fields["state"])
+
+    # Operators.
+
+    def _do_withdraw(self, step: Step) -> None:
+        self._change_keys(lambda keys: keys.pop(step.names[0]))
+
+    def _change_keys(self, edit) -> None:
+        table = self._fleet.table()
+        number = store.read_number(table)
+        inventory = store.read(table, number).inventory
+        keys = dict(inventory.keys)
+        edit(keys)
+        result = store.apply(table, inventory._replace(keys=keys), number)
+        assert isinstance(result, store.Version), result
+
+    def _do_race(self, step: Step) -> None:
+        """Several operators apply a change to one version at once."""
+        number = store.read_number(self._fleet.table())
+        inventory = self._fleet.inventory
+
+        def apply(_index):
+            return store.apply(self._fleet.table(), inventory, number)
+
+        results = list(
+            self._executor.map(apply, range(step.number("operators", 4)))
+        )
+        accepted = [r for r in results if isinstance(r, store.Version)]
+        refused = [r for r in results if not isinstance(r, store.Version)]
+        assert len(accepted) == 1, results
+        assert {r.code for r in refused} == {"conflict"}, results
+        assert {r.version_in_force for r in refused} == {number + 1}, results
+
+    def _do_in_force(self, _step: Step) -> None:
+        """All running instances come to have the accepted version in force."""
+        self._fleet.wait_in_force()
+
+    def _do_shares_spread(self, _step: Step) -> None:
+        """All instances come to hold shares of each account's limit."""
+        self._fleet.wait_shares_spread()
+
+    def _do_lagging(self, step: Step) -> None:
+        """``tanagerloft status`` comes to name just these as lagging."""
+        wanted = [name for name in step.names if name != "none"]
+        self._fleet.eventually(lambda: self._fleet.lagging() == wanted)
+
+    # What the stand-ins counted.
+
+    def _do_runs(self, step: Step) -> None:
+        """The service ran each given request so many times."""
+        counts = self._fleet.get("service-1", "/counts")
+        for request, wanted in step.fields.items():
+            assert counts.get(request, 0) == int(wanted), counts
+
+    def _do_loads(self, step: Step) -> None:
+        """All engines together loaded each given model so many times."""
+        for model, wanted in step.fields.items():
+            counts = [c["loads"].get(model, 0) for c in self._engine_counts()]
+            assert sum(counts) == int(wanted), counts
+
+    def _do_no_violations(self, _step: Step) -> None:
+        """No engine was asked for more memory than it has, or saw a key."""
+        for counts in self._engine_counts():
+            assert counts["violations"] == [], counts
+            assert counts["requests_with_key"] == 0, counts
+
+    def _engine_counts(self):
+        return [
+            self._fleet.get(name, "/counts")
+            for name in self._fleet.engine_names()
+        ]
+
+
+def _matches(answer: fleet_lib.Answer, fields: dict[str, str]) -> bool:
+    seen = {
+        "status": str(answer.status),
+        "reason": answer.reason,
+        "run": answer.run,
+        "whole": "yes" if answer.whole else "no",
+        "retry_after": "yes" if "retry-after" in answer.headers else "no",
+    }
+    return all(seen[name] == value for name, value in fields.items())
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -104,6 +104,7 @@
         classes: Request classes.
         accounts: Client accounts.
         models: Models.
+        checks_fencing: What the inventory says of the engines.
     """
 
     def __init__(
@@ -116,7 +117,9 @@
         classes: tuple[inventory_lib.RequestClass, ...] = (),
         accounts: tuple[inventory_lib.Account, ...] = (),
         models: tuple[inventory_lib.Model, ...] = (),
+        checks_fencing: bool = True,
     ):
+        self._checks_fencing = checks_fencing
         self._directory = str(directory)
         self._instance_count = instances
         self._engine_count = engines
@@ -162,7 +165,7 @@
         draft = self._make_inventory({})
         path = pathlib.Path(self._directory, "sizes.jsonl")
         path.write_text(inventory_lib.dump(draft))
-        names = [f"engine-{n}" for n in range(1, self._engine_count + 1)]
+        names = self.engine_names()
         for name in names:
             self._launch_engine(name, str(path))
         for name in names:
@@ -197,7 +200,12 @@
     def _make_inventory(self, engine_ports: dict[str, int]):
         targets = [
             inventory_lib.Target(
-                name, self.url(name), "engine", "dc-1", _MEMORY_MB, True
+                name,
+                self.url(name),
+                "engine",
+                "dc-1",
+                _MEMORY_MB,
+                self._checks_fencing,
             )
             for name in engine_ports
         ]
@@ -229,21 +237,32 @@
         """Returns the names of all entry instances."""
         return [f"instance-{n}" for n in range(1, self._instance_count + 1)]
 
+    def engine_names(self) -> list[str]:
+        """Returns the names of all model engines."""
+        return [f"engine-{n}" for n in range(1, self._engine_count + 1)]
+
+    def lagging(self) -> list[str]:
+        """Returns the instances that the command ``status`` calls lagging."""
+        command = [sys.executable, "-m", "tanagerloft", "status", "--json"]
+        url = self.url("platform")
+        result = subprocess.run(
+            [*command, "--table-url", url], capture_output=True, check=True
+        )
+        return json.loads(result.stdout)["lagging"]
+
     def launch_instance(self, name: str) -> None:
-        """Starts an entry instance, again at its port if it had one."""
-        earlier = self._processes.get(name)
-        port = earlier.port if earlier else 0
+        """Starts an entry instance."""
         path = pathlib.Path(self._directory, f"{name}.ini")
-        path.write_text(self._settings_text(name, port))
+        path.write_text(self._settings_text(name))
         process = _Process(name, ["serve", str(path)], self._directory)
         self._processes[name] = process
         process.launch()
 
-    def _settings_text(self, name: str, port: int) -> str:
+    def _settings_text(self, name: str) -> str:
         values = {
             "instance.id": name,
             "instance.data_centre": "dc-1",
-            "instance.address": f"{_HOST}:{port}",
+            "instance.address": f"{_HOST}:0",
             "instance.peer_address": f"{_HOST}:0",
             "platform.table_url": self.url("platform"),
             "platform.instances_url": self.url("platform") + "/instances",
@@ -259,11 +278,50 @@
             for section, lines in sections.items()
         )
 
-    def restart_instance(self, name: str) -> None:
-        """Starts an instance that has ended and waits until it is ready."""
-        self.launch_instance(name)
-        self._processes[name].wait_started()
-        self.wait_ready(name)
+    def restart(self, name: str) -> None:
+        """Starts a process that has ended, at a new port."""
+        if name in self.instance_names():
+            self.launch_instance(name)
+            self._processes[name].wait_started()
+            self.wait_ready(name)
+            return
+        process = self._processes[name]
+        process.launch()
+        process.wait_started()
+        self._move_target(name)
+
+    def _move_target(self, name: str) -> None:
+        """Applies the inventory with a target's new address."""
+        table = self.table()
+        number = store.read_number(table)
+        inventory = store.read(table, number).inventory
+        target = inventory.targets[name]._replace(url=self.url(name))
+        targets = {**inventory.targets, name: target}
+        self.inventory = inventory._replace(targets=targets)
+        applied = store.apply(table, self.inventory, number)
+        assert isinstance(applied, store.Version), applied
+        self.wait_in_force()
+
+    def wait_in_force(self) -> None:
+        """Waits until all running instances have the accepted version."""
+        number = store.read_number(self.table())
+        for name in self.instance_names():
+            if self._processes[name].popen.poll() is None:
+                self.eventually(
+                    lambda name=name: (
+                        self.get(name, "/status")["version"] == number
+                    )
+                )
+
+    def wait_shares_spread(self) -> None:
+        """Waits until each instance holds shares of each account's limit."""
+
+        def spread(name):
+            shares = self.get(name, "/status")["shares"]
+            return len(shares) == len(self._accounts) and all(shares.values())
+
+        for name in self.instance_names():
+            self.eventually(lambda name=name: spread(name))
 
     def table(self):
         """Returns a client of the platform's table."""
