Read the rows of limits when the view changes, measure slopes of the control path

Cause: with 50 accounts an instance read 20.6 KB/s of limit rows at 8 instances, against a budget of 5 KB/s; each account's step computed the view anew, so the processor time of a tick grew with accounts times instances.

Change: rows are read every 20 s, and at once when the view of the fleet changes or a peer says that it has handed shares back; the view is computed once a tick; incarnations have 12 digits.

Ruled out: reading only the rows of accounts that are in use; a holder must see its own rows too, and the row that nobody holds.

--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and checks on real processes."""
--- a/scripts/measure_relay.py
+++ b/scripts/measure_relay.py
@@ -114,13 +114,15 @@
     return sorted(values)[min(len(values) - 1, int(len(values) * fraction))]
 
 
-def _cpu_s(pid: int) -> float:
+def cpu_s(pid: int) -> float:
+    """Returns the processor time that a process has used, in seconds."""
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1]
     user, system = fields.split()[11:13]
     return (int(user) + int(system)) / _CLOCK_TICKS_PER_S
 
 
-def _resident_mb(pid: int) -> float:
+def resident_mb(pid: int) -> float:
+    """Returns the resident memory of a process, in megabytes."""
     pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
     return int(pages) * _PAGE_KB / 1_024
 
@@ -153,19 +155,19 @@
     print("callers  requests/s  events/s  first byte p50, p99 ms  cpu  failed")
     pid = fleet.pid("instance-1")
     for callers in _CALLERS:
-        before_s, started_s = _cpu_s(pid), time.time()
+        before_s, started_s = cpu_s(pid), time.time()
         results = _step(pool, fleet.url("instance-1"), callers, tokens, stream)
         elapsed_s = time.time() - started_s
-        cpu_s = _cpu_s(pid) - before_s
+        used_s = cpu_s(pid) - before_s
         first = [ms for result in results for ms in result.first_byte_ms]
         events = sum(result.events for result in results)
         failures = sum(result.failures for result in results)
-        per = cpu_s / max(1, events if stream else len(first)) * 1_000_000
+        per = used_s / max(1, events if stream else len(first)) * 1_000_000
         print(
             f"{callers:7} {len(first) / elapsed_s:11.1f}"
             f" {events / elapsed_s:9.0f}"
             f" {statistics.median(first):11.1f} {_percentile(first, 0.99):8.1f}"
-            f" {cpu_s / elapsed_s * 100:8.0f}% {failures:6}"
+            f" {used_s / elapsed_s * 100:8.0f}% {failures:6}"
             f"   {per:.0f} us cpu per {'event' if stream else 'request'}"
         )
 
@@ -203,7 +205,7 @@
             ),
         )
         with fleet, multiprocessing.Pool(_CLIENT_PROCESSES) as pool:
-            memory_mb = _resident_mb(fleet.pid("instance-1"))
+            memory_mb = resident_mb(fleet.pid("instance-1"))
             print(f"idle instance: {memory_mb:.1f} MB resident")
             _warm_up(fleet)
             measure(fleet, pool)
--- a/tanagerloft/bench/local.py
+++ b/tanagerloft/bench/local.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from concurrent import futures
+import json
 from typing import Any
 
 import msgpack
@@ -13,6 +14,7 @@
 from tanagerloft.controllers import membership as membership_lib
 from tanagerloft.peers import bus as bus_lib
 from tanagerloft.peers import errors as peer_errors
+from tanagerloft.platform import dynamo_codec
 from tanagerloft.platform import errors as platform_errors
 from tanagerloft.platform import instances as instances_lib
 from tanagerloft.platform import memory
@@ -91,6 +93,9 @@
         cut: Instances that cannot reach it.
         reads: Calls that read.
         writes: Calls that write.
+        bytes: Bytes of rows read and written, if ``measures_bytes`` is set.
+        measures_bytes: Whether rows go through the table's codec, as they do
+            between processes.
         late: Transactions that were answered with "unknown" and may still
             take effect.
     """
@@ -101,8 +106,18 @@
         self.cut: set[str] = set()
         self.reads = 0
         self.writes = 0
+        self.bytes = 0
+        self.measures_bytes = False
         self.late: list[table_lib.Transaction] = []
 
+    def carry(self, row: table_lib.Row) -> table_lib.Row:
+        """Sends a row through the codec if bytes are measured."""
+        if not self.measures_bytes:
+            return row
+        text = json.dumps(dynamo_codec.encode_row(row), separators=(",", ":"))
+        self.bytes += len(text)
+        return dynamo_codec.decode_row(json.loads(text))
+
     def land_late(self) -> None:
         """Lets the transactions that are still under way take effect."""
         for transaction in self.late:
@@ -131,7 +146,7 @@
         if self._is_cut():
             return platform_errors.unavailable("cut")
         self._shared.reads += 1
-        return self._shared.rows.read(key)
+        return self._shared.carry(self._shared.rows.read(key))
 
     def scan(
         self, kind: str
@@ -140,7 +155,7 @@
         if self._is_cut():
             return platform_errors.unavailable("cut")
         self._shared.reads += 1
-        return self._shared.rows.scan(kind)
+        return [self._shared.carry(r) for r in self._shared.rows.scan(kind)]
 
     def commit(
         self, transaction: table_lib.Transaction
@@ -149,6 +164,9 @@
         if self._is_cut():
             return platform_errors.unavailable("cut")
         self._shared.writes += 1
+        for put in transaction.puts:
+            written = table_lib.Committed(transaction.operation_id)
+            self._shared.carry(table_lib.written(put, written))
         fate = self.next_writes.pop(0) if self.next_writes else ""
         if fate == "lost":
             return platform_errors.unknown(fate)
--- a/tanagerloft/cmd/bench.py
+++ b/tanagerloft/cmd/bench.py
@@ -2,12 +2,14 @@
 
 import click
 
+from tanagerloft.bench import capacity as capacity_lib
 from tanagerloft.bench import limit_designs
 
 _LOAD = 0.95
 _STEADY_MS = 300_000
 _AFTER_KILL_MS = 30_000
 _OUTAGE_MS = 600_000
+_CONTROL_MS = 40_000
 
 
 @click.group()
@@ -33,6 +35,62 @@
             click.echo(_row(count, name, make, seed))
 
 
+@bench.command()
+@click.option("--sizes", default="8,32,128,380", help="Numbers of instances.")
+def capacity(sizes: str) -> None:
+    """Measure slopes of the control path up to the users' target size."""
+    counts = [int(size) for size in sizes.split(",")]
+    _print_control(counts)
+    _print_changes()
+
+
+def _print_control(counts: list[int]) -> None:
+    click.echo(
+        "instances  accounts  cpu %  table bytes/s  peer bytes/s"
+        "  fleet reads/s  fleet writes/s   (an instance, idle fleet)"
+    )
+    cpu, table_bytes = [], []
+    for count in counts:
+        sizes = capacity_lib.TARGET._replace(instances=count)
+        control = capacity_lib.measure_control(sizes, _CONTROL_MS)
+        cpu.append((float(count), control.cpu_percent))
+        table_bytes.append((float(count), control.table_bytes_per_s))
+        click.echo(
+            f"{count:9}  {sizes.accounts:8}  {control.cpu_percent:5.2f}"
+            f"  {control.table_bytes_per_s:13.0f}"
+            f"  {control.peer_bytes_per_s:12.0f}  {control.reads_per_s:13.0f}"
+            f"  {control.writes_per_s:14.1f}"
+        )
+    for name, points in (("cpu %", cpu), ("table bytes/s", table_bytes)):
+        start, gradient, error = capacity_lib.slope(points)
+        click.echo(
+            f"{name}: {start:.3g} + {gradient:.3g} an instance,"
+            f" off by at most {error:.0%}"
+        )
+
+
+def _print_changes() -> None:
+    click.echo(
+        "models + adapters  kilobytes  cpu ms   (one change, one instance)"
+    )
+    points = []
+    for part in (0.1, 0.25, 0.5, 1.0):
+        sizes = capacity_lib.TARGET._replace(
+            models=int(capacity_lib.TARGET.models * part),
+            adapters=int(capacity_lib.TARGET.adapters * part),
+            targets=int(capacity_lib.TARGET.targets * part),
+        )
+        change = capacity_lib.measure_change(sizes)
+        items = sizes.models + sizes.adapters
+        points.append((float(items), change.cpu_ms))
+        click.echo(f"{items:17}  {change.kilobytes:9.0f}  {change.cpu_ms:6.1f}")
+    start, gradient, error = capacity_lib.slope(points)
+    click.echo(
+        f"cpu ms: {start:.3g} + {gradient:.3g} a model or adapter,"
+        f" off by at most {error:.0%}"
+    )
+
+
 def _row(count: int, name: str, make, seed: int) -> str:
     workload = limit_designs.Workload(
         count, _LOAD, 0.5, min(_STEADY_MS, _STEADY_MS * 32 // count), seed=seed
--- a/tanagerloft/controllers/limits.py
+++ b/tanagerloft/controllers/limits.py
@@ -24,7 +24,8 @@
 logger = logging.getLogger(__name__)
 
 _MIN_RETRY_MS = 200
-_MIN_READ_MS = 2_000
+_MIN_READ_MS = 20_000
+_TOLD_PEERS = 8
 _READ_PER_INSTANCE_MS = 100
 _SILENT_PEER_MS = 2_000
 # Holders that can be asked even if all of them are silent.
@@ -91,11 +92,13 @@
         self._silent_until_ms: dict[str, int] = {}
         self._last_levels: dict[tuple[str, str], _Level] = {}
         self._read_due_ms = 0
+        self._fleet = account_shares.Fleet((), {})
         self._has_read = False
         self._settled = False
         self._open_tokens = 0
         bus.handle("grant", self._answer_grant)
         bus.handle("settle", self._answer_settle)
+        bus.handle("handed back", self._hear_hand_back)
 
     def charge(
         self, account: inventory_lib.Account, cost_tokens: int
@@ -150,6 +153,7 @@
         now_ms = self._clock.now_ms()
         lease_until_ms = self._membership.lease_until_ms()
         self._renew(lease_until_ms, now_ms)
+        self._look_at_fleet()
         if now_ms >= lease_until_ms or now_ms < self._read_due_ms:
             return
         found = self._table.scan(rows.LIMIT)
@@ -166,6 +170,15 @@
             self._read_due_ms = 0
             self._membership.refresh()
 
+    def _look_at_fleet(self) -> None:
+        """Makes the rows be read at once when the view has changed."""
+        fleet = account_shares.Fleet(
+            self._membership.live(), self._membership.lapsed()
+        )
+        if fleet != self._fleet:
+            self._fleet = fleet
+            self._read_due_ms = 0
+
     def is_settled(self) -> bool:
         """Returns whether requests of each account can be charged somewhere.
 
@@ -192,6 +205,19 @@
                     write = state.hand_back(state.slots, now_ms)
             if write is not None:
                 self._carry_out(name, state, write)
+        self._tell_hand_back()
+
+    def _tell_hand_back(self) -> None:
+        """Makes some peers read the rows now, so that no share lies idle."""
+        addresses = self._membership.peer_addresses()
+        told = homes.rank(self._me.instance_id, addresses)[:_TOLD_PEERS]
+        for name in told:
+            self._bus.begin_call(
+                addresses[name], "handed back", None, self._grant_ms
+            )
+
+    def _hear_hand_back(self, _payload: Any) -> None:
+        self._read_due_ms = 0
 
     def held(self) -> dict[str, int]:
         """Returns the number of shares held of each account's limit."""
@@ -241,15 +267,14 @@
     ) -> None:
         """Feeds a row to the account's state and carries out its write."""
         now_ms = self._clock.now_ms()
-        fleet = account_shares.Fleet(
-            self._membership.live(), self._membership.lapsed()
-        )
         with self._lock:
             state = self._state(account.name)
             state.configure(
                 account.rate_tokens_per_s, account.burst_tokens, now_ms
             )
-            write = state.on_row(_row_view(row, lease_until_ms), fleet, now_ms)
+            write = state.on_row(
+                _row_view(row, lease_until_ms), self._fleet, now_ms
+            )
         if write is not None:
             self._carry_out(account.name, state, write)
 
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -125,7 +125,7 @@
         settings = self.settings
         identity = membership_lib.Identity(
             instance_id=settings.get("instance", "id"),
-            incarnation=ids.new_id(),
+            incarnation=ids.short_id(),
             data_centre=settings.get("instance", "data_centre"),
             address=str(settings.get("instance", "address")),
             peer_address=self.bus.address,
--- a/tanagerloft/util/ids.py
+++ b/tanagerloft/util/ids.py
@@ -4,6 +4,7 @@
 import secrets
 
 _ID_BYTES = 16
+_SHORT_ID_BYTES = 6
 
 
 def new_id() -> str:
@@ -11,6 +12,11 @@
     return secrets.token_hex(_ID_BYTES)
 
 
+def short_id() -> str:
+    """Returns a random identifier of 12 hexadecimal digits."""
+    return secrets.token_hex(_SHORT_ID_BYTES)
+
+
 def sha256_hex(data: bytes | str) -> str:
     """Returns the SHA-256 digest of ``data`` in hexadecimal."""
     if isinstance(data, str):
