Bring the control path under its budget, prove limits, memory and waiting

Change: the peers' thread waits for a message unless a call is open, the reports' loop runs 4 times a second and on demand; versions are stored compressed; the interval between reports of unused targets grows by 100 ms a target; limit rows are read every 30 s. Scenarios for limits, memory and waiting requests.

Ruled out: deltas of configuration; compression is enough and needs no chain of versions.

--- a/tanagerloft/config/store.py
+++ b/tanagerloft/config/store.py
@@ -1,6 +1,8 @@
 """Versions of the configuration in the platform's table."""
 
+import base64
 from typing import NamedTuple
+import zlib
 
 from tanagerloft.config import errors
 from tanagerloft.config import inventory as inventory_lib
@@ -22,6 +24,7 @@
     inventory: inventory_lib.Inventory
 
 
+_PACKED = "zlib_b85"
 NONE = Version(0, inventory_lib.empty())
 
 
@@ -42,7 +45,10 @@
     row = table.read(rows.configuration_version(number))
     if isinstance(row, platform_errors.TableError):
         return row
-    inventory = inventory_lib.parse(row.body.get("text", ""))
+    text = _unpack(row.body)
+    if text is None:
+        return platform_errors.unavailable(f"version {number} is not there")
+    inventory = inventory_lib.parse(text)
     if isinstance(inventory, errors.InventoryError):
         return platform_errors.unavailable(f"version {number}: {inventory}")
     return Version(number, inventory)
@@ -58,7 +64,7 @@
     The change is accepted once its conditional write has committed.
     """
     number = expected_number + 1
-    body = {"text": inventory_lib.dump(inventory)}
+    body = _pack(inventory_lib.dump(inventory))
     transaction = table_lib.Transaction(
         ids.new_id(),
         (
@@ -72,6 +78,18 @@
     return Version(number, inventory)
 
 
+def _pack(text: str) -> dict[str, str]:
+    """Returns the row of a version: rows have a bound on their size."""
+    packed = base64.b85encode(zlib.compress(text.encode()))
+    return {_PACKED: packed.decode("ascii")}
+
+
+def _unpack(body: dict[str, str]) -> str | None:
+    if _PACKED not in body:
+        return None
+    return zlib.decompress(base64.b85decode(body[_PACKED])).decode()
+
+
 def _apply_error(
     table: table_lib.Table, error: platform_errors.TableError
 ) -> errors.ApplyError:
--- a/tanagerloft/controllers/health.py
+++ b/tanagerloft/controllers/health.py
@@ -18,9 +18,10 @@
 logger = logging.getLogger(__name__)
 
 _WATCHED_POLL_MS = 500
-_IDLE_POLL_MS = 5_000
+_MIN_IDLE_POLL_MS = 5_000
+_POLL_PER_TARGET_MS = 100
 _URGENT_POLL_MS = 50
-_REPORT_MAX_AGE_MS = 12_000
+_REPORT_MAX_AGE_POLLS = 3
 _LOST_AFTER_MS = 5_000
 _FAILURE_HALF_LIFE_MS = 5_000
 _MAX_FAILURES = 16
@@ -47,7 +48,8 @@
 class HealthController:
     """Polls load reports and remembers failed attempts.
 
-    A target that this instance uses is polled often, others seldom.
+    A target that this instance uses is polled often, others the more seldom the
+    more there are.
     """
 
     def __init__(
@@ -63,8 +65,7 @@
         self._data_centre = data_centre
         self._lock = threading.Lock()
         self._known: dict[str, Known] = {}
-        # Latest report, or first attempt to get one.
-        self._heard_ms: dict[str, int] = {}
+        self._failing_since_ms: dict[str, int] = {}
         self._failures: dict[str, _Failures] = {}
         self._missing: dict[tuple[str, str], int] = {}
         self._poll_due_ms: dict[str, int] = {}
@@ -104,7 +105,8 @@
         known = self._known.get(name)
         if known is None:
             return None
-        if self._clock.now_ms() - known.asked_ms > _REPORT_MAX_AGE_MS:
+        max_age_ms = _REPORT_MAX_AGE_POLLS * self._idle_interval_ms()
+        if self._clock.now_ms() - known.asked_ms > max_age_ms:
             return None
         return known
 
@@ -113,10 +115,19 @@
         known = self.known(name)
         if known is not None:
             return known.report.leaving
-        heard_ms = self._heard_ms.get(name)
-        if heard_ms is None:
+        failing_ms = self._failing_since_ms.get(name)
+        if failing_ms is None:
             return name not in self._configuration.version.inventory.targets
-        return self._clock.now_ms() - heard_ms > _LOST_AFTER_MS
+        return self._clock.now_ms() - failing_ms > _LOST_AFTER_MS
+
+    def idle_items(self, min_idle_ms: int) -> list[tuple[str, str]]:
+        """Returns targets and items there that have been idle for so long."""
+        return [
+            (target, item)
+            for target, known in list(self._known.items())
+            for item, idle_ms in known.report.idle_ms.items()
+            if idle_ms >= min_idle_ms
+        ]
 
     def candidates(self, subject: str) -> list[routing.Candidate]:
         """Returns the targets that can run ``subject`` now."""
@@ -151,18 +162,26 @@
     def _interval_ms(self, name: str) -> int:
         if name in self._urgent:
             return _URGENT_POLL_MS
-        return _WATCHED_POLL_MS if name in self._watched else _IDLE_POLL_MS
+        if name in self._watched:
+            grown_ms = len(self._watched) * _POLL_PER_TARGET_MS
+            return max(_WATCHED_POLL_MS, grown_ms)
+        return self._idle_interval_ms()
+
+    def _idle_interval_ms(self) -> int:
+        """Returns the time between polls of a target that is not used."""
+        count = len(self._configuration.version.inventory.targets)
+        return max(_MIN_IDLE_POLL_MS, count * _POLL_PER_TARGET_MS)
 
     def _poll(self, target: inventory_lib.Target) -> None:
         asked_ms = self._clock.now_ms()
-        self._heard_ms.setdefault(target.name, asked_ms)
         report = engine.fetch_report(self._client, target)
         self._polling.discard(target.name)
         if isinstance(report, target_errors.ReportFailed):
+            self._failing_since_ms.setdefault(target.name, asked_ms)
             if self._known.pop(target.name, None) is not None:
                 logger.warning("%s: no report: %s", target.name, report.reason)
             return
-        self._heard_ms[target.name] = asked_ms
+        self._failing_since_ms.pop(target.name, None)
         before = self._known.get(target.name)
         self._known[target.name] = Known(report, asked_ms)
         if before is None or before.report.incarnation != report.incarnation:
--- a/tanagerloft/controllers/limits.py
+++ b/tanagerloft/controllers/limits.py
@@ -24,7 +24,7 @@
 logger = logging.getLogger(__name__)
 
 _MIN_RETRY_MS = 200
-_MIN_READ_MS = 20_000
+_MIN_READ_MS = 30_000
 _TOLD_PEERS = 8
 _READ_PER_INSTANCE_MS = 100
 _SILENT_PEER_MS = 2_000
--- a/tanagerloft/controllers/placement.py
+++ b/tanagerloft/controllers/placement.py
@@ -26,7 +26,9 @@
 
 _NOT_HOME_DELAY_MS = 250
 _READ_INTERVAL_MS = 200
-_TEND_INTERVAL_MS = 5_000
+_MIN_TEND_MS = 5_000
+_TEND_PER_INSTANCE_MS = 2_000
+_UNLOAD_INTERVAL_MS = 1_000
 _MIN_IDLE_FOR_EVICTION_MS = 1_000
 
 
@@ -67,6 +69,7 @@
         self._wanted_since_ms: dict[str, int] = {}
         self._read_due_ms: dict[str, int] = {}
         self._tend_due_ms = 0
+        self._unload_due_ms = 0
 
     def tick(self) -> None:
         """Acts on all models that requests wait for, then on idle ones."""
@@ -82,8 +85,11 @@
                 self._serve_demand(name)
         self._watch(wanted)
         if now_ms >= self._tend_due_ms:
-            self._tend_due_ms = now_ms + _TEND_INTERVAL_MS
+            count = len(self._membership.live())
+            grown_ms = count * _TEND_PER_INSTANCE_MS
+            self._tend_due_ms = now_ms + max(_MIN_TEND_MS, grown_ms)
             self._tend()
+        self._unload_idle()
 
     def _wanted_items(self) -> list[str]:
         """Returns waited-for models and adapters that no target has ready."""
@@ -114,6 +120,8 @@
             if self._dispatcher.in_flight(name)
         }
         self._health.watch(frozenset(used | urgent), frozenset(urgent))
+        if urgent:
+            self._health.tick()
 
     def _serve_demand(self, name: str) -> None:
         """Takes the next step towards a ready replica of one item."""
@@ -350,7 +358,7 @@
         return _make_target(inventory, entry, row, known.report)
 
     def _tend(self) -> None:
-        """As home, reconciles decided replicas and unloads idle ones."""
+        """As home, reconciles decided replicas that nobody waits for."""
         found = self._table.scan(rows.MODEL)
         if isinstance(found, platform_errors.TableError):
             return
@@ -368,16 +376,22 @@
             for target_name in replicas.replicas_of(current.body):
                 wanted = name in self._wanted_since_ms
                 self._reconcile(item, current, target_name, wanted)
-                self._unload_if_idle(name, target_name)
 
-    def _unload_if_idle(self, name: str, target_name: str) -> None:
-        known = self._health.known(target_name)
-        if known is None:
+    def _unload_idle(self) -> None:
+        """As home, unloads what reports call idle for long."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._unload_due_ms:
             return
+        self._unload_due_ms = now_ms + _UNLOAD_INTERVAL_MS
+        live = self._membership.live()
+        me = self._membership.identity.instance_id
         inventory = self._configuration.version.inventory
-        idle_ms = _unloadable(inventory, known.report).get(name, 0)
-        if idle_ms >= self._keep_warm_ms:
-            self._unload(name, target_name)
+        for target_name, name in self._health.idle_items(self._keep_warm_ms):
+            known = self._health.known(target_name)
+            if known is None or homes.home(name, live) != me:
+                continue
+            if name in _unloadable(inventory, known.report):
+                self._unload(name, target_name)
 
 
 class _Target(NamedTuple):
--- a/tanagerloft/peers/bus.py
+++ b/tanagerloft/peers/bus.py
@@ -17,7 +17,9 @@
 
 logger = logging.getLogger(__name__)
 
-_POLL_MS = 50
+# Longest wait for messages while calls are open, and while none is.
+_OPEN_POLL_MS = 20
+_IDLE_POLL_MS = 1_000
 _MAX_MESSAGE_BYTES = 8_000_000
 _LINGER_MS = 0
 _HEARTBEAT_MS = 5_000
@@ -110,7 +112,7 @@
         """Calls a peer and waits for its answer."""
         future = self.begin_call(address, kind, payload, timeout_ms)
         try:
-            return future.result(timeout=(timeout_ms + _POLL_MS) / 1_000)
+            return future.result(timeout=(timeout_ms + _OPEN_POLL_MS) / 1_000)
         except futures.TimeoutError:
             return errors.CallFailed("no answer in time")
 
@@ -144,7 +146,8 @@
         poller.register(self._router, zmq.POLLIN)
         poller.register(self._wake_in, zmq.POLLIN)
         while not self._stopping:
-            for socket, _ in poller.poll(_POLL_MS):
+            wait_ms = _OPEN_POLL_MS if self._pending else _IDLE_POLL_MS
+            for socket, _ in poller.poll(wait_ms):
                 self._receive(socket)
             self._send_outbox(poller)
             self._expire()
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -37,7 +37,7 @@
     "tanagerloft.filters.serve",
 )
 _READY_POLL_S = 0.02
-_HEALTH_MS = 50
+_HEALTH_MS = 250
 _PLACEMENT_MS = 100
 _MEMBERSHIP_MS = 500
 _LIMITS_MS = 500
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -9,6 +9,7 @@
 import shlex
 import signal
 
+from tanagerloft.config import inventory as inventory_lib
 from tanagerloft.config import store
 from tests.support import fleet as fleet_lib
 
@@ -64,6 +65,8 @@
 
     def _do_fleet(self, step: Step) -> None:
         settings = {k: v for k, v in step.fields.items() if "." in k}
+        size_mb = step.number("size_mb", 2_000)
+        peak_mb = size_mb * 11 // 10
         arguments = shlex.split(step.fields.get("engine", ""))
         self._fleet = fleet_lib.Fleet(
             self._directory,
@@ -72,6 +75,23 @@
             settings,
             tuple(arguments),
             checks_fencing="--ignore-fencing" not in arguments,
+            classes=(
+                inventory_lib.RequestClass(
+                    "default", step.number("deadline_ms", 60_000)
+                ),
+            ),
+            accounts=(
+                inventory_lib.Account(
+                    "quito",
+                    step.number("rate", 100_000),
+                    step.number("burst", 1_000_000),
+                ),
+                inventory_lib.Account("limon", 100_000, 1_000_000),
+            ),
+            models=tuple(
+                inventory_lib.Model(f"model-{n}", "1", size_mb, peak_mb)
+                for n in range(6)
+            ),
         )
         self._fleet.__enter__()
 
@@ -140,6 +160,15 @@
         matching = [a for a in answers if _matches(a, fields)]
         assert len(matching) == wanted, answers
 
+    def _do_expect_at_most(self, step: Step) -> None:
+        """At most a given number of answers have the given fields."""
+        fields = dict(step.fields)
+        most = int(fields.pop("count"))
+        self._do_await(step)
+        answers = self._answers[step.names[0]]
+        matching = [a for a in answers if _matches(a, fields)]
+        assert len(matching) <= most, len(matching)
+
     def _do_same(self, step: Step) -> None:
         """All answers have one and the same body."""
         bodies = {
@@ -257,6 +286,15 @@
             counts = [c["loads"].get(model, 0) for c in self._engine_counts()]
             assert sum(counts) == int(wanted), counts
 
+    def _do_unloaded(self, step: Step) -> None:
+        """The named models come to be on no engine."""
+
+        def is_gone(model):
+            return all(model not in c["items"] for c in self._engine_counts())
+
+        for model in step.names:
+            self._fleet.eventually(lambda model=model: is_gone(model))
+
     def _do_no_violations(self, _step: Step) -> None:
         """No engine was asked for more memory than it has, or saw a key."""
         for counts in self._engine_counts():
