Refuse what cannot be read in the form of all refusals

Cause: a request with oversized headers or a malformed Content-Length was answered by the HTTP server itself, as plain text and without a counter; the tests had accepted any 413 or 431.

Change: the server asks the application for the answer (`headers_too_large`, `malformed_request`, `slow_sender`), which counts it. The tests now ask for reason, "not run" and counter.

Ruled out: a check of sizes in the application; the server reads headers first.

--- a/tanagerloft/bench/local.py
+++ b/tanagerloft/bench/local.py
@@ -250,6 +250,7 @@
         network: The peers' messages.
         nodes: The instances that run, by name.
         gone: Instances that the platform says have ended.
+        lists_live: Whether the platform's list shows the live ones too.
     """
 
     def __init__(
@@ -264,6 +265,7 @@
         self.network = Network()
         self.nodes: dict[str, Node] = {}
         self.gone: set[str] = set()
+        self.lists_live = False
         self._lease_ms = lease_ms
         self._data_centres = data_centres
         self._starts = 0
@@ -308,7 +310,13 @@
                 pass
 
     def _list(self) -> list[instances_lib.Listed]:
-        return [
+        listed = [
             instances_lib.Listed(name, "", instances_lib.GONE)
             for name in sorted(self.gone)
         ]
+        if self.lists_live:
+            listed += [
+                instances_lib.Listed(name, node.bus.address, instances_lib.LIVE)
+                for name, node in self.nodes.items()
+            ]
+        return listed
--- a/tanagerloft/filters/errors.py
+++ b/tanagerloft/filters/errors.py
@@ -25,6 +25,12 @@
 
 
 MALFORMED_BODY = Refusal("malformed_body", 400, "The body is not valid JSON.")
+MALFORMED_REQUEST = Refusal(
+    "malformed_request", 400, "The request is not valid HTTP."
+)
+HEADERS_TOO_LARGE = Refusal(
+    "headers_too_large", 413, "The headers are too large."
+)
 MODEL_MISSING = Refusal(
     "model_missing", 400, "The body must name a model as a string."
 )
--- a/tanagerloft/server/application.py
+++ b/tanagerloft/server/application.py
@@ -20,6 +20,14 @@
 logger = logging.getLogger(__name__)
 
 _READ_PIECE_BYTES = 65_536
+# What the server refuses by itself, by its status.
+_UNREAD = {
+    408: errors.SLOW_SENDER,
+    413: errors.HEADERS_TOO_LARGE,
+    414: errors.HEADERS_TOO_LARGE,
+    431: errors.HEADERS_TOO_LARGE,
+    500: errors.INTERNAL,
+}
 _TEXT = [("Content-Type", "text/plain; charset=utf-8")]
 
 
@@ -109,6 +117,13 @@
         finally:
             self._leave()
 
+    def refuse_unread(self, status: int) -> http_server.EarlyAnswer:
+        """Refuses a request that the server could not read."""
+        refusal = _UNREAD.get(status, errors.MALFORMED_REQUEST)
+        self._services.metrics.count_early_refusal(refusal)
+        body = problems.body(refusal._replace(status=status), ids.new_id())
+        return http_server.EarlyAnswer(problems.CONTENT_TYPE, body)
+
     def begin_stop(self) -> None:
         """Fails readiness and asks callers to close their connections."""
         self._stopping = True
--- a/tanagerloft/server/http_server.py
+++ b/tanagerloft/server/http_server.py
@@ -5,6 +5,7 @@
 import select
 import socket
 import threading
+from typing import NamedTuple
 
 import cheroot.server
 import cheroot.wsgi
@@ -35,6 +36,48 @@
         return _is_closed(self._request.conn.socket)
 
 
+class EarlyAnswer(NamedTuple):
+    """Answer to what is refused before it reaches the application.
+
+    Attributes:
+        content_type: Type of the body.
+        body: The body.
+    """
+
+    content_type: str
+    body: bytes
+
+
+EarlyRefusal = Callable[[int], EarlyAnswer]
+
+
+def _make_connection_class(refuse: EarlyRefusal) -> type:
+    """Returns a connection class whose own refusals come from ``refuse``."""
+
+    class Request(cheroot.server.HTTPRequest):
+        """Request that is refused in the form of the application."""
+
+        def simple_response(self, status: str | int, _msg: str = "") -> None:
+            """Answers a request that the server refuses by itself."""
+            answer = refuse(int(str(status)[:3]))
+            self.close_connection = True
+            head = (
+                f"HTTP/1.1 {status}\r\n"
+                f"Content-Type: {answer.content_type}\r\n"
+                f"Content-Length: {len(answer.body)}\r\n"
+                "Connection: close\r\n\r\n"
+            )
+            with contextlib.suppress(OSError):
+                self.conn.wfile.write(head.encode("latin-1") + answer.body)
+
+    class RefusingConnection(cheroot.server.HTTPConnection):
+        """Connection that reads such requests."""
+
+        RequestHandlerClass = Request
+
+    return RefusingConnection
+
+
 class _Gateway(cheroot.wsgi.Gateway_10):
     """Gateway that passes the caller's connection to the application."""
 
@@ -54,6 +97,8 @@
         threads: Worker threads.
         max_header_bytes: Bound on request headers.
         read_timeout_ms: Bound on silence while a request is read.
+        refuse: Makes the answer to a request that cannot be read, from the
+            status; without it cheroot's own.
     """
 
     def __init__(
@@ -64,6 +109,7 @@
         threads: int = 8,
         max_header_bytes: int = 16_384,
         read_timeout_ms: int = 5_000,
+        refuse: EarlyRefusal | None = None,
     ):
         self._server = cheroot.wsgi.Server(
             (host, port),
@@ -74,6 +120,9 @@
             shutdown_timeout=1,
         )
         self._server.gateway = _Gateway
+        if refuse is not None:
+            connection_class = _make_connection_class(refuse)
+            self._server.ConnectionClass = connection_class
         self._server.timeout = read_timeout_ms / 1_000
         self._server.keep_alive_conn_limit = _KEEP_ALIVE_CONNECTIONS
         self._server.max_request_header_size = max_header_bytes
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -63,6 +63,7 @@
             settings.get("server", "threads"),
             settings.get("server", "max_header_bytes"),
             settings.get("server", "read_timeout_ms"),
+            self.application.refuse_unread,
         )
         self._runner = runner_lib.Runner(self._loops())
         self._add_gauges()
--- a/tests/server/test_bad_input.py
+++ b/tests/server/test_bad_input.py
@@ -109,7 +109,9 @@
 
 def test_oversized_header_is_refused(fleet):
     answer = _ask(fleet, {**_BEARER, "X-Long": "x" * 8_000}, _GOOD)
-    assert answer.status in (413, 431)
+    assert (answer.status, answer.reason) == (413, "headers_too_large")
+    assert answer.run == "not run"
+    _check_counted(fleet, "headers_too_large")
     _check_no_leak(fleet)
 
 
@@ -130,6 +132,7 @@
         connection.sendall(head.encode())
         answer = connection.recv(65_536)
     assert answer.startswith(b"HTTP/1.1 400")
+    _check_counted(fleet, "malformed_request")
     _check_no_leak(fleet)
 
 
