Make the folders of tests packages

The new one had only been run with its own folder.

Change: each folder of tests is a package.

Conclusion: the whole suite is collected; run it whole before a commit.

--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzz tests."""
