Remove what the change left dead

Cause: a last reading found state and functions that nothing uses: refusing requests by the time of readiness, sizes of today in the capacity bench, a counter of held bytes, a flag of one design, an unused argument; and the bench subtracted the usage at its start twice.

Change: they are gone; behaviour stays.

Conclusion: nothing else found worth a change.

--- a/tanagerloft/bench/capacity.py
+++ b/tanagerloft/bench/capacity.py
@@ -35,7 +35,6 @@
     accounts: int
 
 
-TODAY = Sizes(instances=8, models=50, adapters=55, targets=9, accounts=5)
 TARGET = Sizes(
     instances=380, models=560, adapters=1_500, targets=600, accounts=50
 )
--- a/tanagerloft/bench/limit_designs.py
+++ b/tanagerloft/bench/limit_designs.py
@@ -103,7 +103,6 @@
         self._bucket = _make_bucket(1, local.GRANT_MS, self.clock.now_ms())
         self._home = 0
         self._dead_until_ms = 0
-        self._table_down = False
         self._writes = 0
         self._bytes = 0
 
@@ -240,7 +239,6 @@
         self.clock = self._fleet.clock
         self._gone_at_ms: dict[str, int] = {}
         self._wait_for_shares()
-        self._start = self._fleet.shared.reads, self._fleet.shared.writes
 
     def charge(self, instance: int, cost_tokens: int) -> bool:
         """Charges the instance's shares, and asks other holders."""
@@ -269,11 +267,7 @@
     def usage(self) -> tuple[int, int, int]:
         """Returns table reads, table writes and bytes between instances."""
         shared = self._fleet.shared
-        reads, writes = self._start
-        return shared.reads - reads, shared.writes - writes, self._bytes()
-
-    def _bytes(self) -> int:
-        return self._fleet.network.bytes
+        return shared.reads, shared.writes, self._fleet.network.bytes
 
     def _wait_for_shares(self) -> None:
         while self._held() < 8:
--- a/tanagerloft/controllers/dispatch.py
+++ b/tanagerloft/controllers/dispatch.py
@@ -117,21 +117,6 @@
         for waiter in waiters:
             self._finish(waiter.request_id, refusal)
 
-    def refuse_late(
-        self, subject: str, ready_ms: int, refusal: filter_errors.Refusal
-    ) -> None:
-        """Refuses those requests that cannot wait until ``ready_ms``."""
-        with self._lock:
-            waiters = [
-                waiter
-                for waiter in self._queue.waiting_for(subject)
-                if waiter.deadline_ms < ready_ms
-            ]
-            for waiter in waiters:
-                self._queue.remove(waiter.request_id)
-        for waiter in waiters:
-            self._finish(waiter.request_id, refusal)
-
     def waiting(self) -> dict[str, int]:
         """Returns what is waited for, with the earliest deadline of each."""
         with self._lock:
--- a/tanagerloft/controllers/placement.py
+++ b/tanagerloft/controllers/placement.py
@@ -159,7 +159,7 @@
 
     def _decide_load(self, item: replicas.Item, row: table_lib.Row) -> None:
         inventory = self._configuration.version.inventory
-        targets = self._target_states(item)
+        targets = self._target_states()
         if item.parent:
             parent_row = self._read(item.parent)
             parent = catalogue.find_item(inventory, item.parent)
@@ -330,9 +330,7 @@
             self._read(model_row.key.name)
         return committed
 
-    def _target_states(
-        self, item: replicas.Item
-    ) -> dict[str, catalogue.Target]:
+    def _target_states(self) -> dict[str, catalogue.Target]:
         """Returns the engines that report now, with their rows."""
         found = self._table.scan(rows.TARGET)
         if isinstance(found, platform_errors.TableError):
--- a/tanagerloft/targets/relay.py
+++ b/tanagerloft/targets/relay.py
@@ -85,7 +85,6 @@
         self._status = 0
         self._headers: dict[str, str] = {}
         self._held: list[bytes] = []
-        self._held_bytes = 0
         self._tail = b""
         self._events = 0
         self.begun = False
