--- a/tanagerloft/bench/local.py
+++ b/tanagerloft/bench/local.py
@@ -14,11 +14,11 @@
 from tanagerloft.controllers import membership as membership_lib
 from tanagerloft.peers import bus as bus_lib
 from tanagerloft.peers import errors as peer_errors
-from tanagerloft.platform import dynamo_codec
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import instances as instances_lib
-from tanagerloft.platform import memory
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import dynamo_codec
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import instances as instances_lib
+from tanagerloft.tables import memory
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import clock as clock_lib
 
 FRESHNESS_MS = 4_000
@@ -141,40 +141,38 @@
 
     def read(
         self, key: table_lib.RowKey
-    ) -> table_lib.Row | platform_errors.TableError:
+    ) -> table_lib.Row | table_errors.TableError:
         """Returns the row, unless the table cannot be reached."""
         if self._is_cut():
-            return platform_errors.unavailable("cut")
+            return table_errors.unavailable("cut")
         self._shared.reads += 1
         return self._shared.carry(self._shared.rows.read(key))
 
-    def scan(
-        self, kind: str
-    ) -> list[table_lib.Row] | platform_errors.TableError:
+    def scan(self, kind: str) -> list[table_lib.Row] | table_errors.TableError:
         """Returns all rows of a kind, unless the table cannot be reached."""
         if self._is_cut():
-            return platform_errors.unavailable("cut")
+            return table_errors.unavailable("cut")
         self._shared.reads += 1
         return [self._shared.carry(r) for r in self._shared.rows.scan(kind)]
 
     def commit(
         self, transaction: table_lib.Transaction
-    ) -> table_lib.Committed | platform_errors.TableError:
+    ) -> table_lib.Committed | table_errors.TableError:
         """Commits, subject to the faults set."""
         if self._is_cut():
-            return platform_errors.unavailable("cut")
+            return table_errors.unavailable("cut")
         self._shared.writes += 1
         for put in transaction.puts:
             written = table_lib.Committed(transaction.operation_id)
             self._shared.carry(table_lib.written(put, written))
         fate = self.next_writes.pop(0) if self.next_writes else ""
         if fate == "lost":
-            return platform_errors.unknown(fate)
+            return table_errors.unknown(fate)
         if fate == "late":
             self._shared.late.append(transaction)
-            return platform_errors.unknown(fate)
+            return table_errors.unknown(fate)
         result = self._shared.rows.commit(transaction)
-        return platform_errors.unknown(fate) if fate else result
+        return table_errors.unknown(fate) if fate else result
 
     def _is_cut(self) -> bool:
         return self._shared.down or self._instance_id in self._shared.cut
--- a/tanagerloft/cmd/inventory.py
+++ b/tanagerloft/cmd/inventory.py
@@ -7,7 +7,7 @@
 from tanagerloft.config import errors
 from tanagerloft.config import inventory as inventory_lib
 from tanagerloft.config import store
-from tanagerloft.platform import errors as platform_errors
+from tanagerloft.tables import errors as table_errors
 
 _FILE = click.Path(exists=True, dir_okay=False)
 
@@ -45,7 +45,7 @@
         click.echo(f"version {result.number} accepted")
         return
     code = exits.FAILED
-    if result.code == platform_errors.CONFLICT:
+    if result.code == table_errors.CONFLICT:
         code = exits.CONFLICT
     exits.fail(_explain(result), code)
 
--- a/tanagerloft/cmd/keys.py
+++ b/tanagerloft/cmd/keys.py
@@ -11,9 +11,9 @@
 from tanagerloft.cmd import status
 from tanagerloft.config import inventory as inventory_lib
 from tanagerloft.config import store
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import rows
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import ids
 
 _KEY_BYTES = 32
@@ -98,7 +98,7 @@
         result = store.apply(table, edit(current.inventory), current.number)
         if isinstance(result, store.Version):
             return result.number
-        if result.code != platform_errors.CONFLICT:
+        if result.code != table_errors.CONFLICT:
             exits.fail(f"{result.code}: {result.reason}")
         if attempts == _ATTEMPTS:
             exits.fail("other changes kept coming first", exits.CONFLICT)
--- a/tanagerloft/cmd/main.py
+++ b/tanagerloft/cmd/main.py
@@ -1,19 +1,45 @@
 """The command ``tanagerloft``."""
 
+import importlib
+
 import click
 
 import tanagerloft
-from tanagerloft.cmd import bench
-from tanagerloft.cmd import config
-from tanagerloft.cmd import inventory
-from tanagerloft.cmd import keys
-from tanagerloft.cmd import serve
-from tanagerloft.cmd import standin
-from tanagerloft.cmd import status
-from tanagerloft.cmd import trial
+
+# Modules are imported by the command that needs them: an instance's memory
+# has no room for the libraries of all.
+_COMMANDS = (
+    "bench",
+    "config",
+    "gateway",
+    "inventory",
+    "keys",
+    "serve",
+    "standin",
+    "status",
+    "trial",
+)
+
+
+class _LazyGroup(click.Group):
+    """Group that imports a command's module when it is called."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Returns the names of all commands."""
+        return sorted([*super().list_commands(ctx), *_COMMANDS])
+
+    def get_command(
+        self, ctx: click.Context, cmd_name: str
+    ) -> click.Command | None:
+        """Returns a command by its name."""
+        if cmd_name not in _COMMANDS:
+            return super().get_command(ctx, cmd_name)
+        module = importlib.import_module(f"tanagerloft.cmd.{cmd_name}")
+        return getattr(module, cmd_name)
 
 
 @click.group(
+    cls=_LazyGroup,
     context_settings={"help_option_names": ["-h", "--help"]},
     epilog="Exit codes: 0 done; 1 failed or refused; 2 wrong arguments,"
     " settings or inventory; 3 conflict with another change; 4 accepted, but"
@@ -27,13 +53,3 @@
 def version() -> None:
     """Print the version."""
     click.echo(tanagerloft.__version__)
-
-
-main.add_command(bench.bench)
-main.add_command(config.config)
-main.add_command(inventory.inventory)
-main.add_command(keys.keys)
-main.add_command(serve.serve)
-main.add_command(standin.standin)
-main.add_command(status.status)
-main.add_command(trial.trial)
--- a/tanagerloft/cmd/options.py
+++ b/tanagerloft/cmd/options.py
@@ -8,9 +8,9 @@
 from tanagerloft.config import errors
 from tanagerloft.config import inventory as inventory_lib
 from tanagerloft.config import store
-from tanagerloft.platform import dynamo_table
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import dynamo_table
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import http
 
 _TIMEOUT_MS = 5_000
@@ -44,10 +44,10 @@
 def read_current(table: table_lib.Table) -> store.Version:
     """Returns the version in force, or ends the process."""
     number = store.read_number(table)
-    if isinstance(number, platform_errors.TableError):
+    if isinstance(number, table_errors.TableError):
         exits.fail(f"table: {number.reason}")
     version = store.read(table, number)
-    if isinstance(version, platform_errors.TableError):
+    if isinstance(version, table_errors.TableError):
         exits.fail(f"table: {version.reason}")
     return version
 
--- a/tanagerloft/cmd/status.py
+++ b/tanagerloft/cmd/status.py
@@ -8,9 +8,9 @@
 from tanagerloft.cmd import exits
 from tanagerloft.cmd import options
 from tanagerloft.decisions import membership
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import rows
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
 
 
 @click.command()
@@ -62,7 +62,7 @@
 def scan(table: table_lib.Table, kind: str) -> list[table_lib.Row]:
     """Returns all rows of a kind, or ends the process."""
     found = table.scan(kind)
-    if isinstance(found, platform_errors.TableError):
+    if isinstance(found, table_errors.TableError):
         exits.fail(f"table: {found.reason}")
     return found
 
--- /dev/null
+++ b/tanagerloft/config/fleet_settings.py
@@ -0,0 +1,66 @@
+"""Settings of an instance on the users' platform."""
+
+from tanagerloft.config import settings
+
+TABLE = (
+    settings.Setting("instance", "id", settings.REQUIRED, "str", "Name"),
+    settings.Setting(
+        "instance", "data_centre", settings.REQUIRED, "str", "Where it runs"
+    ),
+    settings.Setting(
+        "listen", "callers", settings.REQUIRED, "address", "Callers' HTTP"
+    ),
+    settings.Setting(
+        "listen", "ready", settings.REQUIRED, "address", "Readiness"
+    ),
+    settings.Setting(
+        "listen", "peers", settings.REQUIRED, "address", "Other instances"
+    ),
+    settings.Setting(
+        "listen", "metrics", settings.REQUIRED, "address", "Metrics"
+    ),
+    settings.Setting(
+        "store", "address", settings.REQUIRED, "address", "Platform's store"
+    ),
+    settings.Setting(
+        "stop", "grace_ms", 8_000, "int", "Time from SIGTERM to SIGKILL"
+    ),
+    settings.Setting(
+        "keys",
+        "withdraw_ms",
+        5_000,
+        "int",
+        "Time within which a withdrawn key must stop working",
+    ),
+    settings.Setting(
+        "retries", "ratio_percent", 20, "int", "Repeats per 100 requests"
+    ),
+    settings.Setting(
+        "retries", "slack", 50, "int", "Repeats besides, for the fleet"
+    ),
+    settings.Setting(
+        "retries", "window_ms", 10_000, "int", "Window of the two above"
+    ),
+    settings.Setting(
+        "orders",
+        "turn_ms",
+        3_000,
+        "int",
+        "Time between orders of two holders of the lease",
+    ),
+    settings.Setting(
+        "orders",
+        "lease_valid_ms",
+        4_000,
+        "int",
+        "Time for which one renewal lets the holder give orders",
+    ),
+    settings.Setting("log", "level", "INFO", "str", "Level of the log"),
+    settings.Setting(
+        "log",
+        "lines_per_s",
+        200,
+        "int",
+        "Lines of one kind a second; more are counted and dropped",
+    ),
+)
--- a/tanagerloft/config/settings.py
+++ b/tanagerloft/config/settings.py
@@ -109,34 +109,38 @@
         return self._values[section, key]
 
 
-def load(path: str) -> Settings | errors.SettingsError:
-    """Reads and checks an INI file."""
+def load(
+    path: str, table: tuple[Setting, ...] = TABLE
+) -> Settings | errors.SettingsError:
+    """Reads and checks an INI file against a table of settings."""
     try:
         with open(path, encoding="utf-8") as file:
             text = file.read()
     except OSError as error:
         return errors.SettingsError(path, "", "", str(error.strerror))
-    return parse(text, path)
+    return parse(text, path, table)
 
 
-def parse(text: str, path: str) -> Settings | errors.SettingsError:
+def parse(
+    text: str, path: str, table: tuple[Setting, ...] = TABLE
+) -> Settings | errors.SettingsError:
     """Checks settings given as text; ``path`` is for messages."""
     parser = configparser.ConfigParser(interpolation=None)
     try:
         parser.read_string(text)
     except configparser.Error as error:
         return errors.SettingsError(path, "", "", error.message)
-    unknown = _first_unknown(parser, path)
+    unknown = _first_unknown(parser, path, table)
     if unknown is not None:
         return unknown
-    return _read_all(parser, path)
+    return _read_all(parser, path, table)
 
 
 def _read_all(
-    parser: configparser.ConfigParser, path: str
+    parser: configparser.ConfigParser, path: str, table: tuple[Setting, ...]
 ) -> Settings | errors.SettingsError:
     values = {}
-    for setting in TABLE:
+    for setting in table:
         section, key = setting.section, setting.key
         raw = parser.get(section, key, fallback=None)
         if raw is None and setting.default is REQUIRED:
@@ -145,7 +149,8 @@
         if isinstance(value, _Invalid):
             return errors.SettingsError(path, section, key, value.reason)
         values[section, key] = value
-    if values["server", "max_in_flight"] >= values["server", "threads"]:
+    threads = values.get(("server", "threads"))
+    if threads is not None and values["server", "max_in_flight"] >= threads:
         return errors.SettingsError(
             path, "server", "max_in_flight", "must be below [server] threads"
         )
@@ -157,23 +162,23 @@
 
 
 def _first_unknown(
-    parser: configparser.ConfigParser, path: str
+    parser: configparser.ConfigParser, path: str, table: tuple[Setting, ...]
 ) -> errors.SettingsError | None:
-    known = {(setting.section, setting.key) for setting in TABLE}
-    sections = {setting.section for setting in TABLE}
+    known = {(setting.section, setting.key) for setting in table}
+    sections = {setting.section for setting in table}
     for section in parser.sections():
         if section not in sections:
             return errors.SettingsError(path, section, "", "unknown section")
         for key in parser.options(section):
             if (section, key) not in known:
-                reason = _unknown_reason(section, key)
+                reason = _unknown_reason(section, key, table)
                 return errors.SettingsError(path, section, key, reason)
     return None
 
 
-def _unknown_reason(section: str, key: str) -> str:
+def _unknown_reason(section: str, key: str, table: tuple[Setting, ...]) -> str:
     stem = _without_unit(key)
-    for setting in TABLE:
+    for setting in table:
         if setting.section == section and _without_unit(setting.key) == stem:
             return f"wrong unit, the key is {setting.key}"
     return "unknown key"
--- a/tanagerloft/config/store.py
+++ b/tanagerloft/config/store.py
@@ -6,9 +6,9 @@
 
 from tanagerloft.config import errors
 from tanagerloft.config import inventory as inventory_lib
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import rows
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import ids
 
 
@@ -28,29 +28,29 @@
 NONE = Version(0, inventory_lib.empty())
 
 
-def read_number(table: table_lib.Table) -> int | platform_errors.TableError:
+def read_number(table: table_lib.Table) -> int | table_errors.TableError:
     """Returns the number of the version in force, 0 if there is none."""
     head = table.read(rows.configuration_head())
-    if isinstance(head, platform_errors.TableError):
+    if isinstance(head, table_errors.TableError):
         return head
     return head.revision
 
 
 def read(
     table: table_lib.Table, number: int
-) -> Version | platform_errors.TableError:
+) -> Version | table_errors.TableError:
     """Returns the contents of version ``number``."""
     if number == 0:
         return NONE
     row = table.read(rows.configuration_version(number))
-    if isinstance(row, platform_errors.TableError):
+    if isinstance(row, table_errors.TableError):
         return row
     text = _unpack(row.body)
     if text is None:
-        return platform_errors.unavailable(f"version {number} is not there")
+        return table_errors.unavailable(f"version {number} is not there")
     inventory = inventory_lib.parse(text)
     if isinstance(inventory, errors.InventoryError):
-        return platform_errors.unavailable(f"version {number}: {inventory}")
+        return table_errors.unavailable(f"version {number}: {inventory}")
     return Version(number, inventory)
 
 
@@ -73,7 +73,7 @@
         ),
     )
     result = table_lib.commit_resolved(table, transaction)
-    if isinstance(result, platform_errors.TableError):
+    if isinstance(result, table_errors.TableError):
         return _apply_error(table, result)
     return Version(number, inventory)
 
@@ -91,8 +91,8 @@
 
 
 def _apply_error(
-    table: table_lib.Table, error: platform_errors.TableError
+    table: table_lib.Table, error: table_errors.TableError
 ) -> errors.ApplyError:
     number = read_number(table)
-    in_force = 0 if isinstance(number, platform_errors.TableError) else number
+    in_force = 0 if isinstance(number, table_errors.TableError) else number
     return errors.ApplyError(error.code, in_force, error.reason)
--- a/tanagerloft/controllers/catalogue.py
+++ b/tanagerloft/controllers/catalogue.py
@@ -5,7 +5,7 @@
 from tanagerloft.config import inventory as inventory_lib
 from tanagerloft.decisions import reconcile
 from tanagerloft.decisions import replicas
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import table as table_lib
 
 
 class Target(NamedTuple):
--- a/tanagerloft/controllers/configuration.py
+++ b/tanagerloft/controllers/configuration.py
@@ -12,8 +12,8 @@
 from tanagerloft.filters import errors
 from tanagerloft.peers import bus as bus_lib
 from tanagerloft.peers import errors as peer_errors
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -61,11 +61,11 @@
         """Reads the number of the version in force, and it if it is new."""
         asked_ms = self._clock.now_ms()
         number = store.read_number(self._table)
-        if isinstance(number, platform_errors.TableError):
+        if isinstance(number, table_errors.TableError):
             return
         if number > self._version.number:
             version = store.read(self._table, number)
-            if isinstance(version, platform_errors.TableError):
+            if isinstance(version, table_errors.TableError):
                 logger.warning("version %d unreadable: %s", number, version)
                 return
             self.adopt(version)
--- a/tanagerloft/controllers/intents.py
+++ b/tanagerloft/controllers/intents.py
@@ -5,9 +5,9 @@
 from tanagerloft.decisions import intents
 from tanagerloft.filters import context as context_lib
 from tanagerloft.filters import errors
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import rows
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import ids
 
 
@@ -20,7 +20,7 @@
     def recall(self, context: context_lib.RequestContext) -> context_lib.Result:
         """Answers from the record, or returns None if the request may run."""
         row = self._table.read(_key_of(context))
-        if isinstance(row, platform_errors.TableError):
+        if isinstance(row, table_errors.TableError):
             return errors.RECORD_UNAVAILABLE
         return _answer(intents.judge(row.body, _digest_of(context)))
 
@@ -33,7 +33,7 @@
         """
         key = _key_of(context)
         row = self._table.read(key)
-        if isinstance(row, platform_errors.TableError):
+        if isinstance(row, table_errors.TableError):
             return errors.RECORD_UNAVAILABLE
         digest = _digest_of(context)
         verdict = intents.judge(row.body, digest)
@@ -42,7 +42,7 @@
         result = self._write(row, intents.running_record(digest))
         if isinstance(result, table_lib.Committed):
             return None
-        if result.code == platform_errors.CONFLICT:
+        if result.code == table_errors.CONFLICT:
             return self.recall(context) or errors.RECORD_UNAVAILABLE
         return errors.RECORD_UNAVAILABLE
 
@@ -66,7 +66,7 @@
 
     def _write(
         self, row: table_lib.Row, record: dict[str, Any]
-    ) -> table_lib.Committed | platform_errors.TableError:
+    ) -> table_lib.Committed | table_errors.TableError:
         transaction = table_lib.Transaction(
             ids.new_id(), (table_lib.Put(row.key, row.revision, record),)
         )
--- a/tanagerloft/controllers/limits.py
+++ b/tanagerloft/controllers/limits.py
@@ -15,9 +15,9 @@
 from tanagerloft.decisions import homes
 from tanagerloft.decisions import shares
 from tanagerloft.peers import bus as bus_lib
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import rows
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import ids
 
@@ -146,7 +146,7 @@
         if now_ms >= lease_until_ms or now_ms < self._read_due_ms:
             return
         found = self._table.scan(rows.LIMIT)
-        if isinstance(found, platform_errors.TableError):
+        if isinstance(found, table_errors.TableError):
             return
         self._read_due_ms = now_ms + self._read_interval_ms()
         self._has_read = True
@@ -183,7 +183,7 @@
         """Hands back all shares, with their tokens, before the process ends."""
         for name, state in list(self._accounts.items()):
             row = self._table.read(rows.limit(name))
-            if isinstance(row, platform_errors.TableError):
+            if isinstance(row, table_errors.TableError):
                 continue
             now_ms = self._clock.now_ms()
             view = _row_view(row, self._membership.lease_until_ms())
@@ -322,11 +322,11 @@
 
 
 def _outcome(
-    result: table_lib.Committed | platform_errors.TableError,
+    result: table_lib.Committed | table_errors.TableError,
 ) -> account_shares.Outcome:
     if isinstance(result, table_lib.Committed):
         return account_shares.Outcome.COMMITTED
-    if result.code == platform_errors.UNKNOWN:
+    if result.code == table_errors.UNKNOWN:
         return account_shares.Outcome.UNKNOWN
     return account_shares.Outcome.NOT_WRITTEN
 
--- a/tanagerloft/controllers/membership.py
+++ b/tanagerloft/controllers/membership.py
@@ -15,19 +15,17 @@
 from tanagerloft.decisions import membership
 from tanagerloft.peers import bus as bus_lib
 from tanagerloft.peers import errors as peer_errors
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import instances as instances_lib
-from tanagerloft.platform import rows
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import instances as instances_lib
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import ids
 
 _ASK_TIMEOUT_MS = 300
 _TOLD_PEERS = 3
 
-FetchList = Callable[
-    [], "list[instances_lib.Listed] | platform_errors.TableError"
-]
+FetchList = Callable[[], "list[instances_lib.Listed] | table_errors.TableError"]
 
 
 class Identity(NamedTuple):
@@ -138,7 +136,7 @@
         key = rows.instance(self.identity.instance_id)
         if self._row is None:
             row = self._table.read(key)
-            if isinstance(row, platform_errors.TableError):
+            if isinstance(row, table_errors.TableError):
                 return
             self._row = row
         state = membership.LEAVING if self.leaving else membership.SERVING
@@ -151,7 +149,7 @@
         result = table_lib.commit_resolved(
             self._table, table_lib.Transaction(ids.new_id(), (put,))
         )
-        if isinstance(result, platform_errors.TableError):
+        if isinstance(result, table_errors.TableError):
             self._row = None
             return
         self._row = table_lib.written(put, result)
@@ -159,10 +157,10 @@
 
     def _scan(self) -> None:
         listed = self._fetch_list()
-        if not isinstance(listed, platform_errors.TableError):
+        if not isinstance(listed, table_errors.TableError):
             self._view.on_list([_to_listed(entry) for entry in listed])
         found = self._table.scan(rows.INSTANCE)
-        if isinstance(found, platform_errors.TableError):
+        if isinstance(found, table_errors.TableError):
             return
         before = self.peer_addresses()
         decoded = [
--- a/tanagerloft/controllers/placement.py
+++ b/tanagerloft/controllers/placement.py
@@ -14,9 +14,9 @@
 from tanagerloft.decisions import reconcile
 from tanagerloft.decisions import replicas
 from tanagerloft.filters import errors as filter_errors
-from tanagerloft.platform import errors as platform_errors
-from tanagerloft.platform import rows
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
 from tanagerloft.targets import engine
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import http
@@ -150,7 +150,7 @@
 
     def _read(self, name: str) -> table_lib.Row | None:
         row = self._table.read(rows.model(name))
-        if isinstance(row, platform_errors.TableError):
+        if isinstance(row, table_errors.TableError):
             return None
         before = self._observed.get(name)
         if before is None or before.row.revision != row.revision:
@@ -333,7 +333,7 @@
     def _target_states(self) -> dict[str, catalogue.Target]:
         """Returns the engines that report now, with their rows."""
         found = self._table.scan(rows.TARGET)
-        if isinstance(found, platform_errors.TableError):
+        if isinstance(found, table_errors.TableError):
             return {}
         by_name = {row.key.name: row for row in found}
         inventory = self._configuration.version.inventory
@@ -353,7 +353,7 @@
         known = self._health.known(name)
         inventory = self._configuration.version.inventory
         entry = inventory.targets.get(name)
-        if isinstance(row, platform_errors.TableError):
+        if isinstance(row, table_errors.TableError):
             return None
         if known is None or entry is None:
             return None
@@ -362,7 +362,7 @@
     def _tend(self) -> None:
         """As home, reconciles decided replicas that nobody waits for."""
         found = self._table.scan(rows.MODEL)
-        if isinstance(found, platform_errors.TableError):
+        if isinstance(found, table_errors.TableError):
             return
         live = self._membership.live()
         me = self._membership.identity.instance_id
--- /dev/null
+++ b/tanagerloft/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What instances agree on: configuration, targets, orders, limits."""
--- /dev/null
+++ b/tanagerloft/coordination/configuration.py
@@ -0,0 +1,119 @@
+"""Keeps the configuration in force, and the proof that it is current."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from tanagerloft.coordination import errors
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.fleet import types
+
+logger = logging.getLogger(__name__)
+
+# The store tells a change at once; this only bounds the age of the proof that
+# there was none.
+_WAIT_MS = 1_000
+_RETRY_MS = 100
+_MAX_RETRY_MS = 800
+
+Decode = Callable[[bytes], types.Configuration | errors.MalformedEntry]
+
+
+class ConfigurationKeeper:
+    """Follows the operator's row.
+
+    Args:
+        store: The platform's store.
+        table: Table of the row.
+        key: Key of the row.
+        decode: Decodes its contents.
+        now_ms: Clock.
+        changed: Told when another version is in force.
+        key_proof_ms: Age of the proof at which keys are no longer accepted.
+    """
+
+    def __init__(
+        self,
+        store: store_lib.Store,
+        table: str,
+        key: str,
+        decode: Decode,
+        now_ms: Callable[[], int],
+        changed: Callable[[types.Configuration], None],
+        key_proof_ms: int,
+    ):
+        self._store = store
+        self._table = table
+        self._key = key
+        self._decode = decode
+        self._now_ms = now_ms
+        self._changed = changed
+        self._key_proof_ms = key_proof_ms
+        self._after_version: int | None = None
+        self._failures = 0
+        self.current: types.Configuration | None = None
+        self.proved_ms = 0
+
+    def keys_are_current(self, now_ms: int) -> bool:
+        """Returns whether no key can have been withdrawn for too long."""
+        return now_ms - self.proved_ms <= self._key_proof_ms
+
+    async def follow(self) -> None:
+        """Follows the row for as long as the process runs."""
+        while True:
+            started_ms = self._now_ms()
+            error = await self._step()
+            if error is None:
+                if self._failures:
+                    logger.info("store regained", extra={"table": self._table})
+                self._failures = 0
+                self.proved_ms = max(self.proved_ms, started_ms)
+                continue
+            if error.failure is errors.StoreFailure.HISTORY_LOST:
+                self._after_version = None
+                continue
+            self._failures += 1
+            if self._failures == 1:
+                logger.warning(
+                    "store lost",
+                    extra={"table": self._table, "reason": error.reason},
+                )
+            delay_ms = min(_MAX_RETRY_MS, _RETRY_MS * self._failures)
+            await asyncio.sleep(delay_ms / 1_000)
+
+    async def _step(self) -> errors.StoreError | None:
+        if self._after_version is None:
+            found = await self._store.scan(self._table)
+        else:
+            found = await self._store.changes(
+                self._table, self._after_version, _WAIT_MS
+            )
+        if isinstance(found, errors.StoreError):
+            return found
+        for row in found.rows:
+            if row.key == self._key and row.value is not None:
+                self._take(row)
+        self._after_version = found.version
+        return None
+
+    def _take(self, row: store_lib.Row) -> None:
+        assert row.value is not None
+        decoded = self._decode(row.value)
+        if isinstance(decoded, errors.MalformedEntry):
+            logger.error("configuration refused", extra=decoded._asdict())
+            return
+        if self.current and decoded.version <= self.current.version:
+            return
+        self.current = decoded
+        logger.info(
+            "configuration in force",
+            extra={
+                "version": decoded.version,
+                "row_version": row.version,
+                "routes": sum(map(len, decoded.routes.values())),
+                "accounts": len(decoded.accounts),
+            },
+        )
+        self._changed(decoded)
--- /dev/null
+++ b/tanagerloft/coordination/fleet_link.py
@@ -0,0 +1,186 @@
+"""An instance's side of the fleet: reports to the holder, its views."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from tanagerloft.coordination import messages
+from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import token_grants
+from tanagerloft.fleet import types
+
+logger = logging.getLogger(__name__)
+
+# Time between reports; loads of targets are at most this old.
+_REPORT_MS = 100
+# Asks for tokens and models are sent after this time, so that those of one
+# burst travel together.
+_SOON_MS = 1
+# A report with a need that got no answer is sent again after this time.
+_REPEAT_MS = 20
+# Without the holder for this long, an instance uses its share of limits.
+_SILENCE_MS = 400
+
+
+class FleetLink:
+    """Reports to the holder of the lease and takes in its views.
+
+    Args:
+        instance: Name of this instance.
+        incarnation: Identity of this process.
+        lease: The lease's state, which names the holder.
+        directory: What is known of the targets.
+        send: Sends a datagram.
+        now_ms: Clock.
+        waited: Returns what requests wait for.
+        changed: Told when requests may find more targets.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: str,
+        lease: order_lease.OrderLease,
+        directory: targets_lib.TargetDirectory,
+        send: Callable[[bytes, tuple[str, int]], None],
+        now_ms: Callable[[], int],
+        waited: Callable[[], list[messages.Waited]],
+        changed: Callable[[], None],
+    ):
+        self._instance = instance
+        self._incarnation = incarnation
+        self._lease = lease
+        self._directory = directory
+        self._send = send
+        self._now_ms = now_ms
+        self._waited = waited
+        self._changed = changed
+        self._sequence = 0
+        self._accounts: dict[str, token_grants.GrantAccount] = {}
+        self._used: dict[str, int] = {}
+        self._soon: asyncio.TimerHandle | None = None
+        self._heard_sequence = 0
+        self._token = 0
+        self.heard_ms = 0
+        self.instances = 1
+        self.later_ms: dict[str, int] = {}
+        self.loopback: Callable[[messages.Report], None] | None = None
+
+    def configure(self, configuration: types.Configuration) -> None:
+        """Takes in the accounts of a new configuration."""
+        for name, account in configuration.accounts.items():
+            share = account.rate_tokens_per_s / max(1, self.instances)
+            known = self._accounts.get(name)
+            if known is None:
+                self._accounts[name] = token_grants.GrantAccount(
+                    share, _SILENCE_MS
+                )
+            else:
+                known.fallback_tokens_per_s = share
+
+    def ask(
+        self,
+        account: types.Account,
+        cost_tokens: float,
+        done: Callable[[token_grants.Outcome], None],
+    ) -> bool:
+        """Takes tokens of an account; see ``GrantAccount.ask``."""
+        if account.rate_tokens_per_s <= 0:
+            return True
+        grants = self._accounts[account.name]
+        if grants.ask(cost_tokens, self._sequence + 1, self._now_ms(), done):
+            return True
+        self.report_soon()
+        return False
+
+    def give_back(self, account: types.Account, cost_tokens: float) -> None:
+        """Returns tokens of a request that did not run."""
+        grants = self._accounts.get(account.name)
+        if grants is not None and account.rate_tokens_per_s > 0:
+            grants.give_back(cost_tokens)
+
+    def forget(
+        self,
+        account: types.Account,
+        done: Callable[[token_grants.Outcome], None],
+    ) -> None:
+        """Ends a wait for tokens."""
+        grants = self._accounts.get(account.name)
+        if grants is not None:
+            grants.forget(done)
+
+    def note_use(self, subject: str) -> None:
+        """Counts a request for a model."""
+        self._used[subject] = self._used.get(subject, 0) + 1
+
+    def report_soon(self) -> None:
+        """Sends a report within a millisecond."""
+        if self._soon is None:
+            loop = asyncio.get_running_loop()
+            self._soon = loop.call_later(_SOON_MS / 1_000, self.report)
+
+    async def follow(self) -> None:
+        """Reports for as long as the process runs."""
+        while True:
+            urgent = self._waits_for_tokens()
+            if not urgent or self._heard_sequence < self._sequence:
+                self.report()
+            now_ms = self._now_ms()
+            for account in self._accounts.values():
+                if now_ms - self.heard_ms > _SILENCE_MS:
+                    account.on_silence(now_ms)
+            delay_ms = _REPEAT_MS if urgent else _REPORT_MS
+            await asyncio.sleep(delay_ms / 1_000)
+
+    def report(self, leaving: bool = False) -> None:
+        """Sends a report now."""
+        if self._soon is not None:
+            self._soon.cancel()
+            self._soon = None
+        self._sequence += 1
+        report = messages.Report(
+            instance=self._instance,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            needs={
+                name: account.need()
+                for name, account in self._accounts.items()
+                if account.need().needed_tokens > 0
+            },
+            in_flight=self._directory.in_flight,
+            waited=self._waited(),
+            used=self._used,
+            leaving=leaving,
+        )
+        if self._lease.mine:
+            if self.loopback is not None:
+                self.loopback(report)
+            return
+        term = self._lease.term
+        if term is not None:
+            host, _, port = term.address.rpartition(":")
+            self._send(messages.encode(report), (host, int(port)))
+
+    def on_view(self, view: messages.View) -> None:
+        """Takes in a view of the holder."""
+        if view.token < self._token or view.sequence < self._heard_sequence:
+            return
+        now_ms = self._now_ms()
+        self._token = view.token
+        self._heard_sequence = view.sequence
+        self.heard_ms = now_ms
+        self.instances = max(1, view.instances)
+        self.later_ms = view.later_ms
+        changed = self._directory.on_view(view.in_flight, view.models)
+        for name, grant in view.grants.items():
+            account = self._accounts.get(name)
+            if account is not None:
+                account.on_grant(grant, view.sequence, now_ms)
+        if changed:
+            self._changed()
+
+    def _waits_for_tokens(self) -> bool:
+        return any(account.waits for account in self._accounts.values())
--- /dev/null
+++ b/tanagerloft/coordination/holder.py
@@ -0,0 +1,541 @@
+"""The holder's side of the fleet: what it hears, its views, its orders."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+import logging
+from typing import NamedTuple
+
+from tanagerloft.coordination import errors
+from tanagerloft.coordination import messages
+from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import model_plan
+from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import token_grants
+from tanagerloft.fleet import types
+
+logger = logging.getLogger(__name__)
+
+_PLAN_MS = 50
+# An instance that has not reported for this long counts no more.
+_REPORT_MAX_AGE_MS = 2_000
+# An order without an answer may still be carried out for this long.
+_ORDER_DOUBT_MS = 12_000
+_RECENT_HALF_LIFE_MS = 4_000
+_RECENT_STEP_MS = 500
+_REPORT_POLL_MS = 300
+# Reports lag behind by this much; one asked for earlier says nothing about
+# an order.
+_REPORT_LAG_MS = 300
+# Window over which the weight store's rate holds.
+_LOAD_WINDOW_MS = 5_000
+# Loads from the store in the window, and at once at full speed, as long as the
+# platform does not tell.
+_LOADS_IN_WINDOW = 10
+_LOADS_AT_ONCE = 4
+# Engines hold this much when their entry does not say.
+_ROOM_MB = 230_000.0
+_ADAPTER_SLOTS = 8
+# An order is taken as failed if the engine does not show it this long after
+# the load should have been done.
+_ORDER_GRACE_MS = 3_000
+
+
+class OrderResult(enum.Enum):
+    """What an engine answered to an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+SendOrder = Callable[
+    [types.TargetEntry, model_plan.Order, int, int], Awaitable[OrderResult]
+]
+FetchReport = Callable[
+    [types.TargetEntry],
+    Awaitable[types.TargetReport | errors.MalformedEntry],
+]
+
+
+class _Heard(NamedTuple):
+    report: messages.Report
+    at_ms: int
+
+
+class _Pending(NamedTuple):
+    """An order to an engine that is not known to be done.
+
+    Attributes:
+        order: The order.
+        given_ms: When it was sent.
+        due_ms: When it should be done.
+        sure: Whether the engine accepted it.
+    """
+
+    order: model_plan.Order
+    given_ms: int
+    due_ms: int
+    sure: bool
+
+
+class _EngineState:
+    """What the holder knows of one engine beyond its entry."""
+
+    def __init__(self, entry: types.TargetEntry):
+        self.born_ms = entry.born_ms
+        self.models = dict(entry.models)
+        self.in_memory = entry.in_memory
+        self.on_disk = entry.on_disk
+        self.sequence = entry.order_sequence
+        self.pending: _Pending | None = None
+        self.adapters_pending: dict[tuple[str, str], int] = {}
+        self.report_due_ms = 0
+        self.polling = False
+        self.stale = True
+
+
+class Holder:
+    """Plans and gives orders while this instance holds the lease.
+
+    Args:
+        lease: The lease's state.
+        directory: What is known of the targets.
+        send_order: Sends an order to an engine.
+        fetch_report: Asks an engine for its state.
+        now_ms: Clock.
+        name: Name of this instance.
+    """
+
+    def __init__(
+        self,
+        lease: order_lease.OrderLease,
+        directory: targets_lib.TargetDirectory,
+        send_order: SendOrder,
+        fetch_report: FetchReport,
+        now_ms: Callable[[], int],
+        name: str,
+    ):
+        self._lease = lease
+        self._directory = directory
+        self._send_order = send_order
+        self._fetch_report = fetch_report
+        self._now_ms = now_ms
+        self._name = name
+        self._heard: dict[str, _Heard] = {}
+        self._engines: dict[str, _EngineState] = {}
+        self._ledger: token_grants.GrantLedger | None = None
+        self._ledger_token = 0
+        self._configuration: types.Configuration | None = None
+        self._plans: dict[str, model_plan.ModelPlan] = {}
+        self._used_seen: dict[str, dict[str, int]] = {}
+        self._last_used_ms: dict[str, int] = {}
+        self._recent: dict[str, float] = {}
+        self._recent_ms = 0
+        self._store_loads: list[int] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    def configure(self, configuration: types.Configuration) -> None:
+        """Takes in a new configuration."""
+        self._configuration = configuration
+        self._plans = {
+            service.name: model_plan.ModelPlan(service.models)
+            for service in configuration.services.values()
+            if service.has_engines
+        }
+        if self._ledger is not None:
+            self._ledger.configure(_limits(configuration), self._now_ms())
+
+    def on_report(self, report: messages.Report) -> messages.View | None:
+        """Takes in a report; returns the view to answer, if the lease holds."""
+        now_ms = self._now_ms()
+        if not self._lease.leads(now_ms) or self._configuration is None:
+            return None
+        heard = self._heard.get(report.instance)
+        if heard is None or heard.report.incarnation != report.incarnation:
+            self._used_seen.pop(report.instance, None)
+        elif heard.report.sequence >= report.sequence:
+            return None
+        self._heard[report.instance] = _Heard(report, now_ms)
+        if report.leaving:
+            del self._heard[report.instance]
+        self._note_use(report, now_ms)
+        return self._view(report, now_ms)
+
+    async def follow(self) -> None:
+        """Plans for as long as the process runs."""
+        while True:
+            await asyncio.sleep(_PLAN_MS / 1_000)
+            now_ms = self._now_ms()
+            if self._configuration is None or not self._lease.leads(now_ms):
+                self._engines.clear()
+                continue
+            self._refresh(now_ms)
+            self._poll_reports(now_ms)
+            if self._lease.may_order(now_ms):
+                for service, plan in self._plans.items():
+                    self._plan(service, plan, now_ms)
+
+    def _view(self, report: messages.Report, now_ms: int) -> messages.View:
+        ledger = self._current_ledger(now_ms)
+        process = f"{report.instance}/{report.incarnation}"
+        grants = {
+            account: ledger.grant(process, account, need, now_ms)
+            for account, need in report.needs.items()
+        }
+        return messages.View(
+            holder=self._name,
+            token=self._lease.term.token if self._lease.term else 0,
+            sequence=report.sequence,
+            instances=len(self._live(now_ms)),
+            grants=grants,
+            in_flight=self._others_in_flight(report.instance, now_ms),
+            models=self._told_models(),
+            later_ms={},
+        )
+
+    def _current_ledger(self, now_ms: int) -> token_grants.GrantLedger:
+        """Returns the buckets of this term; a takeover begins empty ones."""
+        assert self._lease.term is not None
+        token = self._lease.term.token
+        if self._ledger is None or self._ledger_token != token:
+            self._ledger = token_grants.GrantLedger(full=token == 1)
+            self._ledger_token = token
+            if self._configuration is not None:
+                self._ledger.configure(_limits(self._configuration), now_ms)
+        return self._ledger
+
+    def _live(self, now_ms: int) -> list[messages.Report]:
+        oldest_ms = now_ms - _REPORT_MAX_AGE_MS
+        return [
+            heard.report
+            for heard in self._heard.values()
+            if heard.at_ms >= oldest_ms
+        ]
+
+    def _others_in_flight(self, instance: str, now_ms: int) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for report in self._live(now_ms):
+            if report.instance == instance:
+                continue
+            for target_id, counts in report.in_flight.items():
+                total[target_id] = total.get(target_id, 0) + sum(
+                    counts.values()
+                )
+        return total
+
+    def _told_models(self) -> dict[str, dict[str, list[str]]]:
+        return {
+            target_id: {
+                name: sorted(adapters)
+                for name, adapters in state.models.items()
+            }
+            for target_id, state in self._engines.items()
+            if not state.stale
+        }
+
+    def _note_use(self, report: messages.Report, now_ms: int) -> None:
+        seen = self._used_seen.setdefault(report.instance, {})
+        for subject, count in report.used.items():
+            more = count - seen.get(subject, 0)
+            if more > 0:
+                model = subject.partition("/")[0]
+                self._last_used_ms[model] = now_ms
+                self._last_used_ms[subject] = now_ms
+                self._recent[model] = self._recent.get(model, 0.0) + more
+        self._used_seen[report.instance] = dict(report.used)
+        if now_ms - self._recent_ms >= _RECENT_STEP_MS:
+            elapsed_ms = now_ms - self._recent_ms
+            factor = 0.5 ** (elapsed_ms / _RECENT_HALF_LIFE_MS)
+            self._recent_ms = now_ms
+            for model in self._recent:
+                self._recent[model] *= factor
+
+    def _refresh(self, now_ms: int) -> None:
+        """Follows the entries of engines."""
+        entries = self._directory.entries
+        for target_id in set(self._engines) - set(entries):
+            del self._engines[target_id]
+        for target_id, entry in entries.items():
+            if entry.service not in self._plans:
+                continue
+            state = self._engines.get(target_id)
+            if state is None or state.born_ms != entry.born_ms:
+                self._engines[target_id] = _EngineState(entry)
+                continue
+            if entry.order_sequence > state.sequence:
+                state.stale = True
+
+    def _poll_reports(self, now_ms: int) -> None:
+        for target_id, state in self._engines.items():
+            entry = self._directory.entries.get(target_id)
+            pending = state.pending
+            due = pending is not None and now_ms >= pending.due_ms
+            wanted = due or state.stale or bool(state.adapters_pending)
+            if entry is None or state.polling or not wanted:
+                continue
+            if now_ms >= state.report_due_ms:
+                state.report_due_ms = now_ms + _REPORT_POLL_MS
+                state.polling = True
+                self._start(self._poll(entry, state))
+
+    async def _poll(
+        self, entry: types.TargetEntry, state: _EngineState
+    ) -> None:
+        asked_ms = self._now_ms()
+        try:
+            report = await self._fetch_report(entry)
+        finally:
+            state.polling = False
+        if isinstance(report, errors.MalformedEntry):
+            logger.info(
+                "no report",
+                extra={"target": entry.target_id, "reason": report.reason},
+            )
+            return
+        self._take_report(entry, state, report, asked_ms)
+
+    def _take_report(
+        self,
+        entry: types.TargetEntry,
+        state: _EngineState,
+        report: types.TargetReport,
+        asked_ms: int,
+    ) -> None:
+        known_ms = asked_ms - _REPORT_LAG_MS
+        state.sequence = max(state.sequence, report.order_sequence)
+        state.in_memory = report.in_memory
+        state.on_disk = report.on_disk
+        state.stale = False
+        pending = state.pending
+        if pending is not None and not report.busy:
+            done = _shows(report, pending.order)
+            overdue = known_ms > pending.due_ms + _ORDER_GRACE_MS
+            if not pending.sure:
+                overdue = known_ms > pending.given_ms + _ORDER_DOUBT_MS
+            if done or overdue:
+                state.pending = None
+                logger.info(
+                    "order ended",
+                    extra={
+                        "target": entry.target_id,
+                        "verb": pending.order.verb.value,
+                        "model": pending.order.model,
+                        "done": done,
+                        "took_ms": asked_ms - pending.given_ms,
+                    },
+                )
+        models = dict(report.models)
+        for (model, adapter), given_ms in list(state.adapters_pending.items()):
+            if adapter in models.get(model, ()) or known_ms > given_ms + 1_000:
+                del state.adapters_pending[model, adapter]
+            elif model in models and known_ms <= given_ms:
+                models[model] = models[model] | {adapter}
+        state.models = models
+
+    def _plan(
+        self, service: str, plan: model_plan.ModelPlan, now_ms: int
+    ) -> None:
+        live = self._live(now_ms)
+        running = _sum_in_flight(live)
+        engines = [
+            self._engine(entry, self._engines[entry.target_id], running)
+            for entry in self._directory.entries.values()
+            if entry.service == service
+            and entry.target_id in self._engines
+            and not self._engines[entry.target_id].stale
+        ]
+        in_flight: dict[str, int] = {}
+        for counts in running.values():
+            for subject, count in counts.items():
+                model = subject.partition("/")[0]
+                in_flight[model] = in_flight.get(model, 0) + count
+        self._store_loads = [
+            at_ms
+            for at_ms in self._store_loads
+            if now_ms - at_ms < _LOAD_WINDOW_MS
+        ]
+        weight_store = model_plan.WeightStore(
+            loads_left=_LOADS_IN_WINDOW - len(self._store_loads),
+            under_way=sum(
+                self._loads_from_store(state)
+                for state in self._engines.values()
+            ),
+            at_once=_LOADS_AT_ONCE,
+        )
+        orders = plan.plan(
+            engines,
+            _demands(live, service),
+            model_plan.Usage(self._last_used_ms, self._recent, in_flight),
+            weight_store,
+            now_ms,
+        )
+        for order in orders:
+            self._give(order, now_ms)
+
+    def _loads_from_store(self, state: _EngineState) -> bool:
+        pending = state.pending
+        return (
+            pending is not None
+            and pending.order.verb is model_plan.Verb.LOAD
+            and pending.order.model not in state.in_memory | state.on_disk
+        )
+
+    def _engine(
+        self,
+        entry: types.TargetEntry,
+        state: _EngineState,
+        running: dict[str, dict[str, int]],
+    ) -> model_plan.Engine:
+        loading = ""
+        pending = state.pending
+        models = dict(state.models)
+        if pending is not None and pending.order.verb is model_plan.Verb.LOAD:
+            loading = pending.order.model
+            models.pop(loading, None)
+        return model_plan.Engine(
+            target_id=entry.target_id,
+            service=entry.service,
+            models=models,
+            loading=loading,
+            busy=pending is not None,
+            leaving=entry.leaving,
+            in_memory=state.in_memory,
+            on_disk=state.on_disk,
+            running=running.get(entry.target_id, {}),
+            room_mb=entry.weights_mb or _ROOM_MB,
+            adapter_slots=entry.adapter_slots or _ADAPTER_SLOTS,
+        )
+
+    def _give(self, order: model_plan.Order, now_ms: int) -> None:
+        entry = self._directory.entries.get(order.target_id)
+        state = self._engines.get(order.target_id)
+        if entry is None or state is None or self._configuration is None:
+            return
+        shape = self._configuration.services[entry.service].models[order.model]
+        if order.adapter:
+            key = (order.model, order.adapter)
+            if key in state.adapters_pending:
+                return
+            held = state.models.get(order.model, frozenset())
+            if order.verb is model_plan.Verb.LOAD:
+                state.adapters_pending[key] = now_ms
+                state.models[order.model] = held | {order.adapter}
+            else:
+                state.models[order.model] = held - {order.adapter}
+        else:
+            due_ms = now_ms
+            if order.verb is model_plan.Verb.UNLOAD:
+                state.models.pop(order.model, None)
+            elif order.model in state.in_memory:
+                due_ms += int(shape.memory_load_ms)
+            elif order.model in state.on_disk:
+                due_ms += int(shape.disk_load_ms)
+            else:
+                due_ms += int(shape.load_ms)
+                self._store_loads.append(now_ms)
+            state.pending = _Pending(order, now_ms, due_ms, sure=False)
+        self._start(self._carry_out(entry, state, order))
+
+    async def _carry_out(
+        self,
+        entry: types.TargetEntry,
+        state: _EngineState,
+        order: model_plan.Order,
+    ) -> None:
+        now_ms = self._now_ms()
+        if not self._lease.may_order(now_ms) or self._lease.term is None:
+            state.pending = None
+            state.stale = True
+            return
+        sequence = state.sequence
+        result = await self._send_order(
+            entry, order, self._lease.term.token, sequence
+        )
+        logger.info(
+            "order given",
+            extra={
+                "target": entry.target_id,
+                "verb": order.verb.value,
+                "model": order.model,
+                "adapter": order.adapter,
+                "token": self._lease.term.token if self._lease.term else 0,
+                "sequence": sequence,
+                "outcome": result.value,
+            },
+        )
+        self._take_result(state, order, result)
+
+    def _take_result(
+        self,
+        state: _EngineState,
+        order: model_plan.Order,
+        result: OrderResult,
+    ) -> None:
+        if result in (OrderResult.ACCEPTED, OrderResult.HOLDS):
+            state.sequence += result is OrderResult.ACCEPTED or bool(
+                order.adapter and order.verb is model_plan.Verb.UNLOAD
+            )
+            if state.pending is not None and state.pending.order == order:
+                state.pending = state.pending._replace(sure=True)
+            return
+        state.stale = True
+        if order.adapter:
+            state.adapters_pending.pop((order.model, order.adapter), None)
+        elif result is OrderResult.REFUSED:
+            state.pending = None
+
+    def _start(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _limits(
+    configuration: types.Configuration,
+) -> dict[str, token_grants.Limit]:
+    return {
+        account.name: token_grants.Limit(
+            account.rate_tokens_per_s, account.burst_tokens
+        )
+        for account in configuration.accounts.values()
+    }
+
+
+def _demands(
+    reports: list[messages.Report], service: str
+) -> list[model_plan.Demand]:
+    merged: dict[tuple[str, str], model_plan.Demand] = {}
+    for report in reports:
+        for item in report.waited:
+            if item.service != service:
+                continue
+            key = (item.model, item.adapter)
+            known = merged.get(key)
+            requests, oldest_ms = item.requests, item.oldest_ms
+            if known is not None:
+                requests += known.requests
+                oldest_ms = max(oldest_ms, known.oldest_ms)
+            merged[key] = model_plan.Demand(*key, requests, oldest_ms)
+    return list(merged.values())
+
+
+def _sum_in_flight(
+    reports: list[messages.Report],
+) -> dict[str, dict[str, int]]:
+    total: dict[str, dict[str, int]] = {}
+    for report in reports:
+        for target_id, counts in report.in_flight.items():
+            sums = total.setdefault(target_id, {})
+            for subject, count in counts.items():
+                sums[subject] = sums.get(subject, 0) + count
+    return total
+
+
+def _shows(report: types.TargetReport, order: model_plan.Order) -> bool:
+    held = order.model in report.models
+    return held is (order.verb is model_plan.Verb.LOAD)
--- /dev/null
+++ b/tanagerloft/coordination/lease_keeper.py
@@ -0,0 +1,125 @@
+"""Carries out what the order lease decides, against the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+import orjson
+
+from tanagerloft.coordination import errors
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.decisions import order_lease
+
+logger = logging.getLogger(__name__)
+
+TABLE = "lease"
+_KEY = "orders"
+RENEW_MS = 800
+# While the holder answers, the row need not be read.
+_HOLDER_SILENT_MS = 900
+_TICK_MS = 100
+_READ_MS = 500
+
+
+class LeaseKeeper:
+    """Reads, claims and renews the lease row.
+
+    Args:
+        store: The platform's store.
+        lease: The lease's state.
+        now_ms: Clock.
+        heard_ms: Returns when the holder last answered this instance.
+        jitter_ms: Delay by which this instance reads later than others.
+    """
+
+    def __init__(
+        self,
+        store: store_lib.Store,
+        lease: order_lease.OrderLease,
+        now_ms: Callable[[], int],
+        heard_ms: Callable[[], int],
+        jitter_ms: int,
+    ):
+        self._store = store
+        self._lease = lease
+        self._now_ms = now_ms
+        self._heard_ms = heard_ms
+        self._jitter_ms = jitter_ms
+        self._renew_due_ms = 0
+        self._read_due_ms = 0
+
+    async def follow(self) -> None:
+        """Keeps the lease for as long as the process runs."""
+        while True:
+            now_ms = self._now_ms()
+            if self._lease.mine:
+                if now_ms >= self._renew_due_ms:
+                    self._renew_due_ms = now_ms + RENEW_MS
+                    await self._claim()
+            elif not self._lease.known or (
+                now_ms - self._heard_ms() > _HOLDER_SILENT_MS
+                and now_ms >= self._read_due_ms
+            ):
+                self._read_due_ms = now_ms + _READ_MS + self._jitter_ms
+                await self._read()
+                await self._claim()
+            await asyncio.sleep(_TICK_MS / 1_000)
+
+    async def release(self) -> None:
+        """Hands the lease back at a graceful stop."""
+        claim = self._lease.release()
+        if claim is not None:
+            await self._store.write(
+                TABLE, _KEY, _encode(claim.term), claim.expected_version
+            )
+            logger.info("lease released", extra={"token": claim.term.token})
+
+    async def _read(self) -> None:
+        row = await self._store.read(TABLE, _KEY)
+        if isinstance(row, errors.StoreError):
+            logger.info("lease not read", extra={"reason": row.reason})
+            return
+        self._lease.on_row(row.version, _decode(row.value), self._now_ms())
+
+    async def _claim(self) -> None:
+        claim = self._lease.next_claim(self._now_ms())
+        if claim is None:
+            return
+        was_mine = self._lease.mine
+        started_ms = self._now_ms()
+        version = await self._store.write(
+            TABLE, _KEY, _encode(claim.term), claim.expected_version
+        )
+        if isinstance(version, errors.StoreError):
+            logger.warning(
+                "lease not written",
+                extra={
+                    "reason": version.reason,
+                    "failure": version.failure.value,
+                    "expected": claim.expected_version,
+                },
+            )
+            await self._read()
+            return
+        self._lease.on_written(claim, version, started_ms, self._now_ms())
+        if not was_mine:
+            logger.info(
+                "lease taken",
+                extra={"token": claim.term.token, "version": version},
+            )
+
+
+def _encode(term: order_lease.Term) -> bytes:
+    return orjson.dumps(term._asdict())
+
+
+def _decode(value: bytes | None) -> order_lease.Term | None:
+    if value is None:
+        return None
+    try:
+        return order_lease.Term(**orjson.loads(value))
+    except (TypeError, ValueError) as error:
+        logger.error("lease row unreadable", extra={"reason": repr(error)})
+        return None
--- /dev/null
+++ b/tanagerloft/coordination/messages.py
@@ -0,0 +1,115 @@
+"""Messages between instances: reports to the holder, its views back.
+
+All say how things are, not how they changed, and travel as datagrams: one that
+is lost, repeated or late does no harm, and there is no connection to go silent.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+import msgpack
+
+from tanagerloft.decisions import token_grants
+
+_REPORT = "r"
+_VIEW = "v"
+
+
+class Waited(NamedTuple):
+    """Requests that wait for a model at one instance.
+
+    Attributes:
+        service: Service of the model.
+        model: Model.
+        adapter: Adapter, empty for none.
+        requests: Waiting requests.
+        oldest_ms: How long the oldest has waited.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    requests: int
+    oldest_ms: int
+
+
+class Report(NamedTuple):
+    """What an instance tells the holder.
+
+    Attributes:
+        instance: Name.
+        incarnation: Identity of its process.
+        sequence: Number of the report.
+        needs: Needs of tokens by account.
+        in_flight: Requests under way by target and model (with adapter).
+        waited: Requests that wait for models.
+        used: Requests for each model since the start of the process.
+        leaving: Whether it is the last one.
+    """
+
+    instance: str
+    incarnation: str
+    sequence: int
+    needs: dict[str, token_grants.Need]
+    in_flight: dict[str, dict[str, int]]
+    waited: list[Waited]
+    used: dict[str, int]
+    leaving: bool
+
+
+class View(NamedTuple):
+    """What the holder answers.
+
+    Attributes:
+        holder: Name of the holder.
+        token: Its fencing token.
+        sequence: Number of the report that it answers.
+        instances: Instances that report to it.
+        grants: Grants by account.
+        in_flight: Requests of other instances by target.
+        models: Models with adapters by target, as the holder knows them.
+        later_ms: Time until a waited-for model can be had, by model.
+    """
+
+    holder: str
+    token: int
+    sequence: int
+    instances: int
+    grants: dict[str, token_grants.Grant]
+    in_flight: dict[str, int]
+    models: dict[str, dict[str, list[str]]]
+    later_ms: dict[str, int]
+
+
+def encode(message: Report | View) -> bytes:
+    """Encodes a message."""
+    kind = _REPORT if isinstance(message, Report) else _VIEW
+    return msgpack.packb([kind, *message])
+
+
+def decode(data: bytes) -> Report | View | None:
+    """Decodes a message; None if it is none."""
+    try:
+        kind, *fields = msgpack.unpackb(data)
+        if kind == _REPORT:
+            return _decode_report(Report(*fields))
+        if kind == _VIEW:
+            return _decode_view(View(*fields))
+    except (ValueError, TypeError, AttributeError, msgpack.UnpackException):
+        return None
+    return None
+
+
+def _decode_report(raw: Any) -> Report:
+    return raw._replace(
+        needs={k: token_grants.Need(*v) for k, v in raw.needs.items()},
+        waited=[Waited(*item) for item in raw.waited],
+    )
+
+
+def _decode_view(raw: Any) -> View:
+    return raw._replace(
+        grants={k: token_grants.Grant(*v) for k, v in raw.grants.items()}
+    )
--- /dev/null
+++ b/tanagerloft/coordination/targets.py
@@ -0,0 +1,218 @@
+"""What an instance knows of the targets, and its choice among them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+from typing import NamedTuple
+
+from tanagerloft.coordination import errors
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.fleet import types
+
+logger = logging.getLogger(__name__)
+
+# A target that said that it lacks a model is asked again after this time;
+# entries lag behind by up to a poll.
+_LACKS_MS = 400
+_FAILURE_HALF_LIFE_MS = 3_000
+# Requests that a failure counts for when targets are compared.
+_FAILURE_WEIGHT = 8.0
+# A failure weighs less than this share of itself is forgotten.
+_FAILURE_FLOOR = 0.1
+
+DecodeEntry = Callable[[str, bytes], types.TargetEntry | errors.MalformedEntry]
+
+
+class _Failures(NamedTuple):
+    weight: float
+    at_ms: int
+
+
+class TargetDirectory:
+    """Targets by identity.
+
+    Args:
+        decode: Decodes an entry of the platform's list.
+        now_ms: Clock.
+        data_centre: Where this instance runs.
+    """
+
+    def __init__(
+        self,
+        decode: DecodeEntry,
+        now_ms: Callable[[], int],
+        data_centre: str,
+    ):
+        self._decode = decode
+        self._now_ms = now_ms
+        self._data_centre = data_centre
+        self._lacks: dict[tuple[str, str], int] = {}
+        self._failures: dict[str, _Failures] = {}
+        self._others: dict[str, int] = {}
+        self._told_models: dict[str, dict[str, frozenset[str]]] = {}
+        self.entries: dict[str, types.TargetEntry] = {}
+        self.in_flight: dict[str, dict[str, int]] = {}
+        self.malformed = 0
+
+    def on_rows(self, rows: tuple[store_lib.Row, ...], whole: bool) -> bool:
+        """Takes in entries; returns whether requests may find more targets.
+
+        Args:
+            rows: Rows of the list.
+            whole: Whether entries that are not among them are gone.
+        """
+        changed = False
+        if whole:
+            present = {row.key for row in rows if row.value is not None}
+            for target_id in set(self.entries) - present:
+                self._remove(target_id, "not in the list")
+        for row in rows:
+            if row.value is None:
+                self._remove(row.key, "removed")
+                continue
+            entry = self._decode(row.key, row.value)
+            if isinstance(entry, errors.MalformedEntry):
+                self.malformed += 1
+                logger.warning("target entry refused", extra=entry._asdict())
+                self._remove(row.key, "malformed")
+                continue
+            changed |= self._take(entry, row.version)
+        return changed
+
+    def on_view(
+        self,
+        others: dict[str, int],
+        models: dict[str, dict[str, list[str]]],
+    ) -> bool:
+        """Takes in the holder's view; returns whether models were added."""
+        self._others = others
+        told = {
+            target_id: {name: frozenset(a) for name, a in held.items()}
+            for target_id, held in models.items()
+        }
+        changed = told != self._told_models
+        self._told_models = told
+        return changed
+
+    def models_of(self, entry: types.TargetEntry) -> dict[str, frozenset[str]]:
+        """Returns what an engine holds, by the holder's word if there is."""
+        return self._told_models.get(entry.target_id, entry.models)
+
+    def choose(
+        self, service: str, model: str, adapter: str, avoid: frozenset[str]
+    ) -> types.TargetEntry | None:
+        """Returns the target that should run a request, None if none can.
+
+        Load answered: bursts that many instances see at once, targets that
+        fail or slow down.
+
+        Args:
+            service: Service that runs the request.
+            model: Model, empty on a plain service.
+            adapter: Adapter, empty for none.
+            avoid: Targets that are taken only if there are no others.
+        """
+        now_ms = self._now_ms()
+        best = None
+        best_key: tuple | None = None
+        for entry in self.entries.values():
+            if entry.service != service or entry.leaving:
+                continue
+            if model and not self._holds(entry, model, adapter, now_ms):
+                continue
+            load: float = self._load(entry.target_id)
+            load += _FAILURE_WEIGHT * self._failing(entry.target_id, now_ms)
+            far = entry.data_centre != self._data_centre
+            key = (
+                entry.target_id in avoid,
+                load + (0.5 if far else 0.0),
+                entry.target_id,
+            )
+            if best_key is None or key < best_key:
+                best, best_key = entry, key
+        return best
+
+    def note_start(self, target_id: str, subject: str) -> None:
+        """Counts a request sent to a target."""
+        counts = self.in_flight.setdefault(target_id, {})
+        counts[subject] = counts.get(subject, 0) + 1
+
+    def note_end(self, target_id: str, subject: str) -> None:
+        """Counts the end of a request at a target."""
+        counts = self.in_flight.get(target_id, {})
+        left = counts.get(subject, 0) - 1
+        if left > 0:
+            counts[subject] = left
+        else:
+            counts.pop(subject, None)
+        if not counts:
+            self.in_flight.pop(target_id, None)
+
+    def note_failure(self, target_id: str) -> None:
+        """Remembers that a target failed a request."""
+        now_ms = self._now_ms()
+        weight = self._failing(target_id, now_ms) + 1.0
+        self._failures[target_id] = _Failures(weight, now_ms)
+
+    def note_lacks(self, target_id: str, subject: str) -> None:
+        """Remembers that a target said that it lacks a model or adapter."""
+        self._lacks[target_id, subject] = self._now_ms()
+
+    def _holds(
+        self, entry: types.TargetEntry, model: str, adapter: str, now_ms: int
+    ) -> bool:
+        adapters = self.models_of(entry).get(model)
+        if adapters is None or (adapter and adapter not in adapters):
+            return False
+        lacks_ms = self._lacks.get((entry.target_id, subject(model, adapter)))
+        return lacks_ms is None or now_ms - lacks_ms >= _LACKS_MS
+
+    def _load(self, target_id: str) -> int:
+        own = sum(self.in_flight.get(target_id, {}).values())
+        return own + self._others.get(target_id, 0)
+
+    def _failing(self, target_id: str, now_ms: int) -> float:
+        failures = self._failures.get(target_id)
+        if failures is None:
+            return 0.0
+        age = (now_ms - failures.at_ms) / _FAILURE_HALF_LIFE_MS
+        weight = failures.weight * 0.5**age
+        if weight < _FAILURE_FLOOR:
+            del self._failures[target_id]
+            return 0.0
+        return weight
+
+    def _take(self, entry: types.TargetEntry, version: int) -> bool:
+        before = self.entries.get(entry.target_id)
+        self.entries[entry.target_id] = entry
+        if before is not None and before.born_ms == entry.born_ms:
+            if before.leaving != entry.leaving:
+                logger.info(
+                    "target leaves",
+                    extra={"target": entry.target_id, "version": version},
+                )
+            return before.models != entry.models
+        logger.info(
+            "target known",
+            extra={
+                "target": entry.target_id,
+                "service": entry.service,
+                "leaving": entry.leaving,
+                "version": version,
+            },
+        )
+        self._failures.pop(entry.target_id, None)
+        return True
+
+    def _remove(self, target_id: str, reason: str) -> None:
+        if self.entries.pop(target_id, None) is not None:
+            self._failures.pop(target_id, None)
+            logger.info(
+                "target gone", extra={"target": target_id, "reason": reason}
+            )
+
+
+def subject(model: str, adapter: str) -> str:
+    """Returns the name under which a model, or its adapter, is counted."""
+    return f"{model}/{adapter}" if adapter else model
--- /dev/null
+++ b/tanagerloft/decisions/order_lease.py
@@ -0,0 +1,175 @@
+"""Decides who gives orders to targets: one holder, by a row of the store.
+
+Load answered: holders that are killed, frozen or cut off from the store, and
+candidates that race. Targets may not check fencing tokens, so two holders'
+orders must be apart in time as well as in token.
+"""
+
+from typing import NamedTuple
+
+
+class Term(NamedTuple):
+    """Contents of the lease row.
+
+    Attributes:
+        holder: Instance that holds the lease.
+        incarnation: Process that wrote the row.
+        address: Where the holder hears other instances, ``host:port``.
+        token: Fencing token; rises with each new term.
+        settled: Whether the wait after the holder before is over.
+        released: Whether the holder has stopped giving orders.
+    """
+
+    holder: str
+    incarnation: str
+    address: str
+    token: int
+    settled: bool
+    released: bool
+
+
+class Claim(NamedTuple):
+    """A write of the lease row that should be made.
+
+    Attributes:
+        expected_version: Version that the row must have.
+        term: New contents.
+    """
+
+    expected_version: int
+    term: Term
+
+
+class OrderLease:
+    """State of the lease as one instance sees it.
+
+    Args:
+        holder: Name of this instance, the same after a restart.
+        incarnation: Identity of this process.
+        address: Where this instance hears others.
+        valid_ms: Time after the start of a write for which it lets its holder
+            give orders.
+        turn_ms: Time that must lie between orders of two holders.
+        patience_ms: Further wait before a claim, to let candidates differ.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        incarnation: str,
+        address: str,
+        valid_ms: int,
+        turn_ms: int,
+        patience_ms: int = 0,
+    ):
+        self._holder = holder
+        self._incarnation = incarnation
+        self._address = address
+        self._valid_ms = valid_ms
+        self._turn_ms = turn_ms
+        self._patience_ms = patience_ms
+        self._version: int | None = None
+        self._seen_ms = 0
+        self._valid_until_ms = -1
+        self._orders_from_ms = 0
+        self._stopping = False
+        self.term: Term | None = None
+
+    @property
+    def known(self) -> bool:
+        """Whether the row has been read."""
+        return self._version is not None
+
+    @property
+    def mine(self) -> bool:
+        """Whether the row names this process."""
+        return (
+            self.term is not None
+            and self.term.holder == self._holder
+            and self.term.incarnation == self._incarnation
+            and not self.term.released
+        )
+
+    def may_order(self, now_ms: int) -> bool:
+        """Returns whether this process may give orders now."""
+        return (
+            self.mine
+            and not self._stopping
+            and self._orders_from_ms <= now_ms < self._valid_until_ms
+        )
+
+    def leads(self, now_ms: int) -> bool:
+        """Returns whether this process holds the lease, orders aside."""
+        return self.mine and now_ms < self._valid_until_ms
+
+    def on_row(self, version: int, term: Term | None, now_ms: int) -> None:
+        """Takes in the row as read from the store."""
+        if self._version is not None and version <= self._version:
+            return
+        self._version = version
+        self.term = term
+        self._seen_ms = now_ms
+
+    def next_claim(self, now_ms: int) -> Claim | None:
+        """Returns the write to make now: first claim, takeover or renewal."""
+        if self._version is None or self._stopping:
+            return None
+        term = self.term
+        if term is None:
+            return self._claim(1, settled=True)
+        if self.mine:
+            settled = term.settled or now_ms >= self._orders_from_ms
+            return self._claim(term.token, settled)
+        if term.holder == self._holder:
+            return self._claim(term.token + 1, term.settled)
+        if term.released or now_ms >= self._free_at_ms():
+            return self._claim(term.token + 1, settled=False)
+        return None
+
+    def release(self) -> Claim | None:
+        """Stops giving orders; returns the write that tells so."""
+        self._stopping = True
+        if not self.mine or self.term is None or self._version is None:
+            return None
+        released = self.term._replace(released=True)
+        return Claim(self._version, released)
+
+    def on_written(
+        self, claim: Claim, version: int, started_ms: int, now_ms: int
+    ) -> None:
+        """Takes in a write that the store has acknowledged."""
+        before = self.term
+        self._version = version
+        self.term = claim.term
+        if claim.term.released:
+            return
+        if before is None or before.token != claim.term.token:
+            self._orders_from_ms = self._first_order_ms(before, now_ms)
+        self._seen_ms = now_ms
+        self._valid_until_ms = started_ms + self._valid_ms
+
+    def _free_at_ms(self) -> int:
+        return self._seen_ms + self._valid_ms + self._patience_ms
+
+    def _first_order_ms(self, before: Term | None, now_ms: int) -> int:
+        if before is None:
+            return now_ms
+        if before.holder == self._holder and before.settled:
+            return now_ms
+        if before.holder == self._holder:
+            return now_ms + self._turn_ms
+        if before.released:
+            return self._seen_ms + self._turn_ms
+        return max(now_ms, self._seen_ms + self._valid_ms) + self._turn_ms
+
+    def _claim(self, token: int, settled: bool) -> Claim:
+        assert self._version is not None
+        term = Term(
+            holder=self._holder,
+            incarnation=self._incarnation,
+            address=self._address,
+            token=token,
+            settled=settled,
+            released=False,
+        )
+        return Claim(self._version, term)
--- /dev/null
+++ b/tanagerloft/decisions/retry_budget.py
@@ -0,0 +1,53 @@
+"""Budget of sends beyond the first of each request.
+
+Load answered: targets that fail, at which every instance would otherwise send
+everything again. The bound holds for the fleet in any window; each instance
+keeps to its own part of it.
+"""
+
+import collections
+
+
+class RetryBudget:
+    """Budget of one service at one instance.
+
+    Args:
+        ratio: Repeats allowed for each first send.
+        slack: Repeats allowed besides, for the whole fleet.
+        window_ms: Length of the window.
+        started_ms: Reading of the clock at the start of the process: the slack
+            of the first window may have been used by the process before.
+    """
+
+    def __init__(
+        self, ratio: float, slack: float, window_ms: int, started_ms: int
+    ):
+        self._ratio = ratio
+        self._slack = slack
+        self._window_ms = window_ms
+        self._started_ms = started_ms
+        self._first: collections.deque[int] = collections.deque()
+        self._repeats: collections.deque[int] = collections.deque()
+
+    def note_first(self, now_ms: int) -> None:
+        """Counts the first send of a request."""
+        self._first.append(now_ms)
+        self._drop_old(now_ms)
+
+    def take(self, instance_count: int, now_ms: int) -> bool:
+        """Takes a repeat if the budget allows it."""
+        self._drop_old(now_ms)
+        slack = self._slack / max(1, instance_count)
+        if now_ms - self._started_ms < self._window_ms:
+            slack /= 2
+        allowed = self._ratio * len(self._first) + slack
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now_ms)
+        return True
+
+    def _drop_old(self, now_ms: int) -> None:
+        oldest_ms = now_ms - self._window_ms
+        for times in (self._first, self._repeats):
+            while times and times[0] <= oldest_ms:
+                times.popleft()
--- /dev/null
+++ b/tanagerloft/decisions/token_grants.py
@@ -0,0 +1,244 @@
+"""Limits of client accounts in tokens over the whole fleet.
+
+Load answered: an account whose requests reach instances unevenly, or that
+sends several times its rate. The holder of the order lease keeps one bucket an
+account and grants tokens; instances count what they were granted and what they
+used since their start. Both only ever rise, so that lost, repeated and
+reordered messages change nothing.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+_MS_PER_S = 1_000
+
+
+class Limit(NamedTuple):
+    """Limit of one account.
+
+    Attributes:
+        rate_tokens_per_s: Rate over the fleet.
+        burst_tokens: Size of the bucket.
+    """
+
+    rate_tokens_per_s: float
+    burst_tokens: float
+
+
+class Need(NamedTuple):
+    """What an instance tells of one account.
+
+    Attributes:
+        needed_tokens: Tokens used since its start, with those waited for.
+        granted_tokens: Tokens granted to it since its start.
+    """
+
+    needed_tokens: float
+    granted_tokens: float
+
+
+class Grant(NamedTuple):
+    """What the holder answers on one account.
+
+    Attributes:
+        granted_tokens: Tokens granted to the instance since its start.
+        retry_ms: Time until what it still needs will be there.
+    """
+
+    granted_tokens: float
+    retry_ms: int
+
+
+class GrantLedger:
+    """Buckets of all accounts, at the holder.
+
+    Args:
+        full: Whether buckets start full; they do only where no holder before
+            can have granted from them.
+    """
+
+    def __init__(self, full: bool):
+        self._full = full
+        self._limits: dict[str, Limit] = {}
+        self._levels: dict[str, float] = {}
+        self._filled_ms: dict[str, int] = {}
+        self._granted: dict[tuple[str, str], float] = {}
+
+    def configure(self, limits: dict[str, Limit], now_ms: int) -> None:
+        """Takes in the limits in force; accounts without one have none."""
+        for name in self._limits:
+            self._refill(name, now_ms)
+        for name, limit in limits.items():
+            if name not in self._limits:
+                self._levels[name] = limit.burst_tokens if self._full else 0.0
+                self._filled_ms[name] = now_ms
+            self._levels[name] = min(self._levels[name], limit.burst_tokens)
+        self._limits = dict(limits)
+
+    def grant(
+        self, process: str, account: str, need: Need, now_ms: int
+    ) -> Grant:
+        """Grants what an instance needs, as far as the bucket goes.
+
+        Args:
+            process: Identity of the process that asks.
+            account: Name of the account.
+            need: What it told.
+            now_ms: Reading of the clock.
+        """
+        key = (process, account)
+        before = max(self._granted.get(key, 0.0), need.granted_tokens)
+        missing = need.needed_tokens - before
+        if missing <= 0:
+            self._granted[key] = before
+            return Grant(before, 0)
+        limit = self._limits.get(account)
+        if limit is None or limit.rate_tokens_per_s <= 0:
+            self._granted[key] = need.needed_tokens
+            return Grant(need.needed_tokens, 0)
+        self._refill(account, now_ms)
+        given = min(missing, max(0.0, self._levels[account]))
+        self._levels[account] -= given
+        self._granted[key] = before + given
+        short = missing - given
+        retry_ms = int(short / limit.rate_tokens_per_s * _MS_PER_S)
+        return Grant(before + given, retry_ms)
+
+    def take_back(self, account: str, tokens: float) -> None:
+        """Returns tokens that an instance was granted and will not use."""
+        if account in self._levels:
+            limit = self._limits[account]
+            level = self._levels[account] + tokens
+            self._levels[account] = min(limit.burst_tokens, level)
+
+    def _refill(self, account: str, now_ms: int) -> None:
+        limit = self._limits[account]
+        elapsed_ms = now_ms - self._filled_ms[account]
+        self._filled_ms[account] = now_ms
+        level = self._levels[account]
+        level += limit.rate_tokens_per_s * elapsed_ms / _MS_PER_S
+        self._levels[account] = min(limit.burst_tokens, level)
+
+
+class Outcome(NamedTuple):
+    """End of a wait for tokens.
+
+    Attributes:
+        admitted: Whether the tokens are there.
+        retry_ms: When to come back, if not.
+    """
+
+    admitted: bool
+    retry_ms: int
+
+
+class _Waiting(NamedTuple):
+    cost_tokens: float
+    asked_seq: int
+    since_ms: int
+    done: Callable[[Outcome], None]
+
+
+class GrantAccount:
+    """Tokens of one account, at an instance.
+
+    Args:
+        fallback_tokens_per_s: Rate at which the instance may go on by itself
+            while no holder answers: its share of the account's rate.
+        silence_ms: Time without an answer after which it does.
+    """
+
+    def __init__(self, fallback_tokens_per_s: float, silence_ms: int):
+        self.fallback_tokens_per_s = fallback_tokens_per_s
+        self._silence_ms = silence_ms
+        self._used = 0.0
+        self._granted = 0.0
+        self._waiting: list[_Waiting] = []
+        self._fallback_ms: int | None = None
+
+    def ask(
+        self,
+        cost_tokens: float,
+        next_seq: int,
+        now_ms: int,
+        done: Callable[[Outcome], None],
+    ) -> bool:
+        """Takes tokens, now or after the next answer of the holder.
+
+        Args:
+            cost_tokens: Tokens wanted.
+            next_seq: Number of the next report, which will tell the need.
+            now_ms: Reading of the clock.
+            done: Told the outcome, unless the tokens are there now.
+
+        Returns:
+            Whether the tokens were there now.
+        """
+        if not self._waiting and self._used + cost_tokens <= self._granted:
+            self._used += cost_tokens
+            return True
+        self._waiting.append(_Waiting(cost_tokens, next_seq, now_ms, done))
+        return False
+
+    def give_back(self, cost_tokens: float) -> None:
+        """Returns tokens of a request that did not run."""
+        self._used -= cost_tokens
+
+    def forget(self, done: Callable[[Outcome], None]) -> None:
+        """Ends a wait without an outcome."""
+        self._waiting = [item for item in self._waiting if item.done != done]
+
+    @property
+    def waits(self) -> bool:
+        """Whether a request waits for tokens."""
+        return bool(self._waiting)
+
+    def need(self) -> Need:
+        """Returns what to tell the holder."""
+        waiting = sum(item.cost_tokens for item in self._waiting)
+        return Need(self._used + waiting, self._granted)
+
+    def on_grant(self, grant: Grant, echoed_seq: int, now_ms: int) -> None:
+        """Takes in an answer of the holder to report ``echoed_seq``."""
+        self._granted = max(self._granted, grant.granted_tokens)
+        self._fallback_ms = None
+        self._admit()
+        refused = [
+            item for item in self._waiting if item.asked_seq <= echoed_seq
+        ]
+        self._waiting = self._waiting[len(refused) :]
+        for item in refused:
+            item.done(Outcome(False, max(1, grant.retry_ms)))
+
+    def on_silence(self, now_ms: int) -> None:
+        """Goes on alone when the holder has not answered for a while."""
+        if not self._waiting:
+            return
+        oldest_ms = self._waiting[0].since_ms
+        if now_ms - oldest_ms < self._silence_ms:
+            return
+        since_ms = self._fallback_ms
+        if since_ms is None:
+            since_ms = oldest_ms
+        self._fallback_ms = now_ms
+        elapsed_ms = now_ms - since_ms
+        # Reported to the next holder with the need, which then counts them.
+        self._granted += self.fallback_tokens_per_s * elapsed_ms / _MS_PER_S
+        self._admit()
+        overdue = [
+            item
+            for item in self._waiting
+            if now_ms - item.since_ms >= 2 * self._silence_ms
+        ]
+        self._waiting = self._waiting[len(overdue) :]
+        for item in overdue:
+            item.done(Outcome(False, _MS_PER_S))
+
+    def _admit(self) -> None:
+        while self._waiting:
+            item = self._waiting[0]
+            if self._used + item.cost_tokens > self._granted:
+                return
+            self._waiting.pop(0)
+            self._used += item.cost_tokens
+            item.done(Outcome(True, 0))
--- /dev/null
+++ b/tanagerloft/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What a deployment consists of: routes, accounts, services, targets."""
--- /dev/null
+++ b/tanagerloft/fleet/types.py
@@ -0,0 +1,221 @@
+"""Types that describe a deployment, free of any wire format."""
+
+import enum
+from typing import NamedTuple
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+class Split(NamedTuple):
+    """Share of a route's requests that a service gets.
+
+    Attributes:
+        service: Name of the service.
+        weight: Weight against the other splits of the route.
+    """
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Where requests of a host and path prefix go.
+
+    Attributes:
+        name: Name.
+        host: Value of the Host header, without a port.
+        prefix: Prefix of the path, with a slash at both ends.
+        kind: What may be repeated.
+        resumable: Whether a stream may go on at another target.
+        timeout_ms: Longest time until the final answer.
+        aim_ms: Time to the (first part of the) answer that callers expect.
+        max_targets: Targets on which one request may run.
+        priority: Rank, 0 is the most urgent.
+        open: Whether no key is needed.
+        splits: Services that take the requests.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    resumable: bool
+    timeout_ms: int
+    aim_ms: int
+    max_targets: int
+    priority: int
+    open: bool
+    splits: tuple[Split, ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+
+class Model(NamedTuple):
+    """A model that engines can load.
+
+    Attributes:
+        name: Name.
+        weights_mb: Size of the weights.
+        load_ms: Time to load from the weight store.
+        memory_load_ms: Time to load from a copy in the engine's memory.
+        disk_load_ms: Time to load from a copy on the engine's disk.
+        adapter_mb: Size of one adapter.
+    """
+
+    name: str
+    weights_mb: float
+    load_ms: float
+    memory_load_ms: float
+    disk_load_ms: float
+    adapter_mb: float
+
+
+class Service(NamedTuple):
+    """Targets that do the same work.
+
+    Attributes:
+        name: Name.
+        max_connections: Connections that a target accepts from all callers.
+        models: Models by name; empty for a plain service.
+        slots: Requests that an engine runs at once; 0 for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    models: dict[str, Model]
+    slots: int
+
+    @property
+    def has_engines(self) -> bool:
+        """Whether its targets are model engines."""
+        return bool(self.models)
+
+
+class Account(NamedTuple):
+    """A client account.
+
+    Attributes:
+        name: Name.
+        rate_tokens_per_s: Rate over the whole fleet, 0 for no limit.
+        burst_tokens: Tokens that may be used at once beyond the rate.
+        plain_tokens: Cost of a request that names no tokens.
+        priority: Rank that goes before the route's, None if not set.
+    """
+
+    name: str
+    rate_tokens_per_s: float
+    burst_tokens: float
+    plain_tokens: int
+    priority: int | None
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what callers send and on how long they take.
+
+    Attributes:
+        header_bytes: Size of a request's head.
+        body_bytes: Size of a request's body.
+        header_timeout_ms: Time from the first byte of a head to its last.
+        idle_timeout_ms: Silence after which a connection is closed.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class Configuration(NamedTuple):
+    """A version of the configuration.
+
+    Attributes:
+        version: Number; greater ones are newer.
+        routes: Routes by host, the longest prefix first.
+        services: Services by name.
+        accounts: Client accounts by name.
+        account_by_key: Account that holds each key.
+        limits: Bounds on callers.
+    """
+
+    version: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, Service]
+    accounts: dict[str, Account]
+    account_by_key: dict[str, Account]
+    limits: CallerLimits
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Returns the route of the longest prefix that begins ``path``."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+class TargetEntry(NamedTuple):
+    """What a target says of itself in the platform's list.
+
+    Attributes:
+        target_id: Identity of this life of the target.
+        service: Service that it belongs to.
+        host: IP address.
+        port: Port.
+        data_centre: Where it runs.
+        leaving: Whether it gets no new work.
+        leaves_in_ms: Time until it is gone, None if it did not say.
+        born_ms: Start of this life, in the target's own time of day.
+        models: Loaded models, with the adapters loaded for each.
+        order_sequence: Number of orders that it has accepted.
+        in_memory: Models with a copy of the weights in its memory.
+        on_disk: Models with a copy of the weights on its disk.
+        weights_mb: Room for weights and adapters, 0 if it did not say.
+        adapter_slots: Adapters that it can hold, 0 if it did not say.
+    """
+
+    target_id: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    leaving: bool
+    leaves_in_ms: int | None
+    born_ms: int
+    models: dict[str, frozenset[str]]
+    order_sequence: int
+    in_memory: frozenset[str]
+    on_disk: frozenset[str]
+    weights_mb: float
+    adapter_slots: int
+
+
+class TargetReport(NamedTuple):
+    """What an engine answers when asked for its state.
+
+    Attributes:
+        models: Loaded models, with the adapters loaded for each.
+        arriving: Adapters on their way, as (model, adapter).
+        busy: Whether it carries out an order.
+        order_sequence: Number of orders that it has accepted.
+        waiting: Requests that wait in it.
+        running: Requests that run in it.
+        in_memory: Models with a copy of the weights in its memory.
+        on_disk: Models with a copy of the weights on its disk.
+    """
+
+    models: dict[str, frozenset[str]]
+    arriving: frozenset[tuple[str, str]]
+    busy: bool
+    order_sequence: int
+    waiting: int
+    running: int
+    in_memory: frozenset[str]
+    on_disk: frozenset[str]
--- /dev/null
+++ b/tanagerloft/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The request path of an instance, on one event loop."""
--- /dev/null
+++ b/tanagerloft/gateway/deployment.py
@@ -0,0 +1,46 @@
+"""What an instance needs of the place where it is deployed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from tanagerloft.coordination import configuration as configuration_lib
+from tanagerloft.coordination import holder as holder_lib
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.gateway import dialect as dialect_lib
+from tanagerloft.net import target_connection
+
+
+class Deployment(NamedTuple):
+    """Drivers and names of one deployment.
+
+    Attributes:
+        dialect: Protocol of callers and targets.
+        store: The store.
+        configuration_table: Table of the operator's row.
+        configuration_key: Key of the operator's row.
+        targets_table: Table in which targets register themselves.
+        decode_configuration: Decodes the operator's row.
+        decode_entry: Decodes a target's row.
+        send_order: Sends an order to an engine.
+        fetch_report: Asks an engine for its state.
+        ready_path: Path at which readiness is asked for.
+        metrics_path: Path of the metrics.
+    """
+
+    dialect: dialect_lib.Dialect
+    store: store_lib.Store
+    configuration_table: str
+    configuration_key: str
+    targets_table: str
+    decode_configuration: configuration_lib.Decode
+    decode_entry: targets_lib.DecodeEntry
+    send_order: holder_lib.SendOrder
+    fetch_report: holder_lib.FetchReport
+    ready_path: bytes
+    metrics_path: bytes
+
+
+Build = Callable[[target_connection.Pool, tuple[str, int], str], Deployment]
--- /dev/null
+++ b/tanagerloft/gateway/dialect.py
@@ -0,0 +1,98 @@
+"""What the gateway needs of a protocol between callers and targets."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import Protocol
+
+from tanagerloft.fleet import types
+from tanagerloft.gateway import errors
+from tanagerloft.net import caller_connection
+from tanagerloft.net import target_connection
+
+
+class Ask(NamedTuple):
+    """What a caller asks for.
+
+    Attributes:
+        request_id: Identity of this attempt of the caller.
+        host: Host, in lower case and without a port.
+        path: Path without the query.
+        key: Key of the client account, None if there is none.
+        wait_ms: How long the caller waits, None if it did not say.
+        model: Model, empty for none.
+        adapter: Adapter of the model, empty for none.
+        tokens: Tokens of the prompt and of the longest answer; None if the
+            request names no tokens.
+        last_event_id: Last event that the caller has, None for none.
+        headers: Headers that go to the target.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    key: str | None
+    wait_ms: int | None
+    model: str
+    adapter: str
+    tokens: int | None
+    last_event_id: int | None
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+class Send(NamedTuple):
+    """What a request to a target adds to what the caller asked.
+
+    Attributes:
+        target: The target.
+        left_ms: Time that is left, None if there is no bound.
+        account: Name of the client account, None on open routes.
+        last_event_id: Event after which a stream goes on, None for none.
+    """
+
+    target: types.TargetEntry
+    left_ms: int | None
+    account: str | None
+    last_event_id: int | None
+
+
+class Mark(NamedTuple):
+    """What the head of an answer says.
+
+    Attributes:
+        ours: Whether it answers this request, and not another.
+        not_run: Whether the target says that it did not run the request.
+        genuine: Whether it is the target's own answer to the request.
+        lacks: Whether the target lacks the model or is another one.
+        stream: Whether the body is a stream of events.
+        headers: Headers that go to the caller.
+    """
+
+    ours: bool
+    not_run: bool
+    genuine: bool
+    lacks: bool
+    stream: bool
+    headers: list[tuple[bytes, bytes]]
+
+
+class Dialect(Protocol):
+    """Translates between the protocol and the gateway's types."""
+
+    def decode(
+        self, request: caller_connection.Request
+    ) -> Ask | errors.Refusal:
+        """Returns what a request asks for."""
+
+    def encode(
+        self, request: caller_connection.Request, ask: Ask, send: Send
+    ) -> bytes:
+        """Returns the bytes of a request to a target."""
+
+    def mark(self, ask: Ask, head: target_connection.Head) -> Mark:
+        """Returns what the head of an answer says."""
+
+    def refusal(
+        self, refusal: errors.Refusal, request_id: str
+    ) -> tuple[list[tuple[bytes, bytes]], bytes]:
+        """Returns headers and body of a refusal."""
--- /dev/null
+++ b/tanagerloft/gateway/errors.py
@@ -0,0 +1,67 @@
+"""Refusals of the gateway."""
+
+from tanagerloft.filters import errors
+
+Refusal = errors.Refusal
+
+MALFORMED = Refusal("malformed_request", 400, "The request cannot be read.")
+TOO_LARGE = Refusal("too_large", 413, "The body is too large.")
+HEADERS_TOO_LARGE = Refusal(
+    "headers_too_large", 431, "The headers are too large."
+)
+SLOW_SENDER = Refusal("slow_sender", 408, "The request did not arrive in time.")
+KEY_MISSING = Refusal("key_missing", 401, "This route needs a key.")
+KEY_UNKNOWN = Refusal("key_unknown", 401, "The key is not valid.")
+UNKNOWN_ROUTE = Refusal("unknown_route", 404, "There is nothing at this path.")
+NOT_CONFIGURED = Refusal(
+    "not_configured",
+    503,
+    "No configuration is in force yet.",
+    retry_after_ms=500,
+)
+KEYS_UNCONFIRMED = Refusal(
+    "keys_unconfirmed",
+    503,
+    "This instance cannot confirm that keys are current.",
+    retry_after_ms=500,
+)
+MODEL_NOT_READY = Refusal(
+    "model_not_ready",
+    503,
+    "The model cannot be ready in time.",
+    retry_after_ms=2_000,
+)
+NO_TARGET = Refusal(
+    "no_target", 503, "No target can take the request.", retry_after_ms=500
+)
+OUT_OF_TIME = Refusal(
+    "out_of_time", 503, "The time ended before the request was sent."
+)
+UNKNOWN_OUTCOME = Refusal(
+    "unknown_outcome",
+    502,
+    "The request was sent; whether it ran is not known.",
+    run=errors.UNKNOWN,
+)
+TIMEOUT = Refusal(
+    "timeout",
+    504,
+    "The target did not answer in time.",
+    run=errors.UNKNOWN,
+)
+OVERLOADED = Refusal(
+    "overloaded",
+    503,
+    "Too many requests at this instance.",
+    retry_after_ms=500,
+)
+
+
+def limit_exceeded(retry_after_ms: int) -> Refusal:
+    """The account has spent its tokens for now."""
+    return Refusal(
+        "limit_exceeded",
+        429,
+        "The account's limit is spent.",
+        retry_after_ms=retry_after_ms,
+    )
--- /dev/null
+++ b/tanagerloft/gateway/events.py
@@ -0,0 +1,45 @@
+"""Splits a stream of server-sent events into whole events."""
+
+from typing import NamedTuple
+
+_END = b"\n\n"
+_ID = b"id:"
+
+
+class Event(NamedTuple):
+    """A whole event.
+
+    Attributes:
+        data: Its bytes, with the empty line that ends it.
+        number: Its id, None if it has none or one that is no number.
+    """
+
+    data: bytes
+    number: int | None
+
+
+class EventSplitter:
+    """Collects pieces of a stream."""
+
+    def __init__(self):
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Takes a piece; returns the events that it completes."""
+        self._rest += data
+        if _END not in self._rest:
+            return []
+        *blocks, self._rest = self._rest.split(_END)
+        return [Event(block + _END, _number(block)) for block in blocks]
+
+    def rest(self) -> bytes:
+        """Returns the bytes after the last whole event."""
+        return self._rest
+
+
+def _number(block: bytes) -> int | None:
+    for line in block.split(b"\n"):
+        if line.startswith(_ID):
+            text = line[len(_ID) :].strip()
+            return int(text) if text.isdigit() else None
+    return None
--- /dev/null
+++ b/tanagerloft/gateway/exchange.py
@@ -0,0 +1,440 @@
+"""Sends a request to targets and relays the answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import logging
+from typing import NamedTuple
+
+from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import attempts
+from tanagerloft.fleet import types
+from tanagerloft.gateway import context as context_lib
+from tanagerloft.gateway import dialect as dialect_lib
+from tanagerloft.gateway import errors
+from tanagerloft.gateway import events as events_lib
+from tanagerloft.gateway import waiting as waiting_lib
+from tanagerloft.net import target_connection
+
+logger = logging.getLogger(__name__)
+
+# A request that may not be repeated goes out on a connection that was used
+# within this time, or on a new one: a target closes idle ones.
+_FRESH_IDLE_MS = 300
+# Sends of one request, those that did not run included.
+_MAX_SENDS = 4
+# Pause before a request goes to the same target again.
+_SAME_TARGET_MS = 100
+# A request that has less time than this left is not sent any more.
+_MIN_SEND_MS = 20
+_SERVER_ERROR = 500
+
+
+class Parts(NamedTuple):
+    """What exchanges share.
+
+    Attributes:
+        dialect: Protocol of callers and targets.
+        directory: Targets.
+        pool: Connections to targets.
+        room: Requests that wait for a model.
+        take_repeat: Takes a repeat of the budget of a service.
+        note_first: Counts a first send at a service.
+        keys_are_current: Whether keys can still be accepted.
+        report_soon: Tells the holder soon what is waited for.
+        now_ms: Clock.
+        done: Told when a request has ended.
+    """
+
+    dialect: dialect_lib.Dialect
+    directory: targets_lib.TargetDirectory
+    pool: target_connection.Pool
+    room: waiting_lib.WaitingRoom
+    take_repeat: Callable[[str], bool]
+    note_first: Callable[[str], None]
+    keys_are_current: Callable[[], bool]
+    report_soon: Callable[[], None]
+    now_ms: Callable[[], int]
+    done: Callable[[Exchange, str], None]
+
+
+class Exchange:
+    """One request on its way to targets; a ``net`` receiver and a waiter."""
+
+    def __init__(self, parts: Parts, context: context_lib.RequestContext):
+        self._parts = parts
+        self.context = context
+        self._subject = waiting_lib.Subject(
+            context.service, context.ask.model, context.ask.adapter
+        )
+        self._connection: target_connection.TargetConnection | None = None
+        self._connecting: asyncio.Task | None = None
+        self._target: types.TargetEntry | None = None
+        self._mark: dialect_lib.Mark | None = None
+        self._status = 0
+        self._body: list[bytes] = []
+        self._splitter = events_lib.EventSplitter()
+        self._last_event_id = context.ask.last_event_id
+        self._events = 0
+        self._tried: set[str] = set()
+        self._may_have_run: set[str] = set()
+        self._waits = False
+        self._ended = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._again: asyncio.TimerHandle | None = None
+        self.sends = 0
+        self.first_sent_ms: int | None = None
+        self.first_answer_ms: int | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request."""
+        return bool(self._may_have_run)
+
+    def start(self) -> None:
+        """Begins; the responder must lead to this exchange."""
+        parts, context = self._parts, self.context
+        left_ms = context.ends_ms - parts.now_ms()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(max(0, left_ms) / 1_000, self._time_over)
+        context.responder.on_gone = self._caller_gone
+        context.responder.on_flow = self._set_flow
+        if not self.try_send():
+            parts.report_soon()
+
+    def try_send(self) -> bool:
+        """Sends the request if a target can take it now, else waits."""
+        if self._ended or self._target is not None:
+            return True
+        parts, context = self._parts, self.context
+        if context.account is not None and not parts.keys_are_current():
+            self._refuse(errors.KEYS_UNCONFIRMED)
+            return True
+        target = parts.directory.choose(*self._subject, frozenset(self._tried))
+        now_ms = parts.now_ms()
+        if target is None:
+            self._waits = True
+            parts.room.add(self._subject, self, now_ms)
+            return False
+        if self._waits:
+            self._waits = False
+            parts.room.remove(self._subject, self)
+        if context.ends_ms - now_ms < _MIN_SEND_MS:
+            self._refuse(errors.OUT_OF_TIME)
+            return True
+        if self.sends and not parts.take_repeat(context.service):
+            self._give_up("no budget for a repeat")
+            return True
+        self._send(target, now_ms)
+        return True
+
+    def on_head(self, head: target_connection.Head) -> None:
+        """Takes in the head of an answer."""
+        self._mark = self._parts.dialect.mark(self.context.ask, head)
+        self._status = head.status
+        self._body = []
+
+    def on_body(self, data: bytes) -> None:
+        """Takes in a piece of the body."""
+        if self._mark is None or not self._mark.ours:
+            return
+        if self._relays_events():
+            self._relay(self._splitter.feed(data))
+        else:
+            self._body.append(data)
+
+    def on_end(self) -> None:
+        """Takes in the end of an answer."""
+        mark, connection = self._mark, self._connection
+        if mark is None or connection is None:
+            return
+        if not mark.ours:
+            self._mark = None
+            connection.skip_answer(self)
+            return
+        if self._relays_events():
+            self._end_stream()
+        elif mark.not_run:
+            self._not_run(mark)
+        elif not mark.genuine:
+            connection.close()
+            self._failed(attempts.Evidence.UNKNOWN, "answer is not genuine")
+        elif self._should_repeat_error():
+            self._failed(attempts.Evidence.UNKNOWN, f"status {self._status}")
+        else:
+            self._deliver(mark)
+
+    def on_loss(self, loss: target_connection.Loss) -> None:
+        """Takes in the end of the connection before that of the answer."""
+        self._connection = None
+        evidence = attempts.Evidence.UNKNOWN
+        if self._events:
+            evidence = attempts.Evidence.CUT
+        self._failed(evidence, loss.value)
+
+    def _send(self, target: types.TargetEntry, now_ms: int) -> None:
+        parts, context = self._parts, self.context
+        self._target = target
+        self._mark = None
+        self._splitter = events_lib.EventSplitter()
+        parts.directory.note_start(target.target_id, context.subject)
+        address = (target.host, target.port)
+        max_idle_ms = None
+        if not context.route.repeatable or self.sends:
+            max_idle_ms = _FRESH_IDLE_MS
+        connection = parts.pool.take_idle(address, max_idle_ms)
+        if connection is not None:
+            self._write(connection, now_ms)
+            return
+        loop = asyncio.get_running_loop()
+        self._connecting = loop.create_task(self._connect(address))
+
+    async def _connect(self, address: tuple[str, int]) -> None:
+        opened = await self._parts.pool.connect(address)
+        self._connecting = None
+        if isinstance(opened, target_connection.Loss):
+            self._failed(attempts.Evidence.NOT_SENT, opened.value)
+        elif self._ended:
+            opened.close()
+        else:
+            self._write(opened, self._parts.now_ms())
+
+    def _write(
+        self, connection: target_connection.TargetConnection, now_ms: int
+    ) -> None:
+        parts, context = self._parts, self.context
+        assert self._target is not None
+        self._connection = connection
+        self.sends += 1
+        if self.first_sent_ms is None:
+            self.first_sent_ms = now_ms
+            parts.note_first(context.service)
+        self._tried.add(self._target.target_id)
+        self._may_have_run.add(self._target.target_id)
+        ends_ms = context.ends_ms
+        send = dialect_lib.Send(
+            target=self._target,
+            left_ms=max(1, ends_ms - now_ms),
+            account=context.account_name,
+            last_event_id=self._last_event_id,
+        )
+        data = parts.dialect.encode(context.request, context.ask, send)
+        connection.send(data, self)
+
+    def _relays_events(self) -> bool:
+        mark = self._mark
+        return (
+            mark is not None
+            and mark.ours
+            and mark.genuine
+            and mark.stream
+            and self._status == 200
+        )
+
+    def _relay(self, events: list[events_lib.Event]) -> None:
+        """Passes on events that the caller does not have yet."""
+        out = []
+        for event in events:
+            number, last = event.number, self._last_event_id
+            if number is not None and last is not None and number <= last:
+                continue
+            if number is not None:
+                self._last_event_id = number
+            out.append(event.data)
+        if not out:
+            return
+        if not self._events:
+            self._begin_stream()
+        self._events += len(out)
+        self.context.responder.write(b"".join(out))
+
+    def _begin_stream(self) -> None:
+        assert self._mark is not None
+        self.first_answer_ms = self._parts.now_ms()
+        responder = self.context.responder
+        if not responder.started:
+            responder.start(self._status, self._mark.headers, None)
+
+    def _end_stream(self) -> None:
+        responder = self.context.responder
+        if not self._events:
+            self._begin_stream()
+        responder.write(self._splitter.rest())
+        self._finish("answered", self._status)
+        responder.finish()
+
+    def _should_repeat_error(self) -> bool:
+        """Whether a target's own error is worth another target."""
+        return (
+            self._status >= _SERVER_ERROR
+            and self.context.route.repeatable
+            and self._may_send_again()
+        )
+
+    def _may_send_again(self) -> bool:
+        return (
+            self.sends < _MAX_SENDS
+            and len(self._may_have_run) < self.context.route.max_targets
+        )
+
+    def _deliver(self, mark: dialect_lib.Mark) -> None:
+        responder = self.context.responder
+        if responder.started:
+            # The head of another answer is out; this one cannot follow it.
+            self._finish("cut", self._status)
+            responder.abort()
+            return
+        self.first_answer_ms = self._parts.now_ms()
+        self._finish("answered", self._status)
+        responder.answer(self._status, mark.headers, b"".join(self._body))
+
+    def _not_run(self, mark: dialect_lib.Mark) -> None:
+        assert self._target is not None
+        target_id = self._target.target_id
+        self._may_have_run.discard(target_id)
+        if mark.lacks:
+            self._parts.directory.note_lacks(target_id, self.context.subject)
+        else:
+            self._parts.directory.note_failure(target_id)
+        self._failed(attempts.Evidence.REFUSED, f"status {self._status}")
+
+    def _failed(self, evidence: attempts.Evidence, reason: str) -> None:
+        """Decides what follows an attempt that gave no whole answer."""
+        if self._ended or self._target is None:
+            return
+        target = self._target
+        self._leave_target()
+        if evidence is not attempts.Evidence.REFUSED:
+            self._parts.directory.note_failure(target.target_id)
+        logger.info(
+            "attempt failed",
+            extra={
+                "request": self.context.ask.request_id,
+                "target": target.target_id,
+                "evidence": evidence.value,
+                "reason": reason,
+                "sends": self.sends,
+                "events": self._events,
+            },
+        )
+        not_run = evidence in (
+            attempts.Evidence.NOT_SENT,
+            attempts.Evidence.REFUSED,
+        )
+        if not_run and self.sends < _MAX_SENDS:
+            self._send_again(target)
+            return
+        if self.context.route.repeatable and self._may_send_again():
+            self._send_again(target)
+            return
+        self._give_up(reason)
+
+    def _send_again(self, failed: types.TargetEntry) -> None:
+        other = self._parts.directory.choose(
+            *self._subject, frozenset(self._tried | {failed.target_id})
+        )
+        if other is None or other.target_id in self._tried | {failed.target_id}:
+            loop = asyncio.get_running_loop()
+            self._again = loop.call_later(
+                _SAME_TARGET_MS / 1_000, self._try_again
+            )
+            return
+        self.try_send()
+
+    def _try_again(self) -> None:
+        self._again = None
+        if not self.try_send():
+            self._parts.report_soon()
+
+    def _give_up(self, reason: str) -> None:
+        """Ends a request for which no further send is allowed."""
+        if self.context.responder.started:
+            self._finish("cut", 0, reason)
+            self.context.responder.abort()
+        elif self._may_have_run:
+            self._refuse(errors.UNKNOWN_OUTCOME)
+        else:
+            self._refuse(errors.NO_TARGET)
+
+    def _time_over(self) -> None:
+        self._timer = None
+        self._cancel_send()
+        if self.context.responder.started:
+            self._finish("cut", 0, "time over")
+            self.context.responder.abort()
+        elif self._may_have_run:
+            self._refuse(errors.TIMEOUT)
+        elif self.sends:
+            self._refuse(errors.OUT_OF_TIME)
+        else:
+            self._refuse(errors.MODEL_NOT_READY)
+
+    def _caller_gone(self) -> None:
+        self._cancel_send()
+        self._finish("caller gone", 0)
+
+    def _set_flow(self, flowing: bool) -> None:
+        if self._connection is not None:
+            self._connection.set_reading(flowing)
+
+    def _refuse(self, refusal: errors.Refusal) -> None:
+        context = self.context
+        headers, body = self._parts.dialect.refusal(
+            refusal, context.ask.request_id
+        )
+        self._finish(refusal.code, refusal.status)
+        context.responder.answer(refusal.status, headers, body)
+
+    def _cancel_send(self) -> None:
+        if self._connecting is not None:
+            self._connecting.cancel()
+            self._connecting = None
+        if self._connection is not None:
+            self._connection.cancel()
+
+    def _leave_target(self) -> None:
+        """Forgets the present attempt."""
+        if self._target is not None:
+            self._parts.directory.note_end(
+                self._target.target_id, self.context.subject
+            )
+        self._target = None
+        self._connection = None
+
+    def _finish(self, outcome: str, status: int, reason: str = "") -> None:
+        """Ends the request's own bookkeeping, once."""
+        if self._ended:
+            return
+        self._ended = True
+        target = self._target.target_id if self._target else ""
+        self._leave_target()
+        for timer in (self._timer, self._again):
+            if timer is not None:
+                timer.cancel()
+        self._parts.room.remove(self._subject, self)
+        context = self.context
+        logger.info(
+            "request ended",
+            extra={
+                "request": context.ask.request_id,
+                "route": context.route.name,
+                "account": context.account_name,
+                "model": context.subject,
+                "outcome": outcome,
+                "status": status,
+                "reason": reason,
+                "target": target,
+                "sends": self.sends,
+                "events": self._events,
+                "configuration": context.configuration.version,
+                "waited_ms": _since(context.request, self.first_sent_ms),
+                "first_ms": _since(context.request, self.first_answer_ms),
+                "took_ms": self._parts.now_ms() - context.request.began_ms,
+            },
+        )
+        self._parts.done(self, outcome)
+
+
+def _since(request, at_ms: int | None) -> int | None:
+    return None if at_ms is None else at_ms - request.began_ms
--- /dev/null
+++ b/tanagerloft/gateway/instance.py
@@ -0,0 +1,336 @@
+"""An instance on one event loop: its parts, its start and its stop."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import logging
+import random
+import signal
+
+from tanagerloft.config import settings as settings_lib
+from tanagerloft.coordination import configuration as configuration_lib
+from tanagerloft.coordination import fleet_link
+from tanagerloft.coordination import holder as holder_lib
+from tanagerloft.coordination import lease_keeper
+from tanagerloft.coordination import messages
+from tanagerloft.coordination import target_list
+from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import retry_budget
+from tanagerloft.fleet import types
+from tanagerloft.gateway import deployment as deployment_lib
+from tanagerloft.gateway import exchange as exchange_lib
+from tanagerloft.gateway import gateway as gateway_lib
+from tanagerloft.gateway import metrics as metrics_lib
+from tanagerloft.gateway import steps as steps_lib
+from tanagerloft.gateway import waiting as waiting_lib
+from tanagerloft.net import caller_connection
+from tanagerloft.net import datagrams
+from tanagerloft.net import plain_pages
+from tanagerloft.net import target_connection
+from tanagerloft.util import clock as clock_lib
+from tanagerloft.util import ids
+
+logger = logging.getLogger(__name__)
+
+_BACKLOG = 1_024
+# Taken off the time within which a withdrawn key must stop working, for the
+# way of a request and for a store that answers from a second ago.
+_KEY_MARGIN_MS = 1_000
+# From SIGTERM to closing idle connections: the platform asks for readiness
+# once a second and needs two answers to send new connections elsewhere.
+_LAME_DUCK_MS = 2_500
+# Left of the grace at the end, for the last bytes.
+_STOP_MARGIN_MS = 500
+_STOP_POLL_MS = 50
+_JITTER_MS = 300
+
+
+class Instance:
+    """A running instance.
+
+    Args:
+        settings: Settings of the process.
+        build: Builds the drivers of the deployment.
+        clock: Clock of the process.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        build: deployment_lib.Build,
+        clock: clock_lib.Clock,
+    ):
+        self._settings = settings
+        self._clock = clock
+        self._name = settings.get("instance", "id")
+        self._pool = target_connection.Pool(clock.now_ms)
+        store = settings.get("store", "address")
+        self._deployment = build(
+            self._pool, (store.host, store.port), self._name
+        )
+        self._connections: set[caller_connection.CallerConnection] = set()
+        self._tasks: list[asyncio.Task] = []
+        self._stopping = False
+        self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._room = waiting_lib.WaitingRoom()
+        self._metrics = metrics_lib.GatewayMetrics()
+        self._datagrams = datagrams.Datagrams(self._receive)
+        self._build_coordination()
+        self._build_gateway()
+
+    def _build_coordination(self) -> None:
+        settings, deployment = self._settings, self._deployment
+        now_ms = self._clock.now_ms
+        self._directory = targets_lib.TargetDirectory(
+            deployment.decode_entry,
+            now_ms,
+            settings.get("instance", "data_centre"),
+        )
+        self._targets = target_list.TargetList(
+            deployment.store,
+            deployment.targets_table,
+            self._directory,
+            self._room.pump,
+        )
+        withdraw_ms = settings.get("keys", "withdraw_ms")
+        self._configuration = configuration_lib.ConfigurationKeeper(
+            deployment.store,
+            deployment.configuration_table,
+            deployment.configuration_key,
+            deployment.decode_configuration,
+            now_ms,
+            self._configure,
+            withdraw_ms - _KEY_MARGIN_MS,
+        )
+        incarnation = ids.short_id()
+        self._lease = order_lease.OrderLease(
+            self._name,
+            incarnation,
+            str(settings.get("listen", "peers")),
+            settings.get("orders", "lease_valid_ms"),
+            settings.get("orders", "turn_ms"),
+        )
+        self._link = fleet_link.FleetLink(
+            self._name,
+            incarnation,
+            self._lease,
+            self._directory,
+            self._datagrams.send,
+            now_ms,
+            lambda: self._room.summary(now_ms()),
+            self._room.pump,
+        )
+        self._holder = holder_lib.Holder(
+            self._lease,
+            self._directory,
+            deployment.send_order,
+            deployment.fetch_report,
+            now_ms,
+            self._name,
+        )
+        self._link.loopback = self._hear_itself
+        digest = hashlib.sha256(self._name.encode()).digest()
+        self._lease_keeper = lease_keeper.LeaseKeeper(
+            deployment.store,
+            self._lease,
+            now_ms,
+            lambda: self._link.heard_ms,
+            digest[0] * _JITTER_MS // 256,
+        )
+
+    def _build_gateway(self) -> None:
+        now_ms = self._clock.now_ms
+        parts = exchange_lib.Parts(
+            dialect=self._deployment.dialect,
+            directory=self._directory,
+            pool=self._pool,
+            room=self._room,
+            take_repeat=self._take_repeat,
+            note_first=self._note_first,
+            keys_are_current=self._keys_are_current,
+            report_soon=self._link.report_soon,
+            now_ms=now_ms,
+            done=lambda _exchange, _outcome: None,
+        )
+        steps = [
+            steps_lib.make_identify(random.SystemRandom()),
+            steps_lib.make_authenticate(self._keys_are_current),
+        ]
+        self._gateway = gateway_lib.Gateway(
+            self._deployment.dialect,
+            self._configuration,
+            self._link,
+            steps,
+            parts,
+            now_ms,
+            self._metrics,
+        )
+        gauge = self._metrics.gauge
+        gauge("open_requests", "Open requests.", self._count_open)
+        gauge("waiting", "Requests waiting for a model.", self._room.count)
+        gauge("holds_lease", "Whether it gives orders.", self._holds_lease)
+        gauge("configuration_version", "Version in force.", self._version)
+        gauge("key_proof_age_ms", "Age of the proof of keys.", self._proof_ms)
+        gauge("targets", "Known targets.", lambda: len(self._directory.entries))
+
+    def _count_open(self) -> int:
+        return self._gateway.open_count
+
+    def _holds_lease(self) -> int:
+        return int(self._lease.may_order(self._clock.now_ms()))
+
+    def _version(self) -> int:
+        current = self._configuration.current
+        return current.version if current else 0
+
+    def _proof_ms(self) -> int:
+        return self._clock.now_ms() - self._configuration.proved_ms
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then stops gracefully."""
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._listen()
+        for work in (
+            self._configuration.follow(),
+            self._targets.follow(),
+            self._lease_keeper.follow(),
+            self._link.follow(),
+            self._holder.follow(),
+        ):
+            task = loop.create_task(work)
+            task.add_done_callback(_report_end)
+            self._tasks.append(task)
+        logger.info(
+            "started",
+            extra={
+                "data_centre": self._settings.get("instance", "data_centre"),
+                "callers": str(self._settings.get("listen", "callers")),
+            },
+        )
+        await stop.wait()
+        await self._stop()
+
+    async def _listen(self) -> None:
+        peers = self._settings.get("listen", "peers")
+        await self._datagrams.open(peers.host, peers.port)
+        pages = plain_pages.Pages(
+            {
+                self._deployment.ready_path: self._ready_page,
+                self._deployment.metrics_path: self._metrics_page,
+            },
+            self._clock.now_ms,
+        )
+        await self._serve("callers", self._gateway, self._connections)
+        ready = self._settings.get("listen", "ready")
+        others: set[caller_connection.CallerConnection] = set()
+        await self._serve("ready", pages, others)
+        if self._settings.get("listen", "metrics") != ready:
+            await self._serve("metrics", pages, others)
+
+    async def _serve(
+        self,
+        key: str,
+        handler: caller_connection.Handler,
+        connections: set[caller_connection.CallerConnection],
+    ) -> None:
+        address = self._settings.get("listen", key)
+        await asyncio.get_running_loop().create_server(
+            lambda: caller_connection.CallerConnection(handler, connections),
+            address.host,
+            address.port,
+            backlog=_BACKLOG,
+        )
+
+    async def _stop(self) -> None:
+        """Stops without cutting an answer."""
+        grace_ms = self._settings.get("stop", "grace_ms")
+        ends_ms = self._clock.now_ms() + grace_ms - _STOP_MARGIN_MS
+        logger.info("stopping", extra={"open": self._gateway.open_count})
+        self._stopping = True
+        self._gateway.stop()
+        release = asyncio.create_task(self._lease_keeper.release())
+        await asyncio.sleep(_LAME_DUCK_MS / 1_000)
+        self._link.report(leaving=True)
+        while self._clock.now_ms() < ends_ms:
+            for connection in list(self._connections):
+                connection.close_if_idle()
+            if not self._connections and release.done():
+                break
+            await asyncio.sleep(_STOP_POLL_MS / 1_000)
+        for task in self._tasks:
+            task.remove_done_callback(_report_end)
+            task.cancel()
+        self._datagrams.close()
+        logger.info("stopped", extra={"cut": self._gateway.open_count})
+
+    def _reload(self) -> None:
+        """Answers SIGHUP: all that may change comes from the store."""
+        logger.info("reload asked for; addresses change at a restart only")
+
+    def _configure(self, configuration: types.Configuration) -> None:
+        self._link.configure(configuration)
+        self._holder.configure(configuration)
+
+    def _keys_are_current(self) -> bool:
+        return self._configuration.keys_are_current(self._clock.now_ms())
+
+    def _receive(self, data: bytes, address: tuple[str, int]) -> None:
+        message = messages.decode(data)
+        if isinstance(message, messages.Report):
+            view = self._holder.on_report(message)
+            if view is not None:
+                self._datagrams.send(messages.encode(view), address)
+        elif isinstance(message, messages.View):
+            self._link.on_view(message)
+        else:
+            logger.warning("datagram refused", extra={"peer": address[0]})
+
+    def _hear_itself(self, report: messages.Report) -> None:
+        view = self._holder.on_report(report)
+        if view is not None:
+            self._link.on_view(view)
+
+    def _budget(self, service: str) -> retry_budget.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            get = self._settings.get
+            budget = retry_budget.RetryBudget(
+                get("retries", "ratio_percent") / 100,
+                get("retries", "slack"),
+                get("retries", "window_ms"),
+                self._clock.now_ms(),
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _take_repeat(self, service: str) -> bool:
+        now_ms = self._clock.now_ms()
+        return self._budget(service).take(self._link.instances, now_ms)
+
+    def _note_first(self, service: str) -> None:
+        self._budget(service).note_first(self._clock.now_ms())
+
+    def _ready_page(self) -> plain_pages.Page:
+        if self._stopping:
+            return plain_pages.Page(503, b"stopping\n")
+        if self._configuration.current is None or not self._targets.known:
+            return plain_pages.Page(503, b"not configured\n")
+        return plain_pages.Page(200, b"ready\n")
+
+    def _metrics_page(self) -> plain_pages.Page:
+        return plain_pages.Page(200, self._metrics.text())
+
+
+def _report_end(task: asyncio.Task) -> None:
+    """Ends the process when a part that must run has ended by an error."""
+    if task.cancelled():
+        return
+    error = task.exception()
+    logger.critical("a part has ended", exc_info=error)
+    raise SystemExit(1)
--- /dev/null
+++ b/tanagerloft/gateway/metrics.py
@@ -0,0 +1,95 @@
+"""Prometheus metrics of the gateway."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import prometheus_client
+from prometheus_client import exposition
+
+if TYPE_CHECKING:
+    from tanagerloft.gateway import exchange as exchange_lib
+
+_PREFIX = "tanagerloft_"
+_LABELS = ("route", "account")
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32)
+_MS_PER_S = 1_000
+# Label values beyond this number are counted together.
+_MAX_LABEL_VALUES = 200
+_OTHER = "other"
+
+
+class GatewayMetrics:
+    """Counters and histograms by route and client account."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self._known: set[str] = set()
+        self._requests = prometheus_client.Counter(
+            _PREFIX + "requests",
+            "Requests by outcome.",
+            (*_LABELS, "outcome"),
+            registry=self.registry,
+        )
+        self._refusals = prometheus_client.Counter(
+            _PREFIX + "refusals",
+            "Requests refused before a target was chosen.",
+            ("reason",),
+            registry=self.registry,
+        )
+        self._wait = self._histogram("wait_seconds", "Arrival to first send.")
+        self._first = self._histogram(
+            "first_event_seconds", "Arrival to first part of the answer."
+        )
+        self._whole = self._histogram("whole_seconds", "Arrival to the end.")
+
+    def gauge(self, name: str, doc: str, read: Callable[[], float]) -> None:
+        """Adds a gauge that is read when metrics are."""
+        gauge = prometheus_client.Gauge(
+            _PREFIX + name, doc, registry=self.registry
+        )
+        gauge.set_function(read)
+
+    def count_refusal(self, reason: str) -> None:
+        """Counts a request refused before a target was chosen."""
+        self._refusals.labels(reason).inc()
+
+    def observe(
+        self, exchange: exchange_lib.Exchange, outcome: str, now_ms: int
+    ) -> None:
+        """Counts a request that has ended."""
+        context = exchange.context
+        labels = (
+            self._bounded(context.route.name),
+            self._bounded(context.account_name or ""),
+        )
+        self._requests.labels(*labels, outcome).inc()
+        began_ms = context.request.began_ms
+        for histogram, at_ms in (
+            (self._wait, exchange.first_sent_ms),
+            (self._first, exchange.first_answer_ms),
+            (self._whole, now_ms),
+        ):
+            if at_ms is not None:
+                seconds = (at_ms - began_ms) / _MS_PER_S
+                histogram.labels(*labels).observe(seconds)
+
+    def text(self) -> bytes:
+        """Returns all metrics in the exposition format."""
+        return exposition.generate_latest(self.registry)
+
+    def _histogram(self, name: str, doc: str) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            _PREFIX + name,
+            doc,
+            _LABELS,
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+
+    def _bounded(self, value: str) -> str:
+        if value in self._known or len(self._known) < _MAX_LABEL_VALUES:
+            self._known.add(value)
+            return value
+        return _OTHER
--- /dev/null
+++ b/tanagerloft/gateway/steps.py
@@ -0,0 +1,76 @@
+"""Steps that a request passes before it goes to a target."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+from tanagerloft.fleet import types
+from tanagerloft.gateway import context as context_lib
+from tanagerloft.gateway import errors
+
+Step = Callable[[context_lib.RequestContext], errors.Refusal | None]
+
+# Time taken off what the caller waits, for the way of the last answer.
+_WAY_BACK_MS = 10
+
+
+def make_identify(choose: random.Random) -> Step:
+    """Returns the step that finds the route, the service and the deadline.
+
+    Args:
+        choose: Source of the choice among the services of a split route.
+    """
+
+    def identify(
+        context: context_lib.RequestContext,
+    ) -> errors.Refusal | None:
+        ask, configuration = context.ask, context.configuration
+        route = configuration.find_route(ask.host, ask.path)
+        if route is None:
+            return errors.UNKNOWN_ROUTE
+        context.route = route
+        context.service = _pick(route, choose)
+        wait_ms = route.timeout_ms
+        began_ms = context.request.began_ms
+        if ask.wait_ms is not None:
+            context.caller_ends_ms = began_ms + ask.wait_ms
+            wait_ms = min(wait_ms, ask.wait_ms - _WAY_BACK_MS)
+        context.ends_ms = began_ms + wait_ms
+        return None
+
+    return identify
+
+
+def make_authenticate(keys_are_current: Callable[[], bool]) -> Step:
+    """Returns the step that finds the client account from the key.
+
+    Args:
+        keys_are_current: Whether the keys known here can still be accepted.
+    """
+
+    def authenticate(
+        context: context_lib.RequestContext,
+    ) -> errors.Refusal | None:
+        if context.route.open:
+            return None
+        if not keys_are_current():
+            return errors.KEYS_UNCONFIRMED
+        if context.ask.key is None:
+            return errors.KEY_MISSING
+        account = context.configuration.account_by_key.get(context.ask.key)
+        if account is None:
+            return errors.KEY_UNKNOWN
+        context.account = account
+        tokens = context.ask.tokens
+        context.cost_tokens = account.plain_tokens if tokens is None else tokens
+        return None
+
+    return authenticate
+
+
+def _pick(route: types.Route, choose: random.Random) -> str:
+    if len(route.splits) == 1:
+        return route.splits[0].service
+    weights = [split.weight for split in route.splits]
+    return choose.choices(route.splits, weights)[0].service
--- /dev/null
+++ b/tanagerloft/net/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of an instance: callers, targets, the store, other instances."""
--- /dev/null
+++ b/tanagerloft/net/http_client.py
@@ -0,0 +1,105 @@
+"""Whole HTTP exchanges of the control path: the store, orders, reports."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from tanagerloft.net import target_connection
+
+
+class Answer(NamedTuple):
+    """A whole answer.
+
+    Attributes:
+        head: Status and headers.
+        body: Body.
+    """
+
+    head: target_connection.Head
+    body: bytes
+
+
+class NoAnswer(NamedTuple):
+    """An exchange that gave no whole answer.
+
+    Attributes:
+        sent: Whether the request may have been performed.
+        reason: Text for logs.
+    """
+
+    sent: bool
+    reason: str
+
+
+class _Collector:
+    """Receiver that keeps a whole answer."""
+
+    def __init__(self):
+        self.done: asyncio.Future[Answer | NoAnswer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._head: target_connection.Head | None = None
+        self._body: list[bytes] = []
+
+    def on_head(self, head: target_connection.Head) -> None:
+        self._head = head
+
+    def on_body(self, data: bytes) -> None:
+        self._body.append(data)
+
+    def on_end(self) -> None:
+        if not self.done.done() and self._head is not None:
+            self.done.set_result(Answer(self._head, b"".join(self._body)))
+
+    def on_loss(self, loss: target_connection.Loss) -> None:
+        if not self.done.done():
+            self.done.set_result(NoAnswer(True, loss.value))
+
+
+async def exchange(
+    pool: target_connection.Pool,
+    address: tuple[str, int],
+    data: bytes,
+    timeout_ms: int,
+) -> Answer | NoAnswer:
+    """Sends a request and waits for its whole answer.
+
+    A connection whose exchange failed is closed, so that one that has gone
+    silent is not used twice.
+    """
+    connection = pool.take_idle(address)
+    if connection is None:
+        opened = await pool.connect(address, min(timeout_ms, 1_000))
+        if isinstance(opened, target_connection.Loss):
+            return NoAnswer(False, opened.value)
+        connection = opened
+    collector = _Collector()
+    connection.send(data, collector)
+    try:
+        async with asyncio.timeout(timeout_ms / 1_000):
+            return await collector.done
+    except TimeoutError:
+        connection.cancel()
+        return NoAnswer(True, "timeout")
+    except asyncio.CancelledError:
+        connection.cancel()
+        raise
+
+
+def encode_request(
+    method: str,
+    path: str,
+    host: str,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes | None,
+) -> bytes:
+    """Returns the bytes of a request."""
+    lines = [
+        f"{method} {path} HTTP/1.1".encode("latin-1"),
+        b"Host: " + host.encode("latin-1"),
+    ]
+    lines += [name + b": " + value for name, value in headers]
+    if body is not None:
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
--- /dev/null
+++ b/tanagerloft/net/plain_pages.py
@@ -0,0 +1,63 @@
+"""Small pages for the platform and for operators: readiness, metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from tanagerloft.fleet import types
+from tanagerloft.net import caller_connection
+
+_TEXT = [(b"Content-Type", b"text/plain; charset=utf-8")]
+
+
+class Page(NamedTuple):
+    """Answer to a request for a page.
+
+    Attributes:
+        status: Status code.
+        body: Body.
+    """
+
+    status: int
+    body: bytes
+
+
+class Pages:
+    """Handler that serves pages by path; a ``net`` handler."""
+
+    def __init__(
+        self,
+        pages: dict[bytes, Callable[[], Page]],
+        now_ms: Callable[[], int],
+    ):
+        self._pages = pages
+        self._now_ms = now_ms
+
+    def handle(
+        self,
+        request: caller_connection.Request,
+        responder: caller_connection.Responder,
+    ) -> None:
+        """Answers a request."""
+        make = self._pages.get(request.target.partition(b"?")[0])
+        page = make() if make is not None else Page(404, b"not found\n")
+        responder.answer(page.status, _TEXT, page.body)
+
+    def refuse_unread(
+        self, responder: caller_connection.Responder, status: int
+    ) -> None:
+        """Answers a request that could not be read."""
+        responder.answer(status, _TEXT, b"refused\n")
+
+    def limits(self) -> types.CallerLimits:
+        """Returns the bounds in force."""
+        return types.CallerLimits()
+
+    def now_ms(self) -> int:
+        """Returns the reading of the clock."""
+        return self._now_ms()
+
+    def closing(self) -> bool:
+        """Returns whether connections are to end with their answer."""
+        return False
--- /dev/null
+++ b/tanagerloft/net/target_connection.py
@@ -0,0 +1,313 @@
+"""Connections to targets and to the store, and a pool of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import enum
+import socket
+from typing import NamedTuple
+from typing import Protocol
+
+import httptools
+
+# Bound on setting up a connection; callers allow one second for theirs.
+CONNECT_TIMEOUT_MS = 1_000
+# Bytes that nobody acknowledges end a connection after this time.
+_USER_TIMEOUT_MS = 3_000
+# A peer that answers no probe is taken as gone after idle + count * interval.
+_KEEPALIVE_IDLE_S = 1
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_COUNT = 3
+# Idle time after which a connection is not used again, unless the target has
+# announced a longer one.
+_DEFAULT_IDLE_MS = 1_000
+# Share of the announced idle time that is used; the rest covers the transfer.
+_IDLE_SHARE = 0.5
+_WRITE_HIGH_BYTES = 65_536
+
+
+class Head(NamedTuple):
+    """Status and headers of an answer.
+
+    Attributes:
+        status: Status code.
+        headers: Names in lower case and values, in order.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the first header called ``name`` (lower case)."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class Loss(enum.Enum):
+    """How an exchange ended without a whole answer."""
+
+    NOT_CONNECTED = "not_connected"
+    CLOSED = "closed"
+    RESET = "reset"
+    MALFORMED = "malformed"
+
+
+class Receiver(Protocol):
+    """Who waits for the answer on a connection."""
+
+    def on_head(self, head: Head) -> None:
+        """The head of an answer has arrived."""
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of its body has arrived."""
+
+    def on_end(self) -> None:
+        """The answer is whole."""
+
+    def on_loss(self, loss: Loss) -> None:
+        """The connection ended before the answer was whole."""
+
+
+class TargetConnection(asyncio.Protocol):
+    """One connection; carries one exchange at a time."""
+
+    def __init__(self, pool: Pool, address: tuple[str, int]):
+        self._pool = pool
+        self.address = address
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport
+        self._receiver: Receiver | None = None
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._reading = False
+        self._framed = False
+        self._unsent = False
+        self._reusable = True
+        self._closed = False
+        self._idle_ms = _DEFAULT_IDLE_MS
+        self.idle_since_ms = 0
+        self.exchanges = 0
+        self.counted_closed = False
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+        transport.set_write_buffer_limits(_WRITE_HIGH_BYTES, 0)
+        _set_keepalive(transport.get_extra_info("socket"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._closed = True
+        self._pool.forget(self)
+        receiver, self._receiver = self._receiver, None
+        if receiver is None:
+            return
+        if exc is None and self._reading and not self._framed:
+            receiver.on_end()
+        elif exc is None:
+            receiver.on_loss(Loss.CLOSED)
+        else:
+            receiver.on_loss(Loss.RESET)
+
+    def pause_writing(self) -> None:
+        self._unsent = True
+
+    def resume_writing(self) -> None:
+        self._unsent = False
+
+    def data_received(self, data: bytes) -> None:
+        if self._receiver is None:
+            # Bytes after the answer belong to no request.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail(Loss.MALFORMED)
+
+    def on_message_begin(self) -> None:
+        self._headers = []
+        if self._receiver is None:
+            self._reusable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if self._receiver is None or status < 200:
+            return
+        head = Head(status, tuple(self._headers))
+        self._reading = True
+        self._framed = (
+            head.get(b"content-length") is not None
+            or head.get(b"transfer-encoding") is not None
+            or status in (204, 304)
+        )
+        self._note_reuse(head)
+        self._receiver.on_head(head)
+
+    def on_body(self, body: bytes) -> None:
+        if self._receiver is not None and self._reading:
+            self._receiver.on_body(body)
+
+    def on_message_complete(self) -> None:
+        if not self._reading:
+            return
+        self._reading = False
+        if not self._parser.should_keep_alive() or self._unsent:
+            self._reusable = False
+        receiver, self._receiver = self._receiver, None
+        if receiver is not None:
+            receiver.on_end()
+        # ``on_end`` may have asked to read on, see ``skip_answer``.
+        if self._receiver is None:
+            asyncio.get_running_loop().call_soon(self._release)
+
+    def send(self, data: bytes, receiver: Receiver) -> None:
+        """Starts an exchange."""
+        self._receiver = receiver
+        self.exchanges += 1
+        self._transport.write(data)
+
+    def skip_answer(self, receiver: Receiver) -> None:
+        """Waits for the next answer: the last one belonged to another."""
+        self._receiver = receiver
+        self._reusable = False
+
+    def set_reading(self, reading: bool) -> None:
+        """Pauses or resumes reading, while the caller reads slowly."""
+        if self._closed:
+            return
+        if reading:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    def cancel(self) -> None:
+        """Ends the exchange by closing; the target stops its work."""
+        self._receiver = None
+        self.close()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if not self._closed:
+            self._closed = True
+            self._pool.forget(self)
+            self._transport.abort()
+
+    def usable(self, now_ms: int, max_idle_ms: int | None) -> bool:
+        """Returns whether a new exchange may use it."""
+        bound_ms = self._idle_ms
+        if max_idle_ms is not None:
+            bound_ms = min(bound_ms, max_idle_ms)
+        return not self._closed and now_ms - self.idle_since_ms <= bound_ms
+
+    def _release(self) -> None:
+        if self._closed:
+            return
+        if self._reusable and self._receiver is None:
+            self.set_reading(True)
+            self._pool.put_back(self)
+        elif self._receiver is None:
+            self.close()
+
+    def _fail(self, loss: Loss) -> None:
+        receiver, self._receiver = self._receiver, None
+        self.close()
+        if receiver is not None:
+            receiver.on_loss(loss)
+
+    def _note_reuse(self, head: Head) -> None:
+        if (head.get(b"connection") or b"").lower() == b"close":
+            self._reusable = False
+        hint = head.get(b"keep-alive") or b""
+        for part in hint.split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                self._idle_ms = int(int(value) * 1_000 * _IDLE_SHARE)
+
+
+class Pool:
+    """Connections by address, idle ones kept for reuse.
+
+    Args:
+        now_ms: Clock.
+    """
+
+    def __init__(self, now_ms: Callable[[], int]):
+        self._now_ms = now_ms
+        self._idle: dict[tuple[str, int], list[TargetConnection]] = {}
+        self._open: dict[tuple[str, int], int] = {}
+        self.opened = 0
+
+    def open_count(self, address: tuple[str, int]) -> int:
+        """Returns how many connections to ``address`` are open."""
+        return self._open.get(address, 0)
+
+    def take_idle(
+        self, address: tuple[str, int], max_idle_ms: int | None = None
+    ) -> TargetConnection | None:
+        """Returns an idle connection, the last used first."""
+        idle = self._idle.get(address)
+        now_ms = self._now_ms()
+        while idle:
+            connection = idle.pop()
+            if connection.usable(now_ms, None):
+                if connection.usable(now_ms, max_idle_ms):
+                    return connection
+                idle.append(connection)
+                return None
+            connection.close()
+        return None
+
+    async def connect(
+        self, address: tuple[str, int], timeout_ms: int = CONNECT_TIMEOUT_MS
+    ) -> TargetConnection | Loss:
+        """Opens a connection."""
+        loop = asyncio.get_running_loop()
+        self._open[address] = self._open.get(address, 0) + 1
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                _, connection = await loop.create_connection(
+                    lambda: TargetConnection(self, address), *address
+                )
+        except (OSError, TimeoutError):
+            self._count_closed(address)
+            return Loss.NOT_CONNECTED
+        except asyncio.CancelledError:
+            self._count_closed(address)
+            raise
+        self.opened += 1
+        return connection
+
+    def put_back(self, connection: TargetConnection) -> None:
+        """Keeps a connection for later exchanges."""
+        connection.idle_since_ms = self._now_ms()
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, connection: TargetConnection) -> None:
+        """Told by a connection that it has closed; may be told twice."""
+        idle = self._idle.get(connection.address, [])
+        if connection in idle:
+            idle.remove(connection)
+        if not connection.counted_closed:
+            connection.counted_closed = True
+            self._count_closed(connection.address)
+
+    def _count_closed(self, address: tuple[str, int]) -> None:
+        left = self._open.get(address, 1) - 1
+        if left > 0:
+            self._open[address] = left
+        else:
+            self._open.pop(address, None)
+
+
+def _set_keepalive(sock: socket.socket) -> None:
+    """Makes a silent peer show: it would leave no trace otherwise."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_COUNT)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
--- a/tanagerloft/platform/__init__.py
+++ b/tanagerloft/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's transactional table and instance list."""
+"""Adapter to the users' platform: names and forms on the wire, nothing else."""
--- /dev/null
+++ b/tanagerloft/platform/deployment.py
@@ -0,0 +1,38 @@
+"""Puts the parts of the adapter together."""
+
+from tanagerloft import registry as registry_lib
+from tanagerloft.gateway import deployment
+from tanagerloft.net import target_connection
+from tanagerloft.platform import configuration
+from tanagerloft.platform import entries
+from tanagerloft.platform import orders
+from tanagerloft.platform import requests
+from tanagerloft.platform import store
+from tanagerloft.platform import wire
+
+
+def setup(registry: registry_lib.Registry) -> None:
+    """Declares the deployment."""
+    registry.add("deployment", "users", build)
+
+
+def build(
+    pool: target_connection.Pool,
+    store_address: tuple[str, int],
+    instance: str,
+) -> deployment.Deployment:
+    """Builds the drivers of the users' platform."""
+    calls = orders.Orders(pool, instance)
+    return deployment.Deployment(
+        dialect=requests.PlatformDialect(),
+        store=store.Store(pool, store_address),
+        configuration_table=wire.OPERATOR_TABLE,
+        configuration_key=wire.CONFIGURATION_KEY,
+        targets_table=wire.TARGETS_TABLE,
+        decode_configuration=configuration.decode,
+        decode_entry=entries.decode_entry,
+        send_order=calls.send,
+        fetch_report=calls.report,
+        ready_path=wire.READY_PATH,
+        metrics_path=wire.METRICS_PATH,
+    )
--- /dev/null
+++ b/tanagerloft/platform/entries.py
@@ -0,0 +1,97 @@
+"""Decodes the list of targets and the reports of engines."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from tanagerloft.coordination import errors
+from tanagerloft.fleet import types
+
+_STATES = ("ready", "draining")
+
+
+def decode_entry(
+    target_id: str, value: bytes
+) -> types.TargetEntry | errors.MalformedEntry:
+    """Decodes a target's entry; any writer may have written it."""
+    try:
+        return _decode_entry(target_id, orjson.loads(value))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return errors.MalformedEntry(target_id, repr(error))
+
+
+def _decode_entry(target_id: str, body: dict[str, Any]) -> types.TargetEntry:
+    state = _text(body["state"])
+    if state not in _STATES:
+        raise ValueError(f"unknown state {state!r}")
+    host, _, port = _text(body["address"]).rpartition(":")
+    copies = body.get("at_hand") or {}
+    remaining_ms = body.get("remaining_ms")
+    return types.TargetEntry(
+        target_id=target_id,
+        service=_text(body["service"]),
+        host=host,
+        port=int(port),
+        data_centre=str(body.get("zone") or ""),
+        leaving=state != "ready",
+        leaves_in_ms=None if remaining_ms is None else int(remaining_ms),
+        born_ms=int(body.get("born") or 0),
+        models=decode_models(body.get("models") or ()),
+        order_sequence=int(body.get("sequence") or 0),
+        in_memory=frozenset(copies.get("in_memory") or ()),
+        on_disk=frozenset(copies.get("on_disk") or ()),
+        weights_mb=float(body.get("weights_mb") or 0),
+        adapter_slots=int(body.get("adapter_slots") or 0),
+    )
+
+
+def decode_report(body: bytes) -> types.TargetReport | errors.MalformedEntry:
+    """Decodes an engine's report."""
+    try:
+        return _decode_report(orjson.loads(body))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return errors.MalformedEntry("report", repr(error))
+
+
+def _decode_report(body: dict[str, Any]) -> types.TargetReport:
+    copies = body.get("at_hand") or {}
+    return types.TargetReport(
+        models=decode_models(body["models"]),
+        arriving=frozenset(
+            _decode_arriving(name) for name in body.get("coming") or ()
+        ),
+        busy=bool(body["busy"]),
+        order_sequence=int(body["sequence"]),
+        waiting=int(body.get("waiting") or 0),
+        running=int(body.get("running") or 0),
+        in_memory=frozenset(copies.get("in_memory") or ()),
+        on_disk=frozenset(copies.get("on_disk") or ()),
+    )
+
+
+def decode_models(items: Any) -> dict[str, frozenset[str]]:
+    """Decodes the loaded models and the adapters loaded for each."""
+    return {
+        _text(item["name"]): frozenset(
+            _adapter_name(adapter) for adapter in item.get("adapters") or ()
+        )
+        for item in items
+    }
+
+
+def _adapter_name(item: Any) -> str:
+    name = item["name"] if isinstance(item, dict) else _text(item)
+    return str(name).rpartition("/")[2].partition("@")[0]
+
+
+def _decode_arriving(item: Any) -> tuple[str, str]:
+    model, _, adapter = _text(item).partition("/")
+    return model, adapter.partition("@")[0]
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"expected a text, got {value!r}")
+    return value
--- /dev/null
+++ b/tanagerloft/platform/orders.py
@@ -0,0 +1,95 @@
+"""Sends orders to engines and asks them for reports."""
+
+from __future__ import annotations
+
+import orjson
+
+from tanagerloft.coordination import errors
+from tanagerloft.coordination import holder as holder_lib
+from tanagerloft.decisions import model_plan
+from tanagerloft.fleet import types
+from tanagerloft.net import http_client
+from tanagerloft.net import target_connection
+from tanagerloft.platform import entries
+from tanagerloft.platform import wire
+
+_ORDER_TIMEOUT_MS = 800
+_REPORT_TIMEOUT_MS = 500
+_RESULTS = {
+    200: holder_lib.OrderResult.HOLDS,
+    202: holder_lib.OrderResult.ACCEPTED,
+}
+
+
+class Orders:
+    """Calls to engines.
+
+    Args:
+        pool: Connections.
+        holder: Name under which this instance orders.
+    """
+
+    def __init__(self, pool: target_connection.Pool, holder: str):
+        self._pool = pool
+        self._holder = holder
+
+    async def send(
+        self,
+        entry: types.TargetEntry,
+        order: model_plan.Order,
+        token: int,
+        sequence: int,
+    ) -> holder_lib.OrderResult:
+        """Sends an order; it holds for this life of the engine only."""
+        payload = {
+            "operation": order.verb.value,
+            "model": order.model,
+            "holder": self._holder,
+            "fencing_token": token,
+            # The number of orders that the engine must have accepted: an
+            # order that is carried out late does nothing then.
+            "expected": sequence,
+        }
+        if order.adapter:
+            payload["adapter"] = order.adapter
+        headers = [
+            (b"Content-Type", b"application/json"),
+            (b"Expect-Instance", entry.target_id.encode("latin-1")),
+        ]
+        request = http_client.encode_request(
+            "POST",
+            wire.ORDER_PATH,
+            f"{entry.host}:{entry.port}",
+            headers,
+            orjson.dumps(payload),
+        )
+        answer = await http_client.exchange(
+            self._pool, (entry.host, entry.port), request, _ORDER_TIMEOUT_MS
+        )
+        if isinstance(answer, http_client.NoAnswer):
+            if answer.sent:
+                return holder_lib.OrderResult.UNKNOWN
+            return holder_lib.OrderResult.REFUSED
+        status = answer.head.status
+        return _RESULTS.get(status, holder_lib.OrderResult.REFUSED)
+
+    async def report(
+        self, entry: types.TargetEntry
+    ) -> types.TargetReport | errors.MalformedEntry:
+        """Asks an engine for its state."""
+        request = http_client.encode_request(
+            "GET",
+            wire.REPORT_PATH,
+            f"{entry.host}:{entry.port}",
+            [(b"Expect-Instance", entry.target_id.encode("latin-1"))],
+            None,
+        )
+        answer = await http_client.exchange(
+            self._pool, (entry.host, entry.port), request, _REPORT_TIMEOUT_MS
+        )
+        if isinstance(answer, http_client.NoAnswer):
+            return errors.MalformedEntry(entry.target_id, answer.reason)
+        if answer.head.status != 200:
+            reason = f"status {answer.head.status}"
+            return errors.MalformedEntry(entry.target_id, reason)
+        return entries.decode_report(answer.body)
--- /dev/null
+++ b/tanagerloft/platform/requests.py
@@ -0,0 +1,186 @@
+"""Translates requests of callers, requests to targets, and their answers."""
+
+from __future__ import annotations
+
+import re
+
+import orjson
+
+from tanagerloft.gateway import dialect
+from tanagerloft.gateway import errors
+from tanagerloft.net import caller_connection
+from tanagerloft.net import target_connection
+from tanagerloft.platform import wire
+
+_BEARER = b"bearer "
+# Headers of which a second one would leave open which is meant.
+_SINGLE = frozenset(
+    (
+        b"host",
+        wire.REQUEST_ID,
+        wire.DEADLINE_MS,
+        wire.MODEL,
+        wire.TOKENS,
+        wire.LAST_EVENT_ID,
+        wire.AUTHORIZATION,
+    )
+)
+_DROPPED = (
+    wire.RESERVED
+    | wire.HOP_BY_HOP
+    | {wire.AUTHORIZATION, wire.DEADLINE_MS, wire.LAST_EVENT_ID}
+)
+_NUMBER = re.compile(rb"[0-9]{1,15}")
+_REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
+_STREAM_TYPE = b"text/event-stream"
+_REFUSAL_TYPE = (b"Content-Type", b"application/json")
+_MIN_RETRY_MS = 50
+_MISDIRECTED = 421
+_PROMISES = frozenset((408, 421, 429, 503))
+
+
+class PlatformDialect:
+    """The platform's protocol; a ``gateway.dialect.Dialect``."""
+
+    def decode(
+        self, request: caller_connection.Request
+    ) -> dialect.Ask | errors.Refusal:
+        """Returns what a request asks for."""
+        single: dict[bytes, bytes] = {}
+        passed = []
+        dropped = _DROPPED | _named_by_connection(request.headers)
+        for name, value in request.headers:
+            lower = name.lower()
+            if lower in _SINGLE:
+                if lower in single:
+                    return errors.MALFORMED
+                single[lower] = value.strip()
+            if lower not in dropped:
+                passed.append((name, value))
+        return _decode(request, single, tuple(passed))
+
+    def encode(
+        self,
+        request: caller_connection.Request,
+        ask: dialect.Ask,
+        send: dialect.Send,
+    ) -> bytes:
+        """Returns the bytes of a request to a target."""
+        lines = [b"%b %b HTTP/1.1" % (request.method.encode(), request.target)]
+        lines += [name + b": " + value for name, value in ask.headers]
+        if send.left_ms is not None:
+            lines.append(b"Deadline-Ms: %d" % send.left_ms)
+        target_id = send.target.target_id.encode("latin-1", "replace")
+        lines.append(b"Expect-Instance: " + target_id)
+        if send.account is not None:
+            lines.append(b"Tenant: " + send.account.encode("latin-1"))
+        if send.last_event_id is not None:
+            lines.append(b"Last-Event-Id: %d" % send.last_event_id)
+        if request.body or request.method not in ("GET", "HEAD"):
+            lines.append(b"Content-Length: %d" % len(request.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+    def mark(
+        self, ask: dialect.Ask, head: target_connection.Head
+    ) -> dialect.Mark:
+        """Returns what the head of an answer says."""
+        echoed = head.get(wire.REQUEST_ID)
+        ours = echoed is None or echoed.decode("latin-1") == ask.request_id
+        not_run = (
+            head.get(wire.NOT_RUN) is not None or head.status == _MISDIRECTED
+        )
+        sealed = head.get(wire.SEAL) is not None
+        content_type = head.get(b"content-type") or b""
+        return dialect.Mark(
+            ours=ours,
+            not_run=not_run,
+            genuine=sealed and echoed is not None,
+            lacks=head.status == _MISDIRECTED,
+            stream=content_type.lower().startswith(_STREAM_TYPE),
+            headers=[
+                (name, value)
+                for name, value in head.headers
+                if name not in wire.HOP_BY_HOP
+            ],
+        )
+
+    def refusal(
+        self, refusal: errors.Refusal, request_id: str
+    ) -> tuple[list[tuple[bytes, bytes]], bytes]:
+        """Returns headers and body of a refusal."""
+        headers = [_REFUSAL_TYPE]
+        if request_id:
+            headers.append((b"Attempt-Id", request_id.encode("latin-1")))
+        if refusal.retry_after_ms:
+            retry_ms = max(_MIN_RETRY_MS, refusal.retry_after_ms)
+            headers.append((b"Retry-After", b"%.3f" % (retry_ms / 1_000)))
+        body = {"error": refusal.code, "detail": refusal.detail}
+        return headers, orjson.dumps(body)
+
+
+def _named_by_connection(
+    headers: tuple[tuple[bytes, bytes], ...],
+) -> frozenset[bytes]:
+    """Returns the headers that ``Connection`` names: they end here."""
+    names = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            names |= {part.strip().lower() for part in value.split(b",")}
+    return frozenset(names - {b"", b"host", wire.REQUEST_ID})
+
+
+def _decode(
+    request: caller_connection.Request,
+    single: dict[bytes, bytes],
+    passed: tuple[tuple[bytes, bytes], ...],
+) -> dialect.Ask | errors.Refusal:
+    request_id = single.get(wire.REQUEST_ID, b"")
+    host = single.get(b"host", b"")
+    wait = single.get(wire.DEADLINE_MS)
+    last_event = single.get(wire.LAST_EVENT_ID)
+    tokens = _decode_tokens(single.get(wire.TOKENS))
+    numbers_are_sound = all(
+        value is None or _NUMBER.fullmatch(value)
+        for value in (wait, last_event)
+    )
+    if (
+        not _REQUEST_ID.fullmatch(request_id)
+        or not host
+        or not request.target.startswith(b"/")
+        or not numbers_are_sound
+        or isinstance(tokens, errors.Refusal)
+    ):
+        return errors.MALFORMED
+    model, _, adapter = single.get(wire.MODEL, b"").partition(b"/")
+    return dialect.Ask(
+        request_id=request_id.decode("latin-1"),
+        host=_without_port(host.decode("latin-1").lower()),
+        path=request.target.partition(b"?")[0].decode("latin-1"),
+        key=_decode_key(single.get(wire.AUTHORIZATION)),
+        wait_ms=int(wait) if wait is not None else None,
+        model=model.decode("latin-1"),
+        adapter=adapter.decode("latin-1"),
+        tokens=tokens,
+        last_event_id=int(last_event) if last_event is not None else None,
+        headers=passed,
+    )
+
+
+def _decode_tokens(value: bytes | None) -> int | errors.Refusal | None:
+    if value is None:
+        return None
+    parts = [part.strip() for part in value.split(b",")]
+    if len(parts) != 2 or not all(map(_NUMBER.fullmatch, parts)):
+        return errors.MALFORMED
+    return int(parts[0]) + int(parts[1])
+
+
+def _decode_key(value: bytes | None) -> str | None:
+    if value is None or not value.lower().startswith(_BEARER):
+        return None
+    return value[len(_BEARER) :].strip().decode("latin-1")
+
+
+def _without_port(host: str) -> str:
+    name, colon, port = host.rpartition(":")
+    return name if colon and port.isdigit() else host
--- /dev/null
+++ b/tanagerloft/platform/store.py
@@ -0,0 +1,159 @@
+"""Client of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Any
+from urllib import parse
+
+import orjson
+
+from tanagerloft.coordination import errors
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.net import http_client
+from tanagerloft.net import target_connection
+
+_JSON = [(b"Content-Type", b"application/json")]
+# Answers take 4 ms; a call that takes this long is on a dead connection or
+# meets a store in trouble, and is made again on a new one.
+_CALL_TIMEOUT_MS = 1_000
+_PAGE_ROWS = 500
+
+
+class Store:
+    """The platform's store; a ``coordination.store.Store``."""
+
+    def __init__(self, pool: target_connection.Pool, address: tuple[str, int]):
+        self._pool = pool
+        self._address = address
+        self._host = f"{address[0]}:{address[1]}"
+        self.calls = 0
+
+    async def read(
+        self, table: str, key: str
+    ) -> store_lib.Row | errors.StoreError:
+        """Returns a row."""
+        after_key = key + "\0"
+        query = {"table": table, "part": "", "from": key, "to": after_key}
+        body = await self._get("/tanagerloft/rows-get", query)
+        if isinstance(body, errors.StoreError):
+            return body
+        rows = _decode_rows(body)
+        if isinstance(rows, errors.StoreError):
+            return rows
+        return rows[0] if rows else store_lib.Row(key, None, 0)
+
+    async def scan(self, table: str) -> store_lib.Snapshot | errors.StoreError:
+        """Returns all rows of a table, as of the first page's version."""
+        found: list[store_lib.Row] = []
+        version = 0
+        query: dict[str, Any] = {
+            "table": table,
+            "part": "",
+            "limit": _PAGE_ROWS,
+        }
+        while True:
+            body = await self._get("/tanagerloft/rows-get", query)
+            if isinstance(body, errors.StoreError):
+                return body
+            rows = _decode_rows(body)
+            if isinstance(rows, errors.StoreError):
+                return rows
+            found += rows
+            version = version or _version_of(body)
+            if not body.get("has_more") or not rows:
+                return store_lib.Snapshot(tuple(found), version)
+            query["from"] = rows[-1].key + "\0"
+
+    async def changes(
+        self, table: str, after_version: int, wait_ms: int
+    ) -> store_lib.Snapshot | errors.StoreError:
+        """Returns the rows changed since a version."""
+        query = {"table": table, "after": after_version, "wait_ms": wait_ms}
+        body = await self._get("/tanagerloft/rows-feed", query, wait_ms)
+        if isinstance(body, errors.StoreError):
+            return body
+        rows = _decode_rows(body)
+        if isinstance(rows, errors.StoreError):
+            return rows
+        return store_lib.Snapshot(tuple(rows), _version_of(body))
+
+    async def write(
+        self, table: str, key: str, value: bytes, expected_version: int
+    ) -> int | errors.StoreError:
+        """Writes a row if it still has a version; returns the new one."""
+        place = {"table": table, "part": "", "key": key}
+        transaction = {
+            "expected": [{**place, "ver": expected_version}],
+            "puts": [{**place, "value": base64.b64encode(value).decode()}],
+            "remove": [],
+        }
+        body = await self._call(
+            "POST", "/tanagerloft/rows-tx", orjson.dumps(transaction), 0
+        )
+        if isinstance(body, errors.StoreError):
+            return body
+        return _version_of(body)
+
+    async def _get(
+        self, path: str, query: dict[str, Any], wait_ms: int = 0
+    ) -> dict | errors.StoreError:
+        target = f"{path}?{parse.urlencode(query)}"
+        return await self._call("GET", target, None, wait_ms)
+
+    async def _call(
+        self, method: str, target: str, payload: bytes | None, wait_ms: int
+    ) -> dict | errors.StoreError:
+        self.calls += 1
+        headers = _JSON if payload is not None else []
+        request = http_client.encode_request(
+            method, target, self._host, headers, payload
+        )
+        answer = await http_client.exchange(
+            self._pool, self._address, request, wait_ms + _CALL_TIMEOUT_MS
+        )
+        if isinstance(answer, http_client.NoAnswer):
+            failure = errors.StoreFailure.NOT_DONE
+            if answer.sent:
+                failure = errors.StoreFailure.UNKNOWN
+            return errors.StoreError(failure, answer.reason)
+        return _judge(answer)
+
+
+def _judge(answer: http_client.Answer) -> dict | errors.StoreError:
+    status = answer.head.status
+    failures = {
+        410: errors.StoreFailure.HISTORY_LOST,
+        412: errors.StoreFailure.CONFLICT,
+    }
+    if status != 200:
+        failure = failures.get(status, errors.StoreFailure.NOT_DONE)
+        return errors.StoreError(failure, f"status {status}")
+    try:
+        body = orjson.loads(answer.body)
+    except orjson.JSONDecodeError:
+        body = None
+    if not isinstance(body, dict):
+        return errors.StoreError(errors.StoreFailure.UNKNOWN, "not JSON")
+    return body
+
+
+def _decode_rows(body: dict) -> list[store_lib.Row] | errors.StoreError:
+    try:
+        return [_decode_row(row) for row in body["rows"]]
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        reason = f"malformed rows: {error!r}"
+        return errors.StoreError(errors.StoreFailure.UNKNOWN, reason)
+
+
+def _decode_row(row: dict) -> store_lib.Row:
+    value = None
+    if not row.get("tombstone"):
+        value = base64.b64decode(row["value"], validate=True)
+    return store_lib.Row(str(row["key"]), value, int(row["ver"]))
+
+
+def _version_of(body: dict) -> int:
+    version = body.get("ver")
+    return version if isinstance(version, int) else 0
--- /dev/null
+++ b/tanagerloft/platform/wire.py
@@ -0,0 +1,63 @@
+"""Names on the platform's wire."""
+
+# Request headers of callers, in lower case.
+REQUEST_ID = b"attempt-id"
+DEADLINE_MS = b"deadline-ms"
+MODEL = b"model"
+TOKENS = b"token-counts"
+PROMPT_PARTS = b"prompt-prefix"
+LAST_EVENT_ID = b"last-event-id"
+AUTHORIZATION = b"authorization"
+
+# Headers that the instance sets for the target.
+ACCOUNT = b"tenant"
+EXPECTED_TARGET = b"expect-instance"
+PRIORITY = b"request-priority"
+
+# Headers that only the instance may set; a caller's own are dropped.
+RESERVED = frozenset(
+    (
+        ACCOUNT,
+        EXPECTED_TARGET,
+        PRIORITY,
+        b"expect-version",
+        b"hold",
+        b"pin-ms",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    )
+)
+
+# Headers of answers.
+SEAL = b"response-seal"
+NOT_RUN = b"not-executed"
+TARGET_ID = b"instance-id"
+RETRY_AFTER = b"retry-after"
+
+# Headers that concern one connection only.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+
+READY_PATH = b"/tanagerloft/ready"
+METRICS_PATH = b"/metrics"
+ORDER_PATH = "/tanagerloft/order"
+REPORT_PATH = "/tanagerloft/report"
+
+# Tables of the store that the platform writes.
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+TARGETS_TABLE = "servers"
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -8,10 +8,10 @@
 from tanagerloft import registry as registry_lib
 from tanagerloft.config import settings as settings_lib
 from tanagerloft.controllers import runner as runner_lib
-from tanagerloft.platform import dynamo_table
 from tanagerloft.server import application as application_lib
 from tanagerloft.server import http_server
 from tanagerloft.server import services as services_lib
+from tanagerloft.tables import dynamo_table
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import http
 
--- a/tanagerloft/server/services.py
+++ b/tanagerloft/server/services.py
@@ -13,8 +13,8 @@
 from tanagerloft.controllers import membership as membership_lib
 from tanagerloft.controllers import placement as placement_lib
 from tanagerloft.peers import bus as bus_lib
-from tanagerloft.platform import instances as instances_lib
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import instances as instances_lib
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import http
 from tanagerloft.util import ids
--- a/tanagerloft/standins/platform.py
+++ b/tanagerloft/standins/platform.py
@@ -15,11 +15,11 @@
 from werkzeug import wrappers
 
 from tanagerloft import registry as registry_lib
-from tanagerloft.platform import dynamo_codec
-from tanagerloft.platform import errors
-from tanagerloft.platform import instances
-from tanagerloft.platform import memory
 from tanagerloft.standins import faults as faults_lib
+from tanagerloft.tables import dynamo_codec
+from tanagerloft.tables import errors
+from tanagerloft.tables import instances
+from tanagerloft.tables import memory
 
 _FAULTS = ("down", "slow_ms", "lost_answers", "lost_writes", "cut")
 _INSTANCES_PATH = "/instances"
--- /dev/null
+++ b/tanagerloft/tables/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's transactional table and instance list."""
--- a/tanagerloft/platform/dynamo_codec.py
+++ b/tanagerloft/tables/dynamo_codec.py
@@ -8,7 +8,7 @@
 import json
 from typing import Any
 
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import table as table_lib
 
 TARGET_PREFIX = "DynamoDB_20120810."
 CONTENT_TYPE = "application/x-amz-json-1.0"
--- a/tanagerloft/platform/dynamo_table.py
+++ b/tanagerloft/tables/dynamo_table.py
@@ -3,9 +3,9 @@
 import json
 from typing import Any
 
-from tanagerloft.platform import dynamo_codec
-from tanagerloft.platform import errors
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import dynamo_codec
+from tanagerloft.tables import errors
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import http
 
 _SERVER_ERROR = 500
--- a/tanagerloft/platform/instances.py
+++ b/tanagerloft/tables/instances.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from tanagerloft.platform import errors
+from tanagerloft.tables import errors
 from tanagerloft.util import http
 
 LIVE = "live"
--- a/tanagerloft/platform/memory.py
+++ b/tanagerloft/tables/memory.py
@@ -2,8 +2,8 @@
 
 import threading
 
-from tanagerloft.platform import errors
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import errors
+from tanagerloft.tables import table as table_lib
 
 
 class MemoryTable:
--- a/tanagerloft/platform/rows.py
+++ b/tanagerloft/tables/rows.py
@@ -1,6 +1,6 @@
 """Names of the rows that instances keep in the platform's table."""
 
-from tanagerloft.platform import table as table_lib
+from tanagerloft.tables import table as table_lib
 
 CONFIGURATION = "configuration"
 INSTANCE = "instance"
--- a/tanagerloft/platform/table.py
+++ b/tanagerloft/tables/table.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from tanagerloft.platform import errors
+from tanagerloft.tables import errors
 
 _RESOLVE_ATTEMPTS = 3
 
--- a/tests/cmd/test_main.py
+++ b/tests/cmd/test_main.py
@@ -8,11 +8,11 @@
 
 from tanagerloft.cmd import main
 from tanagerloft.config import inventory as inventory_lib
-from tanagerloft.platform import rows
-from tanagerloft.platform import table as table_lib
 from tanagerloft.server import http_server
 from tanagerloft.standins import platform
 from tanagerloft.standins import trial
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
 from tanagerloft.util import ids
 
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -12,7 +12,7 @@
 
 from tanagerloft.config import inventory as inventory_lib
 from tanagerloft.config import store
-from tanagerloft.platform import dynamo_table
+from tanagerloft.tables import dynamo_table
 from tanagerloft.util import http
 from tanagerloft.util import ids
 
