--- a/tanagerloft/cmd/main.py
+++ b/tanagerloft/cmd/main.py
@@ -8,17 +8,17 @@
 
 # Modules are imported by the command that needs them: an instance's memory
 # has no room for the libraries of all.
-_COMMANDS = (
-    "bench",
-    "config",
-    "gateway",
-    "inventory",
-    "keys",
-    "serve",
-    "standin",
-    "status",
-    "trial",
-)
+_COMMANDS = {
+    "bench": "bench",
+    "config": "config",
+    "gateway": "gateway",
+    "inventory": "inventory",
+    "keys": "keys",
+    "serve": "serve",
+    "stand-in": "standin",
+    "status": "status",
+    "trial": "trial",
+}
 
 
 class _LazyGroup(click.Group):
@@ -34,8 +34,9 @@
         """Returns a command by its name."""
         if cmd_name not in _COMMANDS:
             return super().get_command(ctx, cmd_name)
-        module = importlib.import_module(f"tanagerloft.cmd.{cmd_name}")
-        return getattr(module, cmd_name)
+        name = _COMMANDS[cmd_name]
+        module = importlib.import_module(f"tanagerloft.cmd.{name}")
+        return getattr(module, name)
 
 
 @click.group(
--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -132,7 +132,9 @@
             for account in self._accounts.values():
                 if now_ms - self.heard_ms > _SILENCE_MS:
                     account.on_silence(now_ms)
-            delay_ms = _REPEAT_MS if urgent else _REPORT_MS
+            delay_ms = _REPORT_MS
+            if urgent or self._waited():
+                delay_ms = _REPEAT_MS
             await asyncio.sleep(delay_ms / 1_000)
 
     def report(self, leaving: bool = False) -> None:
@@ -175,6 +177,7 @@
         self.instances = max(1, view.instances)
         self.later_ms = view.later_ms
         changed = self._directory.on_view(view.in_flight, view.models)
+        changed |= bool(view.later_ms)
         for name, grant in view.grants.items():
             account = self._accounts.get(name)
             if account is not None:
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import enum
 import logging
 from typing import NamedTuple
@@ -19,13 +20,18 @@
 
 logger = logging.getLogger(__name__)
 
-_PLAN_MS = 50
+# Time between plans when nobody waits, and the least time between two.
+_PLAN_MS = 100
+_PLAN_PAUSE_MS = 15
 # An instance that has not reported for this long counts no more.
 _REPORT_MAX_AGE_MS = 2_000
 # An order without an answer may still be carried out for this long.
 _ORDER_DOUBT_MS = 12_000
 _RECENT_HALF_LIFE_MS = 4_000
 _RECENT_STEP_MS = 500
+# Recent requests that a model counts for which the platform has placed on two
+# engines or more, before there are any.
+_PLACED_TWICE_REQUESTS = 8.0
 _REPORT_POLL_MS = 300
 # Reports lag behind by this much; one asked for earlier says nothing about
 # an order.
@@ -42,6 +48,12 @@
 # An order is taken as failed if the engine does not show it this long after
 # the load should have been done.
 _ORDER_GRACE_MS = 3_000
+# Time by which orders take longer than they should.
+_ORDER_MARGIN_MS = 30
+# Time in which a model that has been loaded gets its first request.
+_FIRST_USE_MS = 500
+# An engine that refused an order is tried again after this time.
+_REFUSED_MS = 40
 
 
 class OrderResult(enum.Enum):
@@ -53,8 +65,20 @@
     UNKNOWN = "unknown"
 
 
+class OrderAnswer(NamedTuple):
+    """Answer of an engine to an order.
+
+    Attributes:
+        result: What it means.
+        detail: Text for logs.
+    """
+
+    result: OrderResult
+    detail: str
+
+
 SendOrder = Callable[
-    [types.TargetEntry, model_plan.Order, int, int], Awaitable[OrderResult]
+    [types.TargetEntry, model_plan.Order, int, int], Awaitable[OrderAnswer]
 ]
 FetchReport = Callable[
     [types.TargetEntry],
@@ -89,14 +113,19 @@
     def __init__(self, entry: types.TargetEntry):
         self.born_ms = entry.born_ms
         self.models = dict(entry.models)
+        self.listed_models = entry.models
         self.in_memory = entry.in_memory
         self.on_disk = entry.on_disk
-        self.sequence = entry.order_sequence
+        self.sequence = 0
         self.pending: _Pending | None = None
         self.adapters_pending: dict[tuple[str, str], int] = {}
+        self.last_order_ms = 0
+        self.turn = asyncio.Lock()
+        self.refused_ms = 0
         self.report_due_ms = 0
         self.polling = False
         self.stale = True
+        self.verify = False
 
 
 class Holder:
@@ -136,7 +165,10 @@
         self._last_used_ms: dict[str, int] = {}
         self._recent: dict[str, float] = {}
         self._recent_ms = 0
+        self._placed: set[str] = set()
         self._store_loads: list[int] = []
+        self._later_ms: dict[str, int] = {}
+        self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
 
     def configure(self, configuration: types.Configuration) -> None:
@@ -164,18 +196,26 @@
         if report.leaving:
             del self._heard[report.instance]
         self._note_use(report, now_ms)
+        if report.waited:
+            self._wake.set()
         return self._view(report, now_ms)
 
     async def follow(self) -> None:
         """Plans for as long as the process runs."""
         while True:
-            await asyncio.sleep(_PLAN_MS / 1_000)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_PLAN_MS / 1_000):
+                    await self._wake.wait()
+            await asyncio.sleep(_PLAN_PAUSE_MS / 1_000)
+            self._wake.clear()
             now_ms = self._now_ms()
             if self._configuration is None or not self._lease.leads(now_ms):
                 self._engines.clear()
                 continue
             self._refresh(now_ms)
             self._poll_reports(now_ms)
+            self._expect_done(now_ms)
+            self._later_ms = {}
             if self._lease.may_order(now_ms):
                 for service, plan in self._plans.items():
                     self._plan(service, plan, now_ms)
@@ -195,7 +235,7 @@
             grants=grants,
             in_flight=self._others_in_flight(report.instance, now_ms),
             models=self._told_models(),
-            later_ms={},
+            later_ms=self._later_ms,
         )
 
     def _current_ledger(self, now_ms: int) -> token_grants.GrantLedger:
@@ -248,6 +288,8 @@
                 self._last_used_ms[subject] = now_ms
                 self._recent[model] = self._recent.get(model, 0.0) + more
         self._used_seen[report.instance] = dict(report.used)
+        if not self._last_used_ms:
+            self._recent_ms = now_ms
         if now_ms - self._recent_ms >= _RECENT_STEP_MS:
             elapsed_ms = now_ms - self._recent_ms
             factor = 0.5 ** (elapsed_ms / _RECENT_HALF_LIFE_MS)
@@ -266,16 +308,28 @@
             state = self._engines.get(target_id)
             if state is None or state.born_ms != entry.born_ms:
                 self._engines[target_id] = _EngineState(entry)
+                self._note_placed(entry)
                 continue
-            if entry.order_sequence > state.sequence:
+            if entry.models != state.listed_models:
+                state.listed_models = entry.models
                 state.stale = True
 
+    def _note_placed(self, entry: types.TargetEntry) -> None:
+        """Takes a model that was placed twice before any use as a busy one."""
+        for model in entry.models:
+            if model in self._placed and model not in self._last_used_ms:
+                self._recent[model] = _PLACED_TWICE_REQUESTS
+            self._placed.add(model)
+
     def _poll_reports(self, now_ms: int) -> None:
         for target_id, state in self._engines.items():
             entry = self._directory.entries.get(target_id)
             pending = state.pending
             due = pending is not None and now_ms >= pending.due_ms
-            wanted = due or state.stale or bool(state.adapters_pending)
+            wanted = due or state.stale or state.verify
+            wanted |= bool(state.adapters_pending)
+            if now_ms < state.last_order_ms + _REPORT_LAG_MS:
+                wanted = False
             if entry is None or state.polling or not wanted:
                 continue
             if now_ms >= state.report_due_ms:
@@ -306,36 +360,74 @@
         report: types.TargetReport,
         asked_ms: int,
     ) -> None:
-        known_ms = asked_ms - _REPORT_LAG_MS
         state.sequence = max(state.sequence, report.order_sequence)
+        known_ms = asked_ms - _REPORT_LAG_MS
+        if known_ms < state.last_order_ms:
+            # It may tell of the time before the order.
+            return
         state.in_memory = report.in_memory
         state.on_disk = report.on_disk
-        state.stale = False
+        state.stale = state.verify = False
+        if report.busy and state.pending is None:
+            # An order that should be done is not: what it loads takes memory.
+            state.models = {**state.models, **report.models}
+            state.verify = True
+            state.refused_ms = self._now_ms() + _REPORT_LAG_MS
+        else:
+            state.models = dict(report.models)
+        for key, given_ms in list(state.adapters_pending.items()):
+            if known_ms > given_ms:
+                del state.adapters_pending[key]
         pending = state.pending
-        if pending is not None and not report.busy:
-            done = _shows(report, pending.order)
-            overdue = known_ms > pending.due_ms + _ORDER_GRACE_MS
-            if not pending.sure:
-                overdue = known_ms > pending.given_ms + _ORDER_DOUBT_MS
-            if done or overdue:
-                state.pending = None
-                logger.info(
-                    "order ended",
-                    extra={
-                        "target": entry.target_id,
-                        "verb": pending.order.verb.value,
-                        "model": pending.order.model,
-                        "done": done,
-                        "took_ms": asked_ms - pending.given_ms,
-                    },
-                )
-        models = dict(report.models)
-        for (model, adapter), given_ms in list(state.adapters_pending.items()):
-            if adapter in models.get(model, ()) or known_ms > given_ms + 1_000:
-                del state.adapters_pending[model, adapter]
-            elif model in models and known_ms <= given_ms:
-                models[model] = models[model] | {adapter}
-        state.models = models
+        if pending is None:
+            return
+        done = _shows(report, pending.order) and not report.busy
+        doubt_ms = _ORDER_GRACE_MS if pending.sure else _ORDER_DOUBT_MS
+        overdue = not report.busy and known_ms > pending.due_ms + doubt_ms
+        if done or overdue:
+            self._end_order(entry.target_id, state, pending, done, asked_ms)
+
+    def _end_order(
+        self,
+        target_id: str,
+        state: _EngineState,
+        pending: _Pending,
+        done: bool,
+        now_ms: int,
+    ) -> None:
+        state.pending = None
+        logger.info(
+            "order ended",
+            extra={
+                "target": target_id,
+                "verb": pending.order.verb.value,
+                "model": pending.order.model,
+                "done": done,
+                "took_ms": now_ms - pending.given_ms,
+            },
+        )
+
+    def _expect_done(self, now_ms: int) -> None:
+        """Counts accepted orders as done when they should be.
+
+        Reports lag behind. A request that comes too early is told by the
+        engine that it has not run.
+        """
+        for target_id, state in self._engines.items():
+            pending = state.pending
+            if pending is None or not pending.sure:
+                continue
+            if now_ms < pending.due_ms + _ORDER_MARGIN_MS:
+                continue
+            order = pending.order
+            if order.verb is model_plan.Verb.LOAD:
+                state.models[order.model] = frozenset()
+                state.on_disk |= {order.model}
+                # Requests that wait for it need a moment to reach it.
+                self._last_used_ms[order.model] = now_ms + _FIRST_USE_MS
+            state.last_order_ms = now_ms
+            state.verify = True
+            self._end_order(target_id, state, pending, True, now_ms)
 
     def _plan(
         self, service: str, plan: model_plan.ModelPlan, now_ms: int
@@ -343,7 +435,7 @@
         live = self._live(now_ms)
         running = _sum_in_flight(live)
         engines = [
-            self._engine(entry, self._engines[entry.target_id], running)
+            self._engine(entry, self._engines[entry.target_id], running, now_ms)
             for entry in self._directory.entries.values()
             if entry.service == service
             and entry.target_id in self._engines
@@ -367,14 +459,15 @@
             ),
             at_once=_LOADS_AT_ONCE,
         )
-        orders = plan.plan(
+        planned = plan.plan(
             engines,
             _demands(live, service),
             model_plan.Usage(self._last_used_ms, self._recent, in_flight),
             weight_store,
             now_ms,
         )
-        for order in orders:
+        self._later_ms.update(planned.later_ms)
+        for order in planned.orders:
             self._give(order, now_ms)
 
     def _loads_from_store(self, state: _EngineState) -> bool:
@@ -390,6 +483,7 @@
         entry: types.TargetEntry,
         state: _EngineState,
         running: dict[str, dict[str, int]],
+        now_ms: int,
     ) -> model_plan.Engine:
         loading = ""
         pending = state.pending
@@ -402,13 +496,14 @@
             service=entry.service,
             models=models,
             loading=loading,
-            busy=pending is not None,
+            busy=pending is not None or now_ms < state.refused_ms,
+            busy_ms=max(0, pending.due_ms - now_ms) if pending else 0,
             leaving=entry.leaving,
             in_memory=state.in_memory,
             on_disk=state.on_disk,
             running=running.get(entry.target_id, {}),
-            room_mb=entry.weights_mb or _ROOM_MB,
-            adapter_slots=entry.adapter_slots or _ADAPTER_SLOTS,
+            room_mb=_ROOM_MB,
+            adapter_slots=_ADAPTER_SLOTS,
         )
 
     def _give(self, order: model_plan.Order, now_ms: int) -> None:
@@ -416,17 +511,23 @@
         state = self._engines.get(order.target_id)
         if entry is None or state is None or self._configuration is None:
             return
-        shape = self._configuration.services[entry.service].models[order.model]
+        shapes = self._configuration.services[entry.service].models
+        shape = shapes[order.model]
+        held = dict(state.models)
+        if state.pending is not None:
+            held.setdefault(state.pending.order.model, frozenset())
+        if not model_plan.fits(held, order, shapes, _ROOM_MB, _ADAPTER_SLOTS):
+            return
         if order.adapter:
             key = (order.model, order.adapter)
-            if key in state.adapters_pending:
+            if key in state.adapters_pending or state.pending is not None:
                 return
-            held = state.models.get(order.model, frozenset())
+            adapters = state.models.get(order.model, frozenset())
             if order.verb is model_plan.Verb.LOAD:
                 state.adapters_pending[key] = now_ms
-                state.models[order.model] = held | {order.adapter}
+                state.models[order.model] = adapters | {order.adapter}
             else:
-                state.models[order.model] = held - {order.adapter}
+                state.models[order.model] = adapters - {order.adapter}
         else:
             due_ms = now_ms
             if order.verb is model_plan.Verb.UNLOAD:
@@ -439,6 +540,7 @@
                 due_ms += int(shape.load_ms)
                 self._store_loads.append(now_ms)
             state.pending = _Pending(order, now_ms, due_ms, sure=False)
+        state.last_order_ms = now_ms
         self._start(self._carry_out(entry, state, order))
 
     async def _carry_out(
@@ -446,6 +548,16 @@
         entry: types.TargetEntry,
         state: _EngineState,
         order: model_plan.Order,
+    ) -> None:
+        # One after another: each tells the number of orders before it.
+        async with state.turn:
+            await self._send(entry, state, order)
+
+    async def _send(
+        self,
+        entry: types.TargetEntry,
+        state: _EngineState,
+        order: model_plan.Order,
     ) -> None:
         now_ms = self._now_ms()
         if not self._lease.may_order(now_ms) or self._lease.term is None:
@@ -453,7 +565,7 @@
             state.stale = True
             return
         sequence = state.sequence
-        result = await self._send_order(
+        answer = await self._send_order(
             entry, order, self._lease.term.token, sequence
         )
         logger.info(
@@ -465,10 +577,11 @@
                 "adapter": order.adapter,
                 "token": self._lease.term.token if self._lease.term else 0,
                 "sequence": sequence,
-                "outcome": result.value,
+                "outcome": answer.result.value,
+                "detail": answer.detail,
             },
         )
-        self._take_result(state, order, result)
+        self._take_result(state, order, answer.result)
 
     def _take_result(
         self,
@@ -483,11 +596,15 @@
             if state.pending is not None and state.pending.order == order:
                 state.pending = state.pending._replace(sure=True)
             return
-        state.stale = True
+        state.verify = True
+        state.stale = result is OrderResult.UNKNOWN
         if order.adapter:
             state.adapters_pending.pop((order.model, order.adapter), None)
         elif result is OrderResult.REFUSED:
             state.pending = None
+            state.refused_ms = self._now_ms() + _REFUSED_MS
+            if order.verb is model_plan.Verb.UNLOAD:
+                state.models.setdefault(order.model, frozenset())
 
     def _start(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -515,12 +632,16 @@
             if item.service != service:
                 continue
             key = (item.model, item.adapter)
+            demand = model_plan.Demand(
+                *key,
+                requests=item.requests,
+                aim_left_ms=item.aim_left_ms,
+                patience_left_ms=item.patience_left_ms,
+            )
             known = merged.get(key)
-            requests, oldest_ms = item.requests, item.oldest_ms
             if known is not None:
-                requests += known.requests
-                oldest_ms = max(oldest_ms, known.oldest_ms)
-            merged[key] = model_plan.Demand(*key, requests, oldest_ms)
+                demand = model_plan.merge(known, demand)
+            merged[key] = demand
     return list(merged.values())
 
 
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -25,14 +25,16 @@
         model: Model.
         adapter: Adapter, empty for none.
         requests: Waiting requests.
-        oldest_ms: How long the oldest has waited.
+        aim_left_ms: Longest time left until one of them misses its aim.
+        patience_left_ms: Longest time until the last of their callers leaves.
     """
 
     service: str
     model: str
     adapter: str
     requests: int
-    oldest_ms: int
+    aim_left_ms: int
+    patience_left_ms: int
 
 
 class Report(NamedTuple):
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -14,7 +14,7 @@
 
 # A target that said that it lacks a model is asked again after this time;
 # entries lag behind by up to a poll.
-_LACKS_MS = 400
+_LACKS_MS = 100
 _FAILURE_HALF_LIFE_MS = 3_000
 # Requests that a failure counts for when targets are compared.
 _FAILURE_WEIGHT = 8.0
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -45,13 +45,16 @@
         model: Model.
         adapter: Adapter, empty for none.
         requests: Waiting requests.
-        oldest_ms: How long the oldest has waited.
+        aim_left_ms: Longest time left until one of them misses its aim; less
+            than zero if all have.
+        patience_left_ms: Longest time until the last of their callers leaves.
     """
 
     model: str
     adapter: str
     requests: int
-    oldest_ms: int
+    aim_left_ms: int
+    patience_left_ms: int
 
 
 class Engine(NamedTuple):
@@ -63,6 +66,7 @@
         models: Loaded models with their adapters, those on the way included.
         loading: Model that it loads, empty for none.
         busy: Whether it carries out an order, or one is on its way to it.
+        busy_ms: How long it will still do so.
         leaving: Whether it gets no new work.
         in_memory: Models with a copy in its memory.
         on_disk: Models with a copy on its disk.
@@ -76,6 +80,7 @@
     models: dict[str, frozenset[str]]
     loading: str
     busy: bool
+    busy_ms: int
     leaving: bool
     in_memory: frozenset[str]
     on_disk: frozenset[str]
@@ -83,18 +88,12 @@
     room_mb: float
     adapter_slots: int
 
-    def used_mb(self, models: dict[str, types.Model]) -> float:
-        """Returns the memory that weights and adapters take, at most."""
-        total_mb = 0.0
+    def held(self) -> dict[str, frozenset[str]]:
+        """Returns what takes memory, the model under way included."""
         held = dict(self.models)
         if self.loading:
             held.setdefault(self.loading, frozenset())
-        for name, adapters in held.items():
-            model = models.get(name)
-            if model is not None:
-                total_mb += model.weights_mb
-                total_mb += len(adapters) * model.adapter_mb
-        return total_mb
+        return held
 
 
 class Usage(NamedTuple):
@@ -132,9 +131,27 @@
 _STEADY_REPLICAS = 2
 # Requests in the recent window that make a model one in steady use.
 _STEADY_REQUESTS = 4.0
+# A copy is fetched ahead of demand only in the place of a model with less use.
+_UNUSED_REQUESTS = 0.5
 # An idle model is dropped for a waiting one only after this time without
 # requests, so that two waiting models do not push each other out.
 _MIN_IDLE_MS = 200
+# Time that an unload of an idle model takes, with the way of the order.
+_UNLOAD_MS = 50.0
+# Time that the runs of a model take until it can be dropped.
+_RUN_MS = 2_000.0
+
+
+class Plan(NamedTuple):
+    """Result of a round of planning.
+
+    Attributes:
+        orders: Orders to give now.
+        later_ms: Time until a waited-for model will be there, by model.
+    """
+
+    orders: list[Order]
+    later_ms: dict[str, int]
 
 
 class ModelPlan:
@@ -154,9 +171,12 @@
         usage: Usage,
         weight_store: WeightStore,
         now_ms: int,
-    ) -> list[Order]:
+    ) -> Plan:
         """Returns the orders to give now, at most one model an engine."""
         round_ = _Round(self._models, engines, usage, weight_store, now_ms)
+        round_.wanted = {demand.model for demand in demands} | {
+            f"{demand.model}/{demand.adapter}" for demand in demands
+        }
         model_demands: dict[str, Demand] = {}
         for demand in demands:
             if demand.model not in self._models:
@@ -166,21 +186,61 @@
                     round_.place_adapter(demand.model, demand.adapter)
                 continue
             known = model_demands.get(demand.model, demand._replace(requests=0))
-            model_demands[demand.model] = known._replace(
-                requests=known.requests + demand.requests,
-                oldest_ms=max(known.oldest_ms, demand.oldest_ms),
-            )
-        round_.wanted = set(model_demands)
-        for demand in sorted(model_demands.values(), key=_urgency):
+            model_demands[demand.model] = merge(known, demand)
+        for demand in sorted(model_demands.values(), key=round_.urgency):
             round_.place_model(demand.model)
         for name in self._models:
             round_.add_replica(name)
         round_.fetch_copies()
-        return round_.orders
+        return Plan(round_.orders, round_.later_ms)
+
+
+def merge(one: Demand, other: Demand) -> Demand:
+    """Returns the demand of two instances for the same model."""
+    return one._replace(
+        requests=one.requests + other.requests,
+        aim_left_ms=max(one.aim_left_ms, other.aim_left_ms),
+        patience_left_ms=max(one.patience_left_ms, other.patience_left_ms),
+    )
+
 
+def fits(
+    held: dict[str, frozenset[str]],
+    order: Order,
+    models: dict[str, types.Model],
+    room_mb: float,
+    adapter_slots: int,
+) -> bool:
+    """Returns whether an engine has room for what an order loads.
 
-def _urgency(demand: Demand) -> tuple[int, str]:
-    return (-demand.requests * (1_000 + demand.oldest_ms), demand.model)
+    Args:
+        held: Models and adapters that it holds or may hold.
+        order: The order.
+        models: Models of the service.
+        room_mb: Memory of the engine for weights.
+        adapter_slots: Adapters that it can hold.
+    """
+    if order.verb is Verb.UNLOAD:
+        return True
+    adapters = sum(len(names) for names in held.values())
+    needed_mb = models[order.model].weights_mb
+    if order.adapter:
+        needed_mb = models[order.model].adapter_mb
+        adapters += 1
+    used_mb = held_mb(held, models)
+    return used_mb + needed_mb <= room_mb and adapters <= adapter_slots
+
+
+def held_mb(
+    held: dict[str, frozenset[str]], models: dict[str, types.Model]
+) -> float:
+    """Returns the memory that models and adapters take, at most."""
+    total_mb = 0.0
+    for name, adapters in held.items():
+        model = models.get(name)
+        if model is not None:
+            total_mb += model.weights_mb + len(adapters) * model.adapter_mb
+    return total_mb
 
 
 class _Round:
@@ -201,30 +261,56 @@
         self._store_under_way = weight_store.under_way
         self._store_at_once = weight_store.at_once
         self._now_ms = now_ms
+        self._free_in_ms = {
+            engine.target_id: float(engine.busy_ms) for engine in self._engines
+        }
         self._taken: set[str] = set()
         self.wanted: set[str] = set()
         self.orders: list[Order] = []
+        self.later_ms: dict[str, int] = {}
 
     def holders(self, model: str) -> list[Engine]:
         """Returns the engines that have a model and stay."""
         return [engine for engine in self._engines if model in engine.models]
 
+    def urgency(self, demand: Demand) -> tuple:
+        """Returns the rank of a demand, the first to be served least.
+
+        Those whose aim can still be met come first, by the time left; then
+        those whose callers still wait, by the time left; then the rest.
+        """
+        load_ms = min(
+            (self._load_ms(engine, demand.model) for engine in self._engines),
+            default=0.0,
+        )
+        if demand.aim_left_ms >= load_ms:
+            return (0, demand.aim_left_ms - load_ms, demand.model)
+        if demand.patience_left_ms >= load_ms:
+            return (1, demand.patience_left_ms - load_ms, demand.model)
+        return (2, -demand.requests, demand.model)
+
     def place_model(self, model: str) -> None:
-        """Loads a waited-for model at the engine that has it soonest."""
-        if any(engine.loading == model for engine in self._engines):
-            return
+        """Loads a waited-for model at the engine that has it soonest.
+
+        The engine is kept for it even while it is busy, so that a model that
+        is waited for less does not take the place.
+        """
+        for engine in self._engines:
+            if engine.loading == model:
+                self.later_ms[model] = engine.busy_ms
+                return
         options = [
             (self._ready_in_ms(engine, model), engine.target_id, engine)
             for engine in self._engines
-            if self._can_have(engine, model)
         ]
         if not options:
             return
-        engine = min(options)[2]
-        if engine.busy or engine.target_id in self._taken:
-            self._taken.add(engine.target_id)
-            return
-        self._load(engine, model)
+        ready_ms, target_id, engine = min(options)
+        self.later_ms[model] = int(ready_ms)
+        self._free_in_ms[target_id] = ready_ms
+        if self._free(engine):
+            self._load(engine, model)
+        self._taken.add(target_id)
 
     def add_replica(self, model: str) -> None:
         """Adds a replica of a model that is in steady use or crowded."""
@@ -243,7 +329,7 @@
             for engine in self._engines
             if model not in engine.models
             and self._free(engine)
-            and self._can_have(engine, model)
+            and (self._has_room(engine, model) or self._victim(engine))
         ]
         if options:
             self._load(min(options)[2], model)
@@ -256,33 +342,61 @@
                 continue
             if self._store_under_way >= self._store_at_once:
                 return
-            if self._has_room(engine, missing[0]) or self._victim(engine):
+            victim = self._victim(engine)
+            unused = (
+                victim is not None
+                and self._usage.recent.get(victim, 0.0) < _UNUSED_REQUESTS
+            )
+            if self._has_room(engine, missing[0]) or unused:
                 self._load(engine, missing.pop(0))
 
     def place_adapter(self, model: str, adapter: str) -> None:
         """Loads an adapter where its model has the least to do."""
         holders = self.holders(model)
-        if any(adapter in engine.models[model] for engine in holders):
+        placed = any(adapter in engine.models[model] for engine in holders)
+        if placed or any(
+            order.target_id == engine.target_id
+            for order in self.orders
+            for engine in holders
+        ):
             return
+        # An engine that carries out an order takes no other one.
         engine = min(
             holders,
             key=lambda one: (
+                one.busy_ms,
                 sum(one.running.values()) + _adapters(one),
                 one.target_id,
             ),
         )
+        if engine.busy:
+            return
         order = Order(Verb.LOAD, engine.target_id, model, adapter)
-        if _adapters(engine) < engine.adapter_slots:
-            if self._fits_adapter(engine, model):
-                self.orders.append(order)
+        if fits(
+            engine.held(),
+            order,
+            self._models,
+            engine.room_mb,
+            engine.adapter_slots,
+        ):
+            self.orders.append(order)
             return
-        for other, adapters in sorted(engine.models.items()):
-            for name in sorted(adapters):
-                if not engine.running.get(f"{other}/{name}"):
-                    self.orders.append(
-                        Order(Verb.UNLOAD, engine.target_id, other, name)
-                    )
-                    return
+        victim = self._idle_adapter(engine)
+        if victim is not None:
+            self.orders.append(Order(Verb.UNLOAD, engine.target_id, *victim))
+
+    def _idle_adapter(self, engine: Engine) -> tuple[str, str] | None:
+        """Returns the adapter that has been unused for the longest."""
+        choices = []
+        for model, adapters in engine.models.items():
+            for adapter in adapters:
+                subject = f"{model}/{adapter}"
+                last_ms = self._usage.last_used_ms.get(subject, 0)
+                if engine.running.get(subject) or subject in self.wanted:
+                    continue
+                if self._now_ms - last_ms >= _MIN_IDLE_MS:
+                    choices.append((last_ms, model, adapter))
+        return min(choices)[1:] if choices else None
 
     def _load(self, engine: Engine, model: str) -> None:
         self._taken.add(engine.target_id)
@@ -301,21 +415,10 @@
     def _free(self, engine: Engine) -> bool:
         return not engine.busy and engine.target_id not in self._taken
 
-    def _can_have(self, engine: Engine, model: str) -> bool:
-        return (
-            engine.busy
-            or self._has_room(engine, model)
-            or self._victim(engine) is not None
-        )
-
     def _has_room(self, engine: Engine, model: str) -> bool:
-        used_mb = engine.used_mb(self._models)
+        used_mb = held_mb(engine.held(), self._models)
         return used_mb + self._models[model].weights_mb <= engine.room_mb
 
-    def _fits_adapter(self, engine: Engine, model: str) -> bool:
-        used_mb = engine.used_mb(self._models)
-        return used_mb + self._models[model].adapter_mb <= engine.room_mb
-
     def _copies(self, model: str) -> bool:
         return any(
             model in engine.models
@@ -326,45 +429,39 @@
         )
 
     def _victim(self, engine: Engine) -> str | None:
-        """Returns the model to drop: idle, and unused for the longest."""
+        """Returns the idle model with the least use, None if all are used."""
         choices = []
         for name in engine.models:
             last_ms = self._usage.last_used_ms.get(name, 0)
-            running = _running(engine, name)
-            if name in self.wanted or running:
+            if name in self.wanted or _running(engine, name):
                 continue
             if self._now_ms - last_ms < _MIN_IDLE_MS:
                 continue
-            if self._is_last_of_steady(name):
+            recent = self._usage.recent.get(name, 0.0)
+            steady = recent >= _STEADY_REQUESTS
+            if steady and len(self.holders(name)) <= 1:
                 continue
-            choices.append((last_ms, name))
-        return min(choices)[1] if choices else None
-
-    def _is_last_of_steady(self, name: str) -> bool:
-        recent = self._usage.recent.get(name, 0.0)
-        return recent >= _STEADY_REQUESTS and len(self.holders(name)) <= 1
+            choices.append((steady, last_ms, recent, name))
+        return min(choices)[3] if choices else None
 
-    def _ready_in_ms(self, engine: Engine, model: str) -> float:
-        """Returns a guess of the time until ``engine`` would have it."""
+    def _load_ms(self, engine: Engine, model: str) -> float:
         shape = self._models[model]
         if model in engine.in_memory:
-            time_ms = shape.memory_load_ms
-        elif model in engine.on_disk:
-            time_ms = shape.disk_load_ms
-        else:
-            time_ms = shape.load_ms
-        if engine.busy or engine.target_id in self._taken:
-            time_ms += self._busy_ms(engine)
-        return time_ms + 10.0 * sum(engine.running.values())
-
-    def _busy_ms(self, engine: Engine) -> float:
-        shape = self._models.get(engine.loading)
-        if shape is None:
-            return 0.0
-        if engine.loading in engine.in_memory | engine.on_disk:
+            return shape.memory_load_ms
+        if model in engine.on_disk:
             return shape.disk_load_ms
         return shape.load_ms
 
+    def _ready_in_ms(self, engine: Engine, model: str) -> float:
+        """Returns a guess of the time until ``engine`` would have it."""
+        time_ms = self._load_ms(engine, model)
+        time_ms += self._free_in_ms[engine.target_id]
+        if not self._has_room(engine, model):
+            time_ms += _UNLOAD_MS
+            if self._victim(engine) is None:
+                time_ms += _RUN_MS
+        return time_ms
+
 
 def _running(engine: Engine, model: str) -> int:
     total = engine.running.get(model, 0)
--- a/tanagerloft/fleet/types.py
+++ b/tanagerloft/fleet/types.py
@@ -3,6 +3,12 @@
 import enum
 from typing import NamedTuple
 
+# Callers leave a stream, also before its first event, after the longest of
+# these: a time, so many times the aim, so many times the gap.
+_MIN_PATIENCE_MS = 2_000
+_PATIENCE_AIMS = 4
+_PATIENCE_GAPS = 8
+
 
 class RouteKind(enum.Enum):
     """What may be repeated on a route."""
@@ -35,6 +41,7 @@
         resumable: Whether a stream may go on at another target.
         timeout_ms: Longest time until the final answer.
         aim_ms: Time to the (first part of the) answer that callers expect.
+        gap_ms: Time between events that callers expect, 0 for no stream.
         max_targets: Targets on which one request may run.
         priority: Rank, 0 is the most urgent.
         open: Whether no key is needed.
@@ -48,11 +55,24 @@
     resumable: bool
     timeout_ms: int
     aim_ms: int
+    gap_ms: int
     max_targets: int
     priority: int
     open: bool
     splits: tuple[Split, ...]
 
+    @property
+    def patience_ms(self) -> int:
+        """Time after which callers leave a stream that stands still."""
+        if self.kind is not RouteKind.STREAM:
+            return self.timeout_ms
+        patience_ms = max(
+            _MIN_PATIENCE_MS,
+            _PATIENCE_AIMS * self.aim_ms,
+            _PATIENCE_GAPS * self.gap_ms,
+        )
+        return min(self.timeout_ms, patience_ms)
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
@@ -174,11 +194,8 @@
         leaves_in_ms: Time until it is gone, None if it did not say.
         born_ms: Start of this life, in the target's own time of day.
         models: Loaded models, with the adapters loaded for each.
-        order_sequence: Number of orders that it has accepted.
         in_memory: Models with a copy of the weights in its memory.
         on_disk: Models with a copy of the weights on its disk.
-        weights_mb: Room for weights and adapters, 0 if it did not say.
-        adapter_slots: Adapters that it can hold, 0 if it did not say.
     """
 
     target_id: str
@@ -190,11 +207,8 @@
     leaves_in_ms: int | None
     born_ms: int
     models: dict[str, frozenset[str]]
-    order_sequence: int
     in_memory: frozenset[str]
     on_disk: frozenset[str]
-    weights_mb: float
-    adapter_slots: int
 
 
 class TargetReport(NamedTuple):
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -43,6 +43,7 @@
         note_first: Counts a first send at a service.
         keys_are_current: Whether keys can still be accepted.
         report_soon: Tells the holder soon what is waited for.
+        later_ms: Returns the time until a model will be there, if known.
         now_ms: Clock.
         done: Told when a request has ended.
     """
@@ -55,6 +56,7 @@
     note_first: Callable[[str], None]
     keys_are_current: Callable[[], bool]
     report_soon: Callable[[], None]
+    later_ms: Callable[[str], int | None]
     now_ms: Callable[[], int]
     done: Callable[[Exchange, str], None]
 
@@ -81,6 +83,11 @@
         self._may_have_run: set[str] = set()
         self._waits = False
         self._ended = False
+        began_ms = context.request.began_ms
+        self.aim_ms = began_ms + context.route.aim_ms
+        self.patience_ms = min(
+            context.ends_ms, began_ms + context.route.patience_ms
+        )
         self._timer: asyncio.TimerHandle | None = None
         self._again: asyncio.TimerHandle | None = None
         self.sends = 0
@@ -114,9 +121,7 @@
         target = parts.directory.choose(*self._subject, frozenset(self._tried))
         now_ms = parts.now_ms()
         if target is None:
-            self._waits = True
-            parts.room.add(self._subject, self, now_ms)
-            return False
+            return self._wait(now_ms)
         if self._waits:
             self._waits = False
             parts.room.remove(self._subject, self)
@@ -129,6 +134,18 @@
         self._send(target, now_ms)
         return True
 
+    def _wait(self, now_ms: int) -> bool:
+        """Lets the request wait, or refuses it if that cannot help."""
+        later_ms = self._parts.later_ms(self.context.ask.model)
+        if later_ms is not None and now_ms + later_ms > self.patience_ms:
+            self._refuse(
+                errors.MODEL_NOT_READY._replace(retry_after_ms=later_ms)
+            )
+            return True
+        self._waits = True
+        self._parts.room.add(self._subject, self)
+        return False
+
     def on_head(self, head: target_connection.Head) -> None:
         """Takes in the head of an answer."""
         self._mark = self._parts.dialect.mark(self.context.ask, head)
--- a/tanagerloft/gateway/waiting.py
+++ b/tanagerloft/gateway/waiting.py
@@ -23,7 +23,15 @@
 
 
 class Waiter(Protocol):
-    """A request that waits."""
+    """A request that waits.
+
+    Attributes:
+        aim_ms: When it misses its aim.
+        patience_ms: When its caller leaves.
+    """
+
+    aim_ms: int
+    patience_ms: int
 
     def try_send(self) -> bool:
         """Sends the request if a target can take it now."""
@@ -33,11 +41,11 @@
     """Waiting requests by what they wait for, oldest first."""
 
     def __init__(self):
-        self._waiting: dict[Subject, dict[Waiter, int]] = {}
+        self._waiting: dict[Subject, dict[Waiter, None]] = {}
 
-    def add(self, subject: Subject, waiter: Waiter, now_ms: int) -> None:
+    def add(self, subject: Subject, waiter: Waiter) -> None:
         """Lets a request wait."""
-        self._waiting.setdefault(subject, {}).setdefault(waiter, now_ms)
+        self._waiting.setdefault(subject, {})[waiter] = None
 
     def remove(self, subject: Subject, waiter: Waiter) -> None:
         """Ends a wait."""
@@ -66,7 +74,9 @@
                 model=subject.model,
                 adapter=subject.adapter,
                 requests=len(waiters),
-                oldest_ms=now_ms - min(waiters.values()),
+                aim_left_ms=max(one.aim_ms for one in waiters) - now_ms,
+                patience_left_ms=max(one.patience_ms for one in waiters)
+                - now_ms,
             )
             for subject, waiters in self._waiting.items()
             if subject.model
--- a/tanagerloft/platform/configuration.py
+++ b/tanagerloft/platform/configuration.py
@@ -80,6 +80,7 @@
         # Named after latency as a whole; for streams it ends at the first
         # event.
         aim_ms=int(item.get("target_latency_ms") or item["timeout_ms"]),
+        gap_ms=int(item.get("gap_aim_ms") or 0),
         # Counts targets, not sends.
         max_targets=int(item.get("max_attempts") or 1),
         priority=int(item.get("priority") or 0),
--- a/tanagerloft/platform/entries.py
+++ b/tanagerloft/platform/entries.py
@@ -39,11 +39,8 @@
         leaves_in_ms=None if remaining_ms is None else int(remaining_ms),
         born_ms=int(body.get("born") or 0),
         models=decode_models(body.get("models") or ()),
-        order_sequence=int(body.get("sequence") or 0),
         in_memory=frozenset(copies.get("in_memory") or ()),
         on_disk=frozenset(copies.get("on_disk") or ()),
-        weights_mb=float(body.get("weights_mb") or 0),
-        adapter_slots=int(body.get("adapter_slots") or 0),
     )
 
 
@@ -63,6 +60,7 @@
             _decode_arriving(name) for name in body.get("coming") or ()
         ),
         busy=bool(body["busy"]),
+        # In the list of targets the same name counts heartbeats instead.
         order_sequence=int(body["sequence"]),
         waiting=int(body.get("waiting") or 0),
         running=int(body.get("running") or 0),
--- a/tanagerloft/platform/orders.py
+++ b/tanagerloft/platform/orders.py
@@ -15,6 +15,8 @@
 
 _ORDER_TIMEOUT_MS = 800
 _REPORT_TIMEOUT_MS = 500
+# Bytes of an answer that go to the log.
+_DETAIL_BYTES = 100
 _RESULTS = {
     200: holder_lib.OrderResult.HOLDS,
     202: holder_lib.OrderResult.ACCEPTED,
@@ -39,7 +41,7 @@
         order: model_plan.Order,
         token: int,
         sequence: int,
-    ) -> holder_lib.OrderResult:
+    ) -> holder_lib.OrderAnswer:
         """Sends an order; it holds for this life of the engine only."""
         payload = {
             "operation": order.verb.value,
@@ -67,11 +69,14 @@
             self._pool, (entry.host, entry.port), request, _ORDER_TIMEOUT_MS
         )
         if isinstance(answer, http_client.NoAnswer):
+            result = holder_lib.OrderResult.REFUSED
             if answer.sent:
-                return holder_lib.OrderResult.UNKNOWN
-            return holder_lib.OrderResult.REFUSED
+                result = holder_lib.OrderResult.UNKNOWN
+            return holder_lib.OrderAnswer(result, answer.reason)
         status = answer.head.status
-        return _RESULTS.get(status, holder_lib.OrderResult.REFUSED)
+        result = _RESULTS.get(status, holder_lib.OrderResult.REFUSED)
+        detail = f"{status} {answer.body[:_DETAIL_BYTES].decode('latin-1')}"
+        return holder_lib.OrderAnswer(result, detail)
 
     async def report(
         self, entry: types.TargetEntry
