--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -30,6 +30,8 @@
 # Recent requests that a model counts for which the platform has placed on two
 # engines or more, before there are any.
 _PLACED_TWICE_REQUESTS = 8.0
+# The same for a model with adapters.
+_HAS_ADAPTERS_REQUESTS = 1.0
 _REPORT_POLL_MS = 300
 # Window over which the weight store's rate holds.
 _LOAD_WINDOW_MS = 5_000
@@ -267,8 +269,17 @@
             state.listed_models = entry.models
 
     def _note_placed(self, entry: types.TargetEntry) -> None:
-        """Takes a model that was placed twice before any use as a busy one."""
+        """Guesses the use of models before there is any.
+
+        A model that the platform has placed twice is a busy one. One that has
+        adapters serves several purposes, so it is likely to be asked for.
+        """
+        shapes: dict[str, types.Model] = {}
+        if self._configuration is not None:
+            shapes = self._configuration.services[entry.service].models
         for model in entry.models:
+            if model in shapes and shapes[model].adapter_count:
+                self._recent.setdefault(model, _HAS_ADAPTERS_REQUESTS)
             if model in self._placed and model not in self._last_used_ms:
                 self._recent[model] = _PLACED_TWICE_REQUESTS
             self._placed.add(model)
@@ -311,7 +322,7 @@
                 continue
             again = state.orders.repeat(now_ms)
             if again is not None:
-                self._start(self._carry_out(entry, state, *again))
+                self._start(self._carry_out(entry, state, again))
 
     def _plan(
         self, service: str, plan: model_plan.ModelPlan, now_ms: int
@@ -405,14 +416,13 @@
                 takes_ms = shape.load_ms
                 self._store_loads.append(now_ms)
         orders.give(order, takes_ms, now_ms)
-        self._start(self._carry_out(entry, state, order, None))
+        self._start(self._carry_out(entry, state, order))
 
     async def _carry_out(
         self,
         entry: types.TargetEntry,
         state: _EngineState,
         order: model_plan.Order,
-        expected: int | None,
     ) -> None:
         # One after another: each names the number of orders before it.
         async with state.turn:
@@ -422,7 +432,7 @@
                 state.orders.on_answer(order, result, now_ms)
                 return
             token = self._lease.term.token
-            sequence = state.orders.sequence if expected is None else expected
+            sequence = state.orders.count_before(order)
             answer = await self._send_order(entry, order, token, sequence)
             state.orders.on_answer(order, answer.result, self._now_ms())
         logger.info(
@@ -467,9 +477,8 @@
             key = (item.model, item.adapter)
             demand = model_plan.Demand(
                 *key,
-                requests=item.requests,
-                aim_left_ms=item.aim_left_ms,
-                patience_left_ms=item.patience_left_ms,
+                aims_left_ms=tuple(item.aims_left_ms),
+                patience_left_ms=tuple(item.patience_left_ms),
             )
             known = merged.get(key)
             if known is not None:
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -24,17 +24,15 @@
         service: Service of the model.
         model: Model.
         adapter: Adapter, empty for none.
-        requests: Waiting requests.
-        aim_left_ms: Longest time left until one of them misses its aim.
-        patience_left_ms: Longest time until the last of their callers leaves.
+        aims_left_ms: Time left until each misses its aim.
+        patience_left_ms: Time until the caller of each leaves.
     """
 
     service: str
     model: str
     adapter: str
-    requests: int
-    aim_left_ms: int
-    patience_left_ms: int
+    aims_left_ms: list[int]
+    patience_left_ms: list[int]
 
 
 class Report(NamedTuple):
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -50,6 +50,7 @@
     given_ms: int
     due_ms: int
     phase: _Phase
+    repeated: bool
 
 
 class EngineOrders:
@@ -67,6 +68,7 @@
         self._blocked = True
         self._verify = True
         self._changed_ms = -1
+        self._before_ms = -1
         self._next_ms = 0
         self._sequence = 0
         self.in_memory: frozenset[str] = frozenset()
@@ -127,6 +129,7 @@
         self, order: model_plan.Order, takes_ms: float, now_ms: int
     ) -> None:
         """Notes an order that is about to be sent."""
+        self._before_ms = self._changed_ms
         self._changed_ms = now_ms
         model = order.model
         if order.adapter:
@@ -145,18 +148,29 @@
             now_ms,
             now_ms + int(takes_ms) + _MARGIN_MS,
             _Phase.SENT,
+            repeated=False,
         )
 
-    def repeat(self, now_ms: int) -> tuple[model_plan.Order, int] | None:
-        """Returns an order to send again, with its count of orders before."""
+    def count_before(self, order: model_plan.Order) -> int:
+        """Returns the number of orders before one that is sent now."""
+        pending = self._pending
+        if pending is not None and pending.order == order:
+            if pending.phase is _Phase.SENT and not pending.repeated:
+                pending = pending._replace(expected=self._sequence)
+                self._pending = pending
+            return pending.expected
+        return self._sequence
+
+    def repeat(self, now_ms: int) -> model_plan.Order | None:
+        """Returns an order to send again as it was."""
         pending = self._pending
         if pending is None or pending.phase is not _Phase.DOUBT:
             return None
         if now_ms < self._next_ms:
             return None
-        self._pending = pending._replace(phase=_Phase.SENT)
+        self._pending = pending._replace(phase=_Phase.SENT, repeated=True)
         self._changed_ms = now_ms
-        return pending.order, pending.expected
+        return pending.order
 
     def on_answer(
         self, order: model_plan.Order, result: Result, now_ms: int
@@ -243,6 +257,8 @@
     def _refused(self, pending: _Pending, result: Result, now_ms: int) -> None:
         self._pending = None
         self._verify = True
+        # Nothing has changed: reports from before the order are as good.
+        self._changed_ms = self._before_ms
         if pending.order.verb is model_plan.Verb.UNLOAD:
             self._models.setdefault(pending.order.model, frozenset())
         if result is Result.NOT_SENT:
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -44,17 +44,15 @@
     Attributes:
         model: Model.
         adapter: Adapter, empty for none.
-        requests: Waiting requests.
-        aim_left_ms: Longest time left until one of them misses its aim; less
-            than zero if all have.
-        patience_left_ms: Longest time until the last of their callers leaves.
+        aims_left_ms: Time left until each misses its aim, less than zero if
+            it has.
+        patience_left_ms: Time until the caller of each leaves.
     """
 
     model: str
     adapter: str
-    requests: int
-    aim_left_ms: int
-    patience_left_ms: int
+    aims_left_ms: tuple[int, ...]
+    patience_left_ms: tuple[int, ...]
 
 
 class Engine(NamedTuple):
@@ -136,6 +134,10 @@
 # An idle model is dropped for a waiting one only after this time without
 # requests, so that two waiting models do not push each other out.
 _MIN_IDLE_MS = 200
+# Worth of a late answer, and of a request of the recent window that makes more
+# of its kind likely, against an answer in time.
+_LATE_WORTH = 0.2
+_COMING_WORTH = 0.3
 # Time that an unload of an idle model takes, with the way of the order.
 _UNLOAD_MS = 50.0
 # Time that the runs of a model take until it can be dropped.
@@ -185,8 +187,11 @@
                 if demand.adapter:
                     round_.place_adapter(demand.model, demand.adapter)
                 continue
-            known = model_demands.get(demand.model, demand._replace(requests=0))
-            model_demands[demand.model] = merge(known, demand)
+            known = model_demands.get(demand.model)
+            if known is not None:
+                model_demands[demand.model] = merge(known, demand)
+            else:
+                model_demands[demand.model] = demand
         for demand in sorted(model_demands.values(), key=round_.urgency):
             round_.place_model(demand.model)
         for name in self._models:
@@ -198,9 +203,8 @@
 def merge(one: Demand, other: Demand) -> Demand:
     """Returns the demand of two instances for the same model."""
     return one._replace(
-        requests=one.requests + other.requests,
-        aim_left_ms=max(one.aim_left_ms, other.aim_left_ms),
-        patience_left_ms=max(one.patience_left_ms, other.patience_left_ms),
+        aims_left_ms=one.aims_left_ms + other.aims_left_ms,
+        patience_left_ms=one.patience_left_ms + other.patience_left_ms,
     )
 
 
@@ -273,21 +277,22 @@
         """Returns the engines that have a model and stay."""
         return [engine for engine in self._engines if model in engine.models]
 
-    def urgency(self, demand: Demand) -> tuple:
-        """Returns the rank of a demand, the first to be served least.
+    def urgency(self, demand: Demand) -> tuple[float, str]:
+        """Returns the rank of a demand, the most urgent the least.
 
-        Those whose aim can still be met come first, by the time left; then
-        those whose callers still wait, by the time left; then the rest.
+        What counts is the worth of a load for each second that it takes:
+        requests that it lets meet their aim, others whose callers still wait,
+        and those that will come while the model is there.
         """
         load_ms = min(
             (self._load_ms(engine, demand.model) for engine in self._engines),
-            default=0.0,
+            default=1.0,
         )
-        if demand.aim_left_ms >= load_ms:
-            return (0, demand.aim_left_ms - load_ms, demand.model)
-        if demand.patience_left_ms >= load_ms:
-            return (1, demand.patience_left_ms - load_ms, demand.model)
-        return (2, -demand.requests, demand.model)
+        in_aim = sum(left > load_ms for left in demand.aims_left_ms)
+        late = sum(left > load_ms for left in demand.patience_left_ms) - in_aim
+        coming = self._usage.recent.get(demand.model, 0.0)
+        worth = in_aim + _LATE_WORTH * late + _COMING_WORTH * coming
+        return (-worth / load_ms, demand.model)
 
     def place_model(self, model: str) -> None:
         """Loads a waited-for model at the engine that has it soonest.
--- a/tanagerloft/fleet/types.py
+++ b/tanagerloft/fleet/types.py
@@ -89,6 +89,7 @@
         memory_load_ms: Time to load from a copy in the engine's memory.
         disk_load_ms: Time to load from a copy on the engine's disk.
         adapter_mb: Size of one adapter.
+        adapter_count: Number of adapters.
     """
 
     name: str
@@ -97,6 +98,7 @@
     memory_load_ms: float
     disk_load_ms: float
     adapter_mb: float
+    adapter_count: int
 
 
 class Service(NamedTuple):
--- a/tanagerloft/gateway/waiting.py
+++ b/tanagerloft/gateway/waiting.py
@@ -7,6 +7,9 @@
 
 from tanagerloft.coordination import messages
 
+# Requests for one subject that the holder is told of; more change no plan.
+_MAX_TOLD = 16
+
 
 class Subject(NamedTuple):
     """What requests wait for.
@@ -73,11 +76,10 @@
                 service=subject.service,
                 model=subject.model,
                 adapter=subject.adapter,
-                requests=len(waiters),
-                aim_left_ms=max(one.aim_ms for one in waiters) - now_ms,
-                patience_left_ms=max(one.patience_ms for one in waiters)
-                - now_ms,
+                aims_left_ms=[one.aim_ms - now_ms for one in told],
+                patience_left_ms=[one.patience_ms - now_ms for one in told],
             )
             for subject, waiters in self._waiting.items()
             if subject.model
+            for told in [list(waiters)[:_MAX_TOLD]]
         ]
--- a/tanagerloft/platform/configuration.py
+++ b/tanagerloft/platform/configuration.py
@@ -107,6 +107,7 @@
                 disk_load_ms=float(model.get("disk_s") or model["load_s"])
                 * _MS_PER_S,
                 adapter_mb=float(model.get("adapter_mb") or 0),
+                adapter_count=int(model.get("adapters") or 0),
             )
             for model in engine.get("models") or ()
         },
