--- a/tanagerloft/config/fleet_settings.py
+++ b/tanagerloft/config/fleet_settings.py
@@ -55,6 +55,20 @@
         "int",
         "Time for which one renewal lets the holder give orders",
     ),
+    settings.Setting(
+        "limits",
+        "tolerated_tokens",
+        0,
+        "int",
+        "Tokens by which an account may exceed its limit",
+    ),
+    settings.Setting(
+        "limits",
+        "tolerated_percent",
+        0,
+        "int",
+        "Share of its limit by which an account may exceed it besides",
+    ),
     settings.Setting("log", "level", "INFO", "str", "Level of the log"),
     settings.Setting(
         "log",
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -114,6 +114,7 @@
         now_ms: Clock.
         name: Name of this instance.
         knowledge: Returns how current this instance's own knowledge is.
+        tolerance: By how much accounts may exceed their limits.
     """
 
     def __init__(
@@ -125,6 +126,7 @@
         now_ms: Callable[[], int],
         name: str,
         knowledge: Callable[[], Knowledge],
+        tolerance: token_grants.Tolerance,
     ):
         self._lease = lease
         self._directory = directory
@@ -133,6 +135,7 @@
         self._now_ms = now_ms
         self._name = name
         self._knowledge = knowledge
+        self._tolerance = tolerance
         self._heard: dict[str, _Heard] = {}
         self._engines: dict[str, _EngineState] = {}
         self._ledger: token_grants.GrantLedger | None = None
@@ -158,7 +161,7 @@
             if service.has_engines
         }
         if self._ledger is not None:
-            self._ledger.configure(_limits(configuration), self._now_ms())
+            self._ledger.configure(self._limits(configuration), self._now_ms())
 
     def on_report(self, report: messages.Report) -> messages.View | None:
         """Takes in a report; returns the view to answer, if the lease holds."""
@@ -263,9 +266,24 @@
             self._ledger = token_grants.GrantLedger(full=token == 1)
             self._ledger_token = token
             if self._configuration is not None:
-                self._ledger.configure(_limits(self._configuration), now_ms)
+                self._ledger.configure(
+                    self._limits(self._configuration), now_ms
+                )
         return self._ledger
 
+    def _limits(
+        self, configuration: types.Configuration
+    ) -> dict[str, token_grants.Limit]:
+        limits = {}
+        for account in configuration.accounts.values():
+            limit = token_grants.Limit(
+                account.rate_tokens_per_s, account.burst_tokens
+            )
+            if limit.rate_tokens_per_s > 0:
+                limit = token_grants.stretch(limit, self._tolerance)
+            limits[account.name] = limit
+        return limits
+
     def _live(self, now_ms: int) -> list[messages.Report]:
         oldest_ms = now_ms - _REPORT_MAX_AGE_MS
         return [
@@ -516,17 +534,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _limits(
-    configuration: types.Configuration,
-) -> dict[str, token_grants.Limit]:
-    return {
-        account.name: token_grants.Limit(
-            account.rate_tokens_per_s, account.burst_tokens
-        )
-        for account in configuration.accounts.values()
-    }
-
-
 def _demands(
     reports: list[messages.Report], service: str
 ) -> list[model_plan.Demand]:
--- a/tanagerloft/decisions/token_grants.py
+++ b/tanagerloft/decisions/token_grants.py
@@ -25,6 +25,37 @@
     burst_tokens: float
 
 
+class Tolerance(NamedTuple):
+    """By how much an account may exceed its limit over any window.
+
+    Attributes:
+        tokens: Tokens.
+        share: Share of the limit.
+    """
+
+    tokens: float
+    share: float
+
+
+# Parts of the tolerance that are used; the rest covers the time between a
+# grant and the start of its request, and what instances use on their own.
+_TOKENS_USED = 0.6
+_SHARE_USED = 0.6
+
+
+def stretch(limit: Limit, tolerance: Tolerance) -> Limit:
+    """Returns the limit that grants keep to.
+
+    Load answered: requests that are larger than their account's burst, which
+    could never be granted otherwise.
+    """
+    share = 1.0 + _SHARE_USED * tolerance.share
+    return Limit(
+        limit.rate_tokens_per_s * share,
+        limit.burst_tokens * share + _TOKENS_USED * tolerance.tokens,
+    )
+
+
 class Need(NamedTuple):
     """What an instance tells of one account.
 
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -79,6 +79,8 @@
         self._splitter = events_lib.EventSplitter()
         self._last_event_id = context.ask.last_event_id
         self._events = 0
+        self._last_event_ms = 0
+        self._longest_gap_ms = 0
         self._tried: set[str] = set()
         self._may_have_run: set[str] = set()
         self._waits = False
@@ -263,9 +265,18 @@
             return
         if not self._events:
             self._begin_stream()
+        self._note_gap()
         self._events += len(out)
         self.context.responder.write(b"".join(out))
 
+    def _note_gap(self) -> None:
+        now_ms = self._parts.now_ms()
+        if self._events:
+            self._longest_gap_ms = max(
+                self._longest_gap_ms, now_ms - self._last_event_ms
+            )
+        self._last_event_ms = now_ms
+
     def _begin_stream(self) -> None:
         assert self._mark is not None
         self.first_answer_ms = self._parts.now_ms()
@@ -444,6 +455,7 @@
                 "target": target,
                 "sends": self.sends,
                 "events": self._events,
+                "longest_gap_ms": self._longest_gap_ms,
                 "configuration": context.configuration.version,
                 "waited_ms": _since(context.request, self.first_sent_ms),
                 "first_ms": _since(context.request, self.first_answer_ms),
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -18,6 +18,7 @@
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import retry_budget
+from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 from tanagerloft.gateway import deployment as deployment_lib
 from tanagerloft.gateway import exchange as exchange_lib
@@ -122,7 +123,7 @@
             now_ms,
             lambda: self._room.summary(now_ms()),
             self._room.pump,
-            self._lease_keeper.reads_store,
+            self._reads_store,
             self._take_proof,
         )
         self._holder = holder_lib.Holder(
@@ -133,6 +134,10 @@
             now_ms,
             self._name,
             self._tell_knowledge,
+            token_grants.Tolerance(
+                settings.get("limits", "tolerated_tokens"),
+                settings.get("limits", "tolerated_percent") / 100,
+            ),
         )
         self._link.loopback = self._hear_itself
         digest = hashlib.sha256(self._name.encode()).digest()
@@ -294,6 +299,9 @@
             targets_age_ms=now_ms - self._targets.read_ms,
         )
 
+    def _reads_store(self) -> bool:
+        return self._lease_keeper.reads_store()
+
     def _take_proof(self, proof: messages.Proof, asked_ms: int) -> None:
         token = self._lease.term.token if self._lease.term else 0
         self._configuration.on_proof(
--- a/tests/decisions/test_token_grants.py
+++ b/tests/decisions/test_token_grants.py
@@ -100,3 +100,20 @@
     account.on_silence(500)
     account.on_silence(900)
     assert [outcome.admitted for outcome in outcomes] == [False]
+
+
+def test_a_stretched_limit_stays_within_the_tolerance_in_any_window():
+    window_s = 8
+    tolerance = token_grants.Tolerance(11_000, 0.1)
+    for rate, burst in ((2_600, 2_600), (14_000, 14_000), (100, 50_000)):
+        limit = token_grants.stretch(token_grants.Limit(rate, burst), tolerance)
+        most = limit.rate_tokens_per_s * window_s + limit.burst_tokens
+        assert most <= (rate * window_s + burst) * 1.1 + 11_000
+
+
+def test_a_request_larger_than_the_burst_can_be_granted():
+    tolerance = token_grants.Tolerance(11_000, 0.1)
+    ledger = token_grants.GrantLedger(full=True)
+    limit = token_grants.stretch(token_grants.Limit(2_600, 2_600), tolerance)
+    ledger.configure({"acc": limit}, 0)
+    assert ledger.grant("a", "acc", _need(4_800), 0).granted_tokens == 4_800
