--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -75,7 +75,7 @@
         self._tasks: list[asyncio.Task] = []
         self._stopping = False
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
-        self._room = waiting_lib.WaitingRoom()
+        self.waiting_room = waiting_lib.WaitingRoom()
         self._metrics = metrics_lib.GatewayMetrics()
         self._datagrams = datagrams.Datagrams(self._receive)
         self._build_coordination()
@@ -84,7 +84,7 @@
     def _build_coordination(self) -> None:
         settings, deployment = self._settings, self._deployment
         now_ms = self._clock.now_ms
-        self._directory = targets_lib.TargetDirectory(
+        self.directory = targets_lib.TargetDirectory(
             deployment.decode_entry,
             now_ms,
             settings.get("instance", "data_centre"),
@@ -92,9 +92,9 @@
         self._targets = target_list.TargetList(
             deployment.store,
             deployment.targets_table,
-            self._directory,
+            self.directory,
             now_ms,
-            self._room.pump,
+            self.waiting_room.pump,
         )
         withdraw_ms = settings.get("keys", "withdraw_ms")
         self._configuration = configuration_lib.ConfigurationKeeper(
@@ -118,17 +118,17 @@
             self._name,
             incarnation,
             self._lease,
-            self._directory,
+            self.directory,
             self._datagrams.send,
             now_ms,
-            lambda: self._room.summary(now_ms()),
-            self._room.pump,
+            lambda: self.waiting_room.summary(now_ms()),
+            self.waiting_room.pump,
             self._reads_store,
             self._take_proof,
         )
         self._holder = holder_lib.Holder(
             self._lease,
-            self._directory,
+            self.directory,
             deployment.send_order,
             deployment.fetch_report,
             now_ms,
@@ -154,9 +154,9 @@
         now_ms = self._clock.now_ms
         parts = exchange_lib.Parts(
             dialect=self._deployment.dialect,
-            directory=self._directory,
+            directory=self.directory,
             pool=self._pool,
-            room=self._room,
+            room=self.waiting_room,
             take_repeat=self._take_repeat,
             note_first=self._note_first,
             keys_are_current=self._keys_are_current,
@@ -180,11 +180,13 @@
         )
         gauge = self._metrics.gauge
         gauge("open_requests", "Open requests.", self._count_open)
-        gauge("waiting", "Requests waiting for a model.", self._room.count)
+        gauge(
+            "waiting", "Requests waiting for a model.", self.waiting_room.count
+        )
         gauge("holds_lease", "Whether it gives orders.", self._holds_lease)
         gauge("configuration_version", "Version in force.", self._version)
         gauge("key_proof_age_ms", "Age of the proof of keys.", self._proof_ms)
-        gauge("targets", "Known targets.", lambda: len(self._directory.entries))
+        gauge("targets", "Known targets.", lambda: len(self.directory.entries))
 
     def _count_open(self) -> int:
         return self._gateway.open_count
--- /dev/null
+++ b/tests/gateway/test_relay.py
@@ -0,0 +1,495 @@
+"""The request path against stand-ins, byte by byte."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tests.support import users_platform as platform_lib
+
+_STREAM_REQUEST = platform_lib.request_bytes("POST", "/stream/x", Model="m1")
+_SEALED = b"Response-Seal: seal-1"
+
+
+def _run(test, **config_changes):
+    async def run():
+        async with platform_lib.Platform(**config_changes) as platform:
+            await test(platform)
+
+    asyncio.run(run())
+
+
+async def _ok(request, writer):
+    writer.write(platform_lib.answer(request))
+
+
+async def _reset(_request, writer):
+    platform_lib.reset(writer)
+
+
+def _status(data: bytes) -> int:
+    return int(data.split(b" ", 2)[1])
+
+
+def test_an_answer_reaches_the_caller_as_it_was():
+    async def test(platform):
+        target = await platform.add_target(_ok)
+        data = await platform.call("POST", "/once/x?q=1", body=b"pay")
+        assert _status(data) == 200
+        assert _SEALED.lower() in data.lower()
+        assert data.endswith(b"\r\n\r\nok")
+        request = target.requests[0]
+        assert (request.method, request.target) == ("POST", "/once/x?q=1")
+        assert request.body == b"pay"
+        assert request.headers["attempt-id"] == "a-1"
+        assert request.headers["tenant"] == "acc"
+        assert request.headers["expect-instance"] == "t1"
+        assert "authorization" not in request.headers
+
+    _run(test)
+
+
+def test_headers_that_only_the_instance_may_set_are_dropped():
+    async def test(platform):
+        target = await platform.add_target(_ok)
+        await platform.call(
+            "GET",
+            "/safe/x",
+            Tenant="other",
+            Hold="h",
+            Pin_Ms="9",
+            Kv_Backup="1.2.3.4:5",
+            Expect_Instance="t9",
+            X_Kept="yes",
+        )
+        headers = target.requests[0].headers
+        assert headers["tenant"] == "acc"
+        assert headers["expect-instance"] == "t1"
+        assert headers["x-kept"] == "yes"
+        assert not {"hold", "pin-ms", "kv-backup"} & set(headers)
+
+    _run(test)
+
+
+def test_the_time_left_goes_to_the_target():
+    async def test(platform):
+        target = await platform.add_target(_ok)
+        await platform.call("GET", "/safe/x", Deadline_Ms="2000")
+        assert 0 < int(target.requests[0].headers["deadline-ms"]) <= 2_000
+
+    _run(test)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/none/x", {}, 404),
+        ("/safe/x", {"Authorization": "Bearer wrong"}, 401),
+        ("/safe/x", {"Authorization": None}, 401),
+        ("/safe/x", {"Attempt_Id": None}, 400),
+        ("/safe/x", {"Host": None}, 400),
+        ("/safe/x", {"Deadline_Ms": "soon"}, 400),
+        ("/safe/x", {"Token_Counts": "1"}, 400),
+        ("/free/x", {"Authorization": None}, 200),
+    ],
+)
+def test_refusals_before_a_target_is_chosen(path, headers, status):
+    async def test(platform):
+        target = await platform.add_target(_ok)
+        data = await platform.call("GET", path, **headers)
+        assert _status(data) == status
+        assert len(target.requests) == (status == 200)
+
+    _run(test)
+
+
+@pytest.mark.parametrize(
+    "smuggled",
+    [
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 3\r\nContent-Length: 4\r\n",
+        b"Content-Length: +3\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n",
+        b"X: a\nY: b\r\n",
+        b"Host: other.example\r\n",
+    ],
+)
+def test_a_request_that_can_be_read_in_two_ways_is_refused(smuggled):
+    async def test(platform):
+        target = await platform.add_target(_ok)
+        reader, writer = await platform.connect()
+        request = platform_lib.request_bytes("POST", "/safe/x")
+        head = request.removesuffix(b"\r\n") + smuggled
+        inner = platform_lib.request_bytes("GET", "/free/x", Attempt_Id="in")
+        writer.write(head + b"\r\nabc" + inner)
+        data = await reader.read(-1)
+        assert _status(data) == 400
+        assert not target.requests
+
+    _run(test)
+
+
+def test_a_body_in_chunks_goes_on_whole():
+    async def test(platform):
+        target = await platform.add_target(_ok)
+        reader, writer = await platform.connect()
+        head = platform_lib.request_bytes(
+            "POST", "/once/x", Transfer_Encoding="chunked"
+        )
+        writer.write(head + b"3\r\nabc\r\n")
+        await writer.drain()
+        writer.write(b"2\r\nde\r\n0\r\n\r\n")
+        assert _status(await reader.read(-1)) == 200
+        assert target.requests[0].body == b"abcde"
+
+    _run(test)
+
+
+def test_requests_of_one_connection_are_answered_in_order():
+    async def test(platform):
+        async def echo(request, writer):
+            body = request.headers["attempt-id"].encode()
+            writer.write(platform_lib.answer(request, body))
+
+        await platform.add_target(echo)
+        reader, writer = await platform.connect()
+        for name in ("one", "two", "three"):
+            writer.write(
+                platform_lib.request_bytes(
+                    "GET", "/safe/x", close=name == "three", Attempt_Id=name
+                )
+            )
+        data = await reader.read(-1)
+        places = [data.index(b"\r\n\r\n" + n) for n in (b"one", b"two")]
+        assert places == sorted(places)
+        assert data.endswith(b"three")
+
+    _run(test)
+
+
+def test_a_lost_answer_of_what_runs_once_is_not_repeated():
+    async def test(platform):
+        first = await platform.add_target(_reset)
+        second = await platform.add_target(_reset, target_id="t2")
+        data = await platform.call("POST", "/once/x", body=b"pay")
+        assert _status(data) == 502
+        assert len(first.requests) + len(second.requests) == 1
+
+    _run(test)
+
+
+def test_a_lost_answer_of_what_may_be_repeated_is_sought_elsewhere():
+    async def test(platform):
+        first = await platform.add_target(_reset)
+        second = await platform.add_target(_ok, target_id="t2")
+        for _ in range(2):
+            assert _status(await platform.call("GET", "/safe/x")) == 200
+        assert first.requests
+        assert len(second.requests) == 2
+
+    _run(test)
+
+
+def test_a_target_that_did_not_run_it_is_not_the_end():
+    async def test(platform):
+        async def busy(request, writer):
+            writer.write(
+                platform_lib.answer(request, status=503, Not_Executed="1")
+            )
+
+        await platform.add_target(busy)
+        second = await platform.add_target(_ok, target_id="t2")
+        for _ in range(2):
+            assert _status(await platform.call("POST", "/once/x")) == 200
+        assert len(second.requests) == 2
+
+    _run(test)
+
+
+def test_the_answer_of_another_request_is_passed_over():
+    async def test(platform):
+        async def crossed(request, writer):
+            other = request._replace(headers={"attempt-id": "other"})
+            writer.write(platform_lib.answer(other, b"not yours"))
+            writer.write(platform_lib.answer(request, b"yours"))
+
+        await platform.add_target(crossed)
+        data = await platform.call("GET", "/safe/x")
+        assert data.endswith(b"\r\n\r\nyours")
+
+    _run(test)
+
+
+def test_bytes_after_an_answer_belong_to_no_request():
+    async def test(platform):
+        async def twice(request, writer):
+            writer.write(platform_lib.answer(request, b"first"))
+            writer.write(platform_lib.answer(request, b"extra"))
+
+        await platform.add_target(twice)
+        for name in ("one", "two"):
+            data = await platform.call("GET", "/safe/x", Attempt_Id=name)
+            assert data.endswith(b"\r\n\r\nfirst")
+
+    _run(test)
+
+
+def test_an_answer_without_a_seal_is_not_passed_on():
+    async def test(platform):
+        async def unsealed(request, writer):
+            data = platform_lib.answer(request, b"forged")
+            writer.write(data.replace(b"Response-Seal", b"X-Seal"))
+
+        await platform.add_target(unsealed)
+        data = await platform.call("POST", "/once/x")
+        assert _status(data) == 502
+        assert b"forged" not in data
+
+    _run(test)
+
+
+@pytest.mark.parametrize("clean", [True, False])
+def test_an_answer_without_a_length_is_whole_unless_reset(clean):
+    async def test(platform):
+        async def unframed(request, writer):
+            data = platform_lib.answer(request, b"body")
+            writer.write(data.replace(b"Content-Length: 4\r\n", b""))
+            await writer.drain()
+            if clean:
+                writer.close()
+            else:
+                platform_lib.reset(writer)
+
+        await platform.add_target(unframed)
+        data = await platform.call("POST", "/once/x")
+        assert _status(data) == (200 if clean else 502)
+
+    _run(test)
+
+
+def test_a_truncated_answer_is_not_passed_on():
+    async def test(platform):
+        async def truncated(request, writer):
+            writer.write(platform_lib.answer(request, b"whole body")[:-3])
+            await writer.drain()
+            writer.close()
+
+        await platform.add_target(truncated)
+        assert _status(await platform.call("POST", "/once/x")) == 502
+
+    _run(test)
+
+
+async def _stream(request, writer):
+    writer.write(platform_lib.stream_head(request))
+    for number in range(1, 4):
+        writer.write(platform_lib.chunk(platform_lib.event(number)))
+        await writer.drain()
+    writer.write(platform_lib.chunk(b""))
+
+
+def _events(data: bytes) -> list[int]:
+    lines = data.split(b"\n")
+    return [int(line[4:]) for line in lines if line.startswith(b"id: ")]
+
+
+def _is_whole(data: bytes) -> bool:
+    return data.endswith(b"\r\n0\r\n\r\n")
+
+
+def test_a_stream_is_relayed_event_by_event():
+    async def test(platform):
+        gate = asyncio.Event()
+
+        async def slow(request, writer):
+            writer.write(platform_lib.stream_head(request))
+            writer.write(platform_lib.chunk(platform_lib.event(1)))
+            await gate.wait()
+            writer.write(platform_lib.chunk(platform_lib.event(2)))
+            writer.write(platform_lib.chunk(b""))
+
+        await platform.add_target(slow, "engines")
+        reader, writer = await platform.connect()
+        writer.write(
+            platform_lib.request_bytes("POST", "/stream/x", Model="m1")
+        )
+        await reader.readuntil(b"data: t1\n\n")
+        gate.set()
+        assert (await reader.read(-1)).endswith(b"0\r\n\r\n")
+
+    _run(test)
+
+
+async def _cut_after_two(request, writer):
+    writer.write(platform_lib.stream_head(request))
+    for number in (1, 2):
+        writer.write(platform_lib.chunk(platform_lib.event(number)))
+    writer.write(b"20\r\nid: 3\ndat")
+    await writer.drain()
+    platform_lib.reset(writer)
+
+
+def test_a_cut_stream_ends_visibly_cut():
+    async def test(platform):
+        await platform.add_target(_cut_after_two, "engines")
+        reader, writer = await platform.connect()
+        writer.write(
+            platform_lib.request_bytes("POST", "/stream/x", Model="m1")
+        )
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            while piece := await reader.read(1_000):
+                data += piece
+        assert not _is_whole(data)
+        assert _events(data) == [1, 2]
+
+    _run(test)
+
+
+def test_a_stream_that_may_be_resumed_goes_on_elsewhere():
+    async def test(platform):
+        async def rest(request, writer):
+            last = int(request.headers["last-event-id"])
+            writer.write(platform_lib.stream_head(request))
+            for number in range(last + 1, 5):
+                writer.write(platform_lib.chunk(platform_lib.event(number)))
+            writer.write(platform_lib.chunk(b""))
+
+        first = await platform.add_target(_cut_after_two, "engines", "t1")
+        second = await platform.add_target(rest, "engines", "t2")
+        data = await platform.call("POST", "/resume/x", Model="m1")
+        assert _is_whole(data)
+        assert _events(data) == [1, 2, 3, 4]
+        assert len(first.requests) == len(second.requests) == 1
+
+    _run(test)
+
+
+def test_the_work_stops_when_the_caller_leaves():
+    async def test(platform):
+        async def endless(request, writer):
+            writer.write(platform_lib.stream_head(request))
+            writer.write(platform_lib.chunk(platform_lib.event(1)))
+            await asyncio.Event().wait()
+
+        target = await platform.add_target(endless, "engines")
+        reader, writer = await platform.connect()
+        writer.write(
+            platform_lib.request_bytes("POST", "/stream/x", Model="m1")
+        )
+        await reader.readuntil(b"data: t1\n\n")
+        writer.close()
+        async with asyncio.timeout(10):
+            await target.closed.wait()
+
+    _run(test)
+
+
+def test_a_caller_that_leaves_while_waiting_is_forgotten():
+    async def test(platform):
+        _, writer = await platform.connect()
+        writer.write(
+            platform_lib.request_bytes("POST", "/stream/x", Model="m1")
+        )
+        room = platform.instance.waiting_room
+
+        async def waits() -> bool:
+            return room.count() == 1
+
+        async def empty() -> bool:
+            return room.count() == 0
+
+        await platform.eventually(waits)
+        writer.close()
+        await platform.eventually(empty)
+        target = await platform.add_target(_stream, "engines")
+        await asyncio.sleep(0)
+        assert not target.requests
+
+    _run(test)
+
+
+def test_a_leaving_target_gets_nothing():
+    async def test(platform):
+        leaving = await platform.add_target(_ok, state="draining")
+        staying = await platform.add_target(_ok, target_id="t2")
+        for _ in range(4):
+            assert _status(await platform.call("GET", "/safe/x")) == 200
+        assert not leaving.requests
+        assert len(staying.requests) == 4
+
+    _run(test)
+
+
+def test_entries_that_cannot_be_read_are_refused_one_by_one():
+    async def test(platform):
+        store = platform.store
+        store.put_bytes("servers", "bad-1", b"\xff\x00")
+        store.put("servers", "bad-2", {"service": 7})
+        store.put("servers", "bad-3", {"service": "plain", "address": "x"})
+        store.put("op", "config", {"version": "?"})
+        await platform.add_target(_ok)
+        assert _status(await platform.call("GET", "/safe/x")) == 200
+        assert set(platform.instance.directory.entries) == {"t1"}
+
+    _run(test)
+
+
+def test_a_key_taken_away_stops_working():
+    async def test(platform):
+        await platform.add_target(_ok)
+        assert _status(await platform.call("GET", "/safe/x")) == 200
+        config = platform_lib.configuration(version=2, tenants=[])
+        platform.store.put("op", "config", config)
+
+        async def refused() -> bool:
+            return _status(await platform.call("GET", "/safe/x")) == 401
+
+        await platform.eventually(refused)
+        older = platform_lib.configuration(version=1)
+        platform.store.put("op", "config", older)
+        await platform.add_target(_ok, target_id="t2")
+        assert await refused()
+
+    _run(test)
+
+
+def test_a_body_beyond_the_limit_is_refused():
+    async def test(platform):
+        target = await platform.add_target(_ok)
+        data = await platform.call("POST", "/once/x", body=b"x" * 2_000)
+        assert _status(data) == 413
+        assert not target.requests
+
+    _run(test, limits={"body_bytes": 1_000})
+
+
+def test_headers_beyond_the_limit_are_refused():
+    async def test(platform):
+        target = await platform.add_target(_ok)
+        data = await platform.call("GET", "/safe/x", X_Long="x" * 2_000)
+        assert _status(data) == 431
+        assert not target.requests
+
+    _run(test, limits={"header_bytes": 1_000})
+
+
+def test_a_limit_of_tokens_is_kept():
+    account = {
+        "name": "acc",
+        "api_keys": [platform_lib.KEY],
+        "rate_per_s": 1,
+        "burst": 100,
+        "plain_tokens": 10,
+    }
+
+    async def test(platform):
+        await platform.add_target(_ok)
+        statuses = []
+        for _ in range(3):
+            data = await platform.call("GET", "/safe/x", Token_Counts="40,0")
+            statuses.append(_status(data))
+        assert statuses == [200, 200, 429]
+        assert b"Retry-After: " in data
+
+    _run(test, tenants=[account])
--- /dev/null
+++ b/tests/support/users_platform.py
@@ -0,0 +1,401 @@
+"""Stand-ins for the users' platform, on loopback and in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import json
+import socket
+import struct
+from typing import Any
+from typing import NamedTuple
+from urllib import parse
+
+from tanagerloft.config import fleet_settings
+from tanagerloft.config import settings as settings_lib
+from tanagerloft.gateway import instance as instance_lib
+from tanagerloft.platform import deployment
+from tanagerloft.util import clock as clock_lib
+
+_HOST = "127.0.0.1"
+_WAIT_S = 20.0
+KEY = "key-1"
+SEAL = "seal-1"
+
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Request(NamedTuple):
+    """A request as it came over the wire."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read_request(reader: asyncio.StreamReader) -> Request:
+    """Reads one request with a body of known length."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.rstrip().split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    length = int(headers.get("content-length", 0))
+    return Request(method, target, headers, await reader.readexactly(length))
+
+
+def answer(request: Request, body=b"ok", status=200, **headers) -> bytes:
+    """Returns a sealed answer to a request, with a length."""
+    fields = {
+        "Attempt-Id": request.headers["attempt-id"],
+        "Response-Seal": SEAL,
+        "Content-Length": str(len(body)),
+    }
+    fields.update({k.replace("_", "-"): v for k, v in headers.items()})
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def stream_head(request: Request) -> bytes:
+    """Returns the head of a sealed stream in chunks."""
+    return (
+        "HTTP/1.1 200 OK\r\n"
+        f"Attempt-Id: {request.headers['attempt-id']}\r\n"
+        f"Response-Seal: {SEAL}\r\n"
+        "Content-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns a piece of a body in chunks."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    """Returns a server-sent event."""
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+class StoreStandin:
+    """The platform's store, in memory."""
+
+    def __init__(self):
+        self._rows: dict[tuple[str, str], tuple[int, str | None]] = {}
+        self._version = 0
+        self._changed = asyncio.Event()
+        self.down = False
+        self.calls: list[str] = []
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        """Writes a row as the operator or a target does."""
+        self._put(table, key, base64.b64encode(json.dumps(value).encode()))
+
+    def put_bytes(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row of any contents."""
+        self._put(table, key, base64.b64encode(value))
+
+    def remove(self, table: str, key: str) -> None:
+        """Removes a row."""
+        self._put(table, key, None)
+
+    def _put(self, table: str, key: str, value: bytes | None) -> None:
+        self._version += 1
+        text = None if value is None else value.decode()
+        self._rows[table, key] = (self._version, text)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def serve(self, reader, writer) -> None:
+        """Serves a connection."""
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                request = await read_request(reader)
+                self.calls.append(request.target)
+                if self.down:
+                    writer.transport.abort()
+                    return
+                status, body = await self._answer(request)
+                data = json.dumps(body).encode()
+                writer.write(
+                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b"
+                    % (status, len(data), data)
+                )
+
+    async def _answer(self, request: Request) -> tuple[int, dict]:
+        url = parse.urlsplit(request.target)
+        query = dict(parse.parse_qsl(url.query))
+        if url.path.endswith("/rows-get"):
+            return 200, self._get(query)
+        if url.path.endswith("/rows-feed"):
+            return 200, await self._feed(query)
+        return self._transact(json.loads(request.body))
+
+    def _select(self, table: str, after: int = 0) -> list[dict]:
+        found = []
+        for (name, key), (version, value) in sorted(self._rows.items()):
+            if name != table or version <= after:
+                continue
+            row = {"table": name, "part": "", "key": key, "ver": version}
+            row |= {"tombstone": True} if value is None else {"value": value}
+            found.append(row)
+        return found
+
+    def _get(self, query: dict) -> dict:
+        rows = [r for r in self._select(query["table"]) if "value" in r]
+        if "to" in query:
+            rows = [r for r in rows if query["from"] <= r["key"] < query["to"]]
+        return {"rows": rows, "has_more": False, "ver": self._version}
+
+    async def _feed(self, query: dict) -> dict:
+        after, wait_s = int(query["after"]), int(query["wait_ms"]) / 1_000
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + wait_s
+        while not self._select(query["table"], after):
+            left_s = until_s - loop.time()
+            if left_s <= 0:
+                break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+        rows = self._select(query["table"], after)
+        return {"rows": rows, "ver": self._version}
+
+    def _transact(self, body: dict) -> tuple[int, dict]:
+        for row in body["expected"]:
+            version, _ = self._rows.get((row["table"], row["key"]), (0, None))
+            if version != row["ver"]:
+                return 412, {"rows": []}
+        for row in body["puts"]:
+            self._put(row["table"], row["key"], row["value"].encode())
+        return 200, {"ver": self._version}
+
+
+Script = Callable[[Request, asyncio.StreamWriter], Awaitable[None]]
+
+
+class TargetStandin:
+    """A target whose answers a test writes byte by byte.
+
+    Args:
+        script: Answers a request; called for each.
+    """
+
+    def __init__(self, script: Script):
+        self._script = script
+        self.port = 0
+        self.requests: list[Request] = []
+        self.closed = asyncio.Event()
+
+    async def serve(self, reader, writer) -> None:
+        """Serves a connection."""
+        try:
+            while True:
+                request = await read_request(reader)
+                if request.target == "/tanagerloft/report":
+                    writer.write(answer_report())
+                    continue
+                self.requests.append(request)
+                running = asyncio.create_task(self._script(request, writer))
+                watch = asyncio.create_task(reader.read(1))
+                done, _ = await asyncio.wait(
+                    (running, watch), return_when=asyncio.FIRST_COMPLETED
+                )
+                if running not in done:
+                    running.cancel()
+                    self.closed.set()
+                    return
+                watch.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    if await watch:
+                        raise AssertionError("pipelined request")
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed.set()
+        finally:
+            writer.close()
+
+
+def answer_report() -> bytes:
+    """Returns the report of an idle engine with one model."""
+    body = json.dumps(
+        {
+            "models": [{"name": "m1", "version": 1, "adapters": []}],
+            "busy": False,
+            "sequence": 0,
+            "at_hand": {"in_memory": [], "on_disk": ["m1"]},
+        }
+    ).encode()
+    return b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (
+        len(body),
+        body,
+    )
+
+
+def configuration(**changes) -> dict:
+    """Returns a configuration with a route of each kind."""
+    routes = [
+        _route("once", "non_idempotent", "plain", attempts=1),
+        _route("safe", "idempotent", "plain", attempts=2),
+        _route("stream", "stream", "engines", attempts=1),
+        _route("resume", "stream", "engines", attempts=2, resumable=True),
+        _route("free", "idempotent", "plain", attempts=1, public=True),
+    ]
+    model = {"name": "m1", "weights_mb": 70_000, "load_s": 6}
+    services = [
+        {"name": "plain", "max_conns": 100},
+        {"name": "engines", "engine": {"slots": 8, "models": [model]}},
+    ]
+    account = {"name": "acc", "api_keys": [KEY], "plain_tokens": 10}
+    return {
+        "version": 1,
+        "routes": routes,
+        "services": services,
+        "tenants": [account],
+        **changes,
+    }
+
+
+def _route(name, kind, service, attempts, resumable=False, public=False):
+    return {
+        "name": name,
+        "host": "h.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 10_000,
+        "target_latency_ms": 500,
+        "max_attempts": attempts,
+        "resumable": resumable,
+        "public": public,
+    }
+
+
+class Platform:
+    """A store, targets and one instance; an async context manager."""
+
+    def __init__(self, **config_changes):
+        self.store = StoreStandin()
+        self._config = configuration(**config_changes)
+        self._stack = contextlib.AsyncExitStack()
+        self.ports: dict[str, int] = {}
+
+    async def __aenter__(self) -> Platform:
+        """Starts the store and the instance."""
+        self.store.put("op", "config", self._config)
+        store_port = await self._listen(self.store.serve)
+        names = ("callers", "ready", "metrics", "peers")
+        self.ports = {name: free_port() for name in names}
+        lines = ["[instance]", "id = i-1", "data_centre = dc", "[listen]"]
+        lines += [f"{k} = {_HOST}:{v}" for k, v in self.ports.items()]
+        lines += ["[store]", f"address = {_HOST}:{store_port}"]
+        settings = settings_lib.parse(
+            "\n".join(lines), "test", fleet_settings.TABLE
+        )
+        assert isinstance(settings, settings_lib.Settings), settings
+        self.instance = instance_lib.Instance(
+            settings, deployment.build, clock_lib.Clock()
+        )
+        task = asyncio.create_task(self.instance.run())
+        self._stack.callback(task.cancel)
+        await self.eventually(self._ready)
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        """Stops everything."""
+        await self._stack.aclose()
+
+    async def _listen(self, serve) -> int:
+        server = await asyncio.start_server(serve, _HOST, 0)
+        self._stack.callback(server.close)
+        return server.sockets[0].getsockname()[1]
+
+    async def _ready(self) -> bool:
+        try:
+            reply = await self.call("GET", "/tanagerloft/ready", port="ready")
+        except OSError:
+            return False
+        return reply.startswith(b"HTTP/1.1 200")
+
+    async def eventually(self, check) -> None:
+        """Waits until an asynchronous check holds."""
+        async with asyncio.timeout(_WAIT_S):
+            while not await check():
+                await asyncio.sleep(0.01)
+
+    async def add_target(
+        self, script: Script, service="plain", target_id="t1", state="ready"
+    ) -> TargetStandin:
+        """Starts a target and waits until the instance knows it."""
+        target = TargetStandin(script)
+        target.port = await self._listen(target.serve)
+        entry = {
+            "service": service,
+            "address": f"{_HOST}:{target.port}",
+            "zone": "dc",
+            "state": state,
+            "born": 1,
+        }
+        if service == "engines":
+            entry["models"] = [{"name": "m1", "version": 1, "adapters": []}]
+        self.store.put("servers", target_id, entry)
+        directory = self.instance.directory
+
+        async def known() -> bool:
+            return target_id in directory.entries
+
+        await self.eventually(known)
+        return target
+
+    async def connect(self) -> Connection:
+        """Opens a caller's connection."""
+        return await asyncio.open_connection(_HOST, self.ports["callers"])
+
+    async def call(self, method, path, port="callers", body=b"", **headers):
+        """Sends a request on a connection of its own; returns all bytes."""
+        reader, writer = await asyncio.open_connection(_HOST, self.ports[port])
+        writer.write(request_bytes(method, path, body, **headers))
+        async with asyncio.timeout(_WAIT_S):
+            data = await reader.read(-1)
+        writer.close()
+        return data
+
+
+def request_bytes(method, path, body=b"", close=True, **headers) -> bytes:
+    """Returns the bytes of a caller's request."""
+    fields = {
+        "Host": "h.example",
+        "Attempt-Id": "a-1",
+        "Authorization": f"Bearer {KEY}",
+    }
+    if close:
+        fields["Connection"] = "close"
+    if body:
+        fields["Content-Length"] = str(len(body))
+    fields.update({k.replace("_", "-"): v for k, v in headers.items()})
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{k}: {v}" for k, v in fields.items() if v is not None]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def free_port() -> int:
+    """Returns a port that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind((_HOST, 0))
+        return sock.getsockname()[1]
