--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -44,7 +44,7 @@
 _LOADS_AT_ONCE = 4
 # Engines hold this much when their entry does not say.
 _ROOM_MB = 230_000.0
-_ADAPTER_SLOTS = 8
+_MAX_ADAPTERS = 8
 # Time in which a model that has been loaded gets its first request.
 _FIRST_USE_MS = 500
 
@@ -470,7 +470,7 @@
             on_disk=orders.on_disk,
             running=running.get(entry.target_id, {}),
             room_mb=_ROOM_MB,
-            adapter_slots=_ADAPTER_SLOTS,
+            max_adapters=_MAX_ADAPTERS,
         )
 
     def _give(self, order: model_plan.Order, now_ms: int) -> None:
@@ -481,7 +481,7 @@
         orders = state.orders
         shapes = self._configuration.services[entry.service].models
         if orders.busy(now_ms) or not model_plan.fits(
-            orders.held(), order, shapes, _ROOM_MB, _ADAPTER_SLOTS
+            orders.held(), order, shapes, _ROOM_MB, _MAX_ADAPTERS
         ):
             return
         takes_ms = 0.0
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -70,7 +70,7 @@
         on_disk: Models with a copy on its disk.
         running: Requests under way by model, over all instances.
         room_mb: Size of its memory for weights.
-        adapter_slots: Adapters that it can hold.
+        max_adapters: Adapters that it can hold.
     """
 
     target_id: str
@@ -84,7 +84,7 @@
     on_disk: frozenset[str]
     running: dict[str, int]
     room_mb: float
-    adapter_slots: int
+    max_adapters: int
 
     def held(self) -> dict[str, frozenset[str]]:
         """Returns what takes memory, the model under way included."""
@@ -216,7 +216,7 @@
     order: Order,
     models: dict[str, types.Model],
     room_mb: float,
-    adapter_slots: int,
+    max_adapters: int,
 ) -> bool:
     """Returns whether an engine has room for what an order loads.
 
@@ -225,17 +225,17 @@
         order: The order.
         models: Models of the service.
         room_mb: Memory of the engine for weights.
-        adapter_slots: Adapters that it can hold.
+        max_adapters: Adapters that it can hold.
     """
     if order.verb is Verb.UNLOAD:
         return True
     adapters = sum(len(names) for names in held.values())
-    needed_mb = models[order.model].weights_mb
+    needed_mb = models[order.model].size_mb
     if order.adapter:
-        needed_mb = models[order.model].adapter_mb
+        needed_mb = models[order.model].adapter_size_mb
         adapters += 1
     used_mb = held_mb(held, models)
-    return used_mb + needed_mb <= room_mb and adapters <= adapter_slots
+    return used_mb + needed_mb <= room_mb and adapters <= max_adapters
 
 
 def held_mb(
@@ -246,7 +246,7 @@
     for name, adapters in held.items():
         model = models.get(name)
         if model is not None:
-            total_mb += model.weights_mb + len(adapters) * model.adapter_mb
+            total_mb += model.size_mb + len(adapters) * model.adapter_size_mb
     return total_mb
 
 
@@ -395,7 +395,7 @@
             order,
             self._models,
             engine.room_mb,
-            engine.adapter_slots,
+            engine.max_adapters,
         ):
             self.orders.append(order)
             return
@@ -443,7 +443,7 @@
 
     def _has_room(self, engine: Engine, model: str) -> bool:
         used_mb = held_mb(engine.held(), self._models)
-        return used_mb + self._models[model].weights_mb <= engine.room_mb
+        return used_mb + self._models[model].size_mb <= engine.room_mb
 
     def _copies(self, model: str) -> bool:
         return any(
--- a/tanagerloft/fleet/types.py
+++ b/tanagerloft/fleet/types.py
@@ -84,20 +84,20 @@
 
     Attributes:
         name: Name.
-        weights_mb: Size of the weights.
+        size_mb: Size of the weights.
         load_ms: Time to load from the weight store.
         memory_load_ms: Time to load from a copy in the engine's memory.
         disk_load_ms: Time to load from a copy on the engine's disk.
-        adapter_mb: Size of one adapter.
+        adapter_size_mb: Size of one adapter.
         adapter_count: Number of adapters.
     """
 
     name: str
-    weights_mb: float
+    size_mb: float
     load_ms: float
     memory_load_ms: float
     disk_load_ms: float
-    adapter_mb: float
+    adapter_size_mb: float
     adapter_count: int
 
 
@@ -129,14 +129,14 @@
         name: Name.
         rate_tokens_per_s: Rate over the whole fleet, 0 for no limit.
         burst_tokens: Tokens that may be used at once beyond the rate.
-        plain_tokens: Cost of a request that names no tokens.
+        default_cost_tokens: Cost of a request that names no tokens.
         priority: Rank that goes before the route's, None if not set.
     """
 
     name: str
     rate_tokens_per_s: float
     burst_tokens: float
-    plain_tokens: int
+    default_cost_tokens: int
     priority: int | None
 
 
--- a/tanagerloft/gateway/steps.py
+++ b/tanagerloft/gateway/steps.py
@@ -63,7 +63,9 @@
             return errors.KEY_UNKNOWN
         context.account = account
         tokens = context.ask.tokens
-        context.cost_tokens = account.plain_tokens if tokens is None else tokens
+        context.cost_tokens = (
+            account.default_cost_tokens if tokens is None else tokens
+        )
         return None
 
     return authenticate
--- a/tanagerloft/platform/configuration.py
+++ b/tanagerloft/platform/configuration.py
@@ -100,13 +100,13 @@
         models={
             model["name"]: types.Model(
                 name=str(model["name"]),
-                weights_mb=float(model["weights_mb"]),
+                size_mb=float(model["weights_mb"]),
                 load_ms=float(model["load_s"]) * _MS_PER_S,
                 memory_load_ms=float(model.get("warm_s") or model["load_s"])
                 * _MS_PER_S,
                 disk_load_ms=float(model.get("disk_s") or model["load_s"])
                 * _MS_PER_S,
-                adapter_mb=float(model.get("adapter_mb") or 0),
+                adapter_size_mb=float(model.get("adapter_mb") or 0),
                 adapter_count=int(model.get("adapters") or 0),
             )
             for model in engine.get("models") or ()
@@ -121,7 +121,7 @@
         name=str(item["name"]),
         rate_tokens_per_s=float(item.get("rate_per_s") or 0),
         burst_tokens=float(item.get("burst") or 0),
-        plain_tokens=int(item.get("plain_tokens") or 0),
+        default_cost_tokens=int(item.get("plain_tokens") or 0),
         priority=None if priority is None else int(priority),
     )
 
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -31,7 +31,7 @@
         on_disk=frozenset(f"m{n}" for n in range(20)),
         running={},
         room_mb=_ROOM_MB,
-        adapter_slots=_SLOTS,
+        max_adapters=_SLOTS,
     )
     return engine._replace(**changes)
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -480,7 +480,7 @@
         "api_keys": [platform_lib.KEY],
         "rate_per_s": 1,
         "burst": 100,
-        "plain_tokens": 10,
+        "default_cost_tokens": 10,
     }
 
     async def test(platform):
--- /dev/null
+++ b/tests/platform/test_codecs.py
@@ -0,0 +1,177 @@
+"""Codecs of the adapter."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+
+from tanagerloft.coordination import errors
+from tanagerloft.fleet import types
+from tanagerloft.gateway import dialect
+from tanagerloft.gateway import errors as gateway_errors
+from tanagerloft.net import caller_connection
+from tanagerloft.net import target_connection
+from tanagerloft.platform import configuration
+from tanagerloft.platform import entries
+from tanagerloft.platform import requests
+from tests.support import users_platform
+
+_ENTRY = {
+    "service": "s",
+    "address": "10.1.2.3:80",
+    "zone": "z",
+    "state": "ready",
+    # Counts heartbeats here, and orders in a report.
+    "sequence": 900,
+    "born": 5,
+    "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
+    "at_hand": {"in_memory": ["m"], "on_disk": ["m", "n"]},
+}
+
+
+def test_an_entry_is_decoded():
+    entry = entries.decode_entry("t", json.dumps(_ENTRY).encode())
+    assert isinstance(entry, types.TargetEntry)
+    assert (entry.host, entry.port) == ("10.1.2.3", 80)
+    assert entry.models == {"m": frozenset(["a1"])}
+    assert entry.on_disk == {"m", "n"}
+    assert not entry.leaving
+
+
+def test_entries_of_other_writers_are_refused():
+    for change in (
+        {"state": "unknown"},
+        {"service": None},
+        {"address": "10.1.2.3"},
+        {"address": 7},
+        {"models": 3},
+        {"models": [{"name": 1}]},
+    ):
+        value = json.dumps({**_ENTRY, **change}).encode()
+        found = entries.decode_entry("t", value)
+        assert isinstance(found, errors.MalformedEntry), change
+
+
+def test_a_report_is_decoded():
+    body = {
+        "models": [{"name": "m", "version": 2, "adapters": ["a1"]}],
+        "coming": ["m/a2@1"],
+        "busy": True,
+        "sequence": 4,
+        "waiting": 1,
+        "running": 2,
+    }
+    report = entries.decode_report(json.dumps(body).encode())
+    assert isinstance(report, types.TargetReport)
+    assert report.arriving == {("m", "a2")}
+    assert (report.busy, report.order_sequence) == (True, 4)
+
+
+def test_a_configuration_is_decoded():
+    value = json.dumps(users_platform.configuration()).encode()
+    config = configuration.decode(value)
+    assert isinstance(config, types.Configuration)
+    route = config.find_route("h.example", "/resume/x")
+    assert route is not None
+    assert route.kind is types.RouteKind.STREAM
+    assert route.repeatable
+    assert config.services["engines"].models["m1"].load_ms == 6_000
+    assert config.account_by_key[users_platform.KEY].name == "acc"
+
+
+def test_the_longest_prefix_wins():
+    body = users_platform.configuration()
+    body["routes"] = [
+        {**body["routes"][0], "name": "short", "prefix": "/a/"},
+        {**body["routes"][0], "name": "long", "prefix": "/a/b/"},
+    ]
+    config = configuration.decode(json.dumps(body).encode())
+    assert isinstance(config, types.Configuration)
+    found = config.find_route("h.example", "/a/b/c")
+    assert found is not None
+    assert found.name == "long"
+    assert config.find_route("h.example", "/other") is None
+
+
+def test_a_route_that_cannot_be_read_leaves_the_others():
+    body = users_platform.configuration()
+    body["routes"].append({"name": "bad", "kind": "unheard of"})
+    config = configuration.decode(json.dumps(body).encode())
+    assert isinstance(config, types.Configuration)
+    assert len(config.routes["h.example"]) == 5
+
+
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from([*_ENTRY, "routes", "services", "version"]),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(_JSON, strategies.binary(max_size=20))
+def test_no_contents_break_a_decoder(value, raw):
+    for data in (json.dumps(value).encode(), raw):
+        entries.decode_entry("t", data)
+        entries.decode_report(data)
+        configuration.decode(data)
+
+
+def _ask(**headers) -> dialect.Ask | gateway_errors.Refusal:
+    fields = {"Host": "H.example:80", "Attempt-Id": "a"} | headers
+    request = caller_connection.Request(
+        "GET",
+        b"/p/x?q",
+        tuple((k.encode(), v.encode()) for k, v in fields.items()),
+        b"",
+        0,
+    )
+    return requests.PlatformDialect().decode(request)
+
+
+def test_a_request_is_decoded():
+    ask = _ask(**{"Model": "m/a3", "Token-Counts": "1460,80"})
+    assert isinstance(ask, dialect.Ask)
+    assert (ask.host, ask.path) == ("h.example", "/p/x")
+    assert (ask.model, ask.adapter, ask.tokens) == ("m", "a3", 1_540)
+
+
+def test_headers_named_by_connection_end_here():
+    ask = _ask(**{"Connection": "X-Mine, close", "X-Mine": "1", "X-Yours": "2"})
+    assert isinstance(ask, dialect.Ask)
+    names = {name.lower() for name, _ in ask.headers}
+    assert b"x-mine" not in names
+    assert b"x-yours" in names
+
+
+def _mark(**headers) -> dialect.Mark:
+    ask = _ask()
+    assert isinstance(ask, dialect.Ask)
+    head = target_connection.Head(
+        200, tuple((k.encode(), v.encode()) for k, v in headers.items())
+    )
+    return requests.PlatformDialect().mark(ask, head)
+
+
+def test_only_a_sealed_answer_with_the_identity_is_genuine():
+    assert _mark(**{"attempt-id": "a", "response-seal": "s"}).genuine
+    assert not _mark(**{"attempt-id": "a"}).genuine
+    assert not _mark(**{"response-seal": "s"}).genuine
+    assert not _mark(**{"attempt-id": "b", "response-seal": "s"}).ours
+
+
+def test_a_refusal_tells_when_to_come_back():
+    refusal = gateway_errors.MODEL_NOT_READY._replace(retry_after_ms=1_234)
+    headers, _ = requests.PlatformDialect().refusal(refusal, "a")
+    assert (b"Retry-After", b"1.234") in headers
