End a graceful stop with an answer for every request

Change: streams are refused, not run, from 2.5 s on, plain requests from 5 s on; what no target has is refused when the instance stops being ready; the rest is ended with an answer.

--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -170,6 +170,7 @@
                 if account.need().needed_tokens > 0
             },
             in_flight=self._directory.in_flight,
+            prefilling=self._directory.prefilling,
             waited=self._waited(),
             used=self._recently_used(now_ms),
             leaving=leaving,
@@ -202,7 +203,9 @@
         self.instances = max(1, view.instances)
         self.later_ms = view.later_ms
         self._take_proof(view, now_ms)
-        changed = self._directory.on_view(view.in_flight, view.models)
+        changed = self._directory.on_view(
+            view.in_flight, view.prefilling, view.models
+        )
         changed |= bool(view.later_ms)
         for name, grant in view.grants.items():
             account = self._accounts.get(name)
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -227,6 +227,7 @@
             instances=len(self._live(now_ms)),
             grants=grants,
             in_flight=self._others_in_flight(report.instance, now_ms),
+            prefilling=self._others_prefilling(report.instance, now_ms),
             models=self._told_models(),
             later_ms=self._later_ms,
             proof=self._proof(now_ms),
@@ -241,6 +242,7 @@
             instances=len(self._live(now_ms)),
             grants={},
             in_flight=self._others_in_flight(report.instance, now_ms),
+            prefilling=self._others_prefilling(report.instance, now_ms),
             models=self._told_models(),
             later_ms={},
             proof=self._proof(now_ms),
@@ -303,6 +305,14 @@
                 )
         return total
 
+    def _others_prefilling(self, instance: str, now_ms: int) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for report in self._live(now_ms):
+            if report.instance != instance:
+                for target_id, tokens in report.prefilling.items():
+                    total[target_id] = total.get(target_id, 0) + tokens
+        return total
+
     def _told_models(self) -> dict[str, dict[str, list[str]]]:
         return {
             target_id: {
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -44,6 +44,8 @@
         sequence: Number of the report.
         needs: Needs of tokens by account.
         in_flight: Requests under way by target and model (with adapter).
+        prefilling: Prompt tokens sent by target, for which there is no first
+            part of an answer yet.
         waited: Requests that wait for models.
         used: Requests for each model since the start of the process.
         leaving: Whether it is the last one.
@@ -55,6 +57,7 @@
     sequence: int
     needs: dict[str, token_grants.Need]
     in_flight: dict[str, dict[str, int]]
+    prefilling: dict[str, int]
     waited: list[Waited]
     used: dict[str, int]
     leaving: bool
@@ -95,6 +98,7 @@
         instances: Instances that report to it.
         grants: Grants by account.
         in_flight: Requests of other instances by target.
+        prefilling: Prompt tokens of other instances by target, see there.
         models: Models with adapters by target, as the holder knows them.
         later_ms: Time until a waited-for model can be had, by model.
         proof: How current the holder's knowledge is.
@@ -106,6 +110,7 @@
     instances: int
     grants: dict[str, token_grants.Grant]
     in_flight: dict[str, int]
+    prefilling: dict[str, int]
     models: dict[str, dict[str, list[str]]]
     later_ms: dict[str, int]
     proof: Proof
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -16,6 +16,8 @@
 # entries lag behind by up to a poll.
 _LACKS_MS = 100
 _FAILURE_HALF_LIFE_MS = 3_000
+# Prompt tokens still to be read that weigh as much as a request under way.
+_TOKENS_PER_LOAD = 250.0
 # Requests that a failure counts for when targets are compared.
 _FAILURE_WEIGHT = 8.0
 # A failure weighs less than this share of itself is forgotten.
@@ -62,9 +64,11 @@
         self._lacks: dict[tuple[str, str], int] = {}
         self._failures: dict[str, _Failures] = {}
         self._others: dict[str, int] = {}
+        self._others_prefilling: dict[str, int] = {}
         self._told_models: dict[str, dict[str, frozenset[str]]] = {}
         self.entries: dict[str, types.TargetEntry] = {}
         self.in_flight: dict[str, dict[str, int]] = {}
+        self.prefilling: dict[str, int] = {}
         self.malformed = 0
 
     def on_rows(self, rows: tuple[store_lib.Row, ...], whole: bool) -> Changes:
@@ -97,10 +101,12 @@
     def on_view(
         self,
         others: dict[str, int],
+        others_prefilling: dict[str, int],
         models: dict[str, dict[str, list[str]]],
     ) -> bool:
         """Takes in the holder's view; returns whether models were added."""
         self._others = others
+        self._others_prefilling = others_prefilling
         told = {
             target_id: {name: frozenset(a) for name, a in held.items()}
             for target_id, held in models.items()
@@ -136,6 +142,7 @@
             if model and not self._holds(entry, model, adapter, now_ms):
                 continue
             load: float = self._load(entry.target_id)
+            load += self.prefill_tokens(entry.target_id) / _TOKENS_PER_LOAD
             load += _FAILURE_WEIGHT * self._failing(entry.target_id, now_ms)
             far = entry.data_centre != self._data_centre
             key = (
@@ -147,6 +154,19 @@
                 best, best_key = entry, key
         return best
 
+    def prefill_tokens(self, target_id: str) -> int:
+        """Returns the prompt tokens that a target has still to read."""
+        own = self.prefilling.get(target_id, 0)
+        return own + self._others_prefilling.get(target_id, 0)
+
+    def note_prefill(self, target_id: str, tokens: int) -> None:
+        """Counts prompt tokens sent to a target, or read by it if negative."""
+        left = self.prefilling.get(target_id, 0) + tokens
+        if left > 0:
+            self.prefilling[target_id] = left
+        else:
+            self.prefilling.pop(target_id, None)
+
     def note_start(self, target_id: str, subject: str) -> None:
         """Counts a request sent to a target."""
         counts = self.in_flight.setdefault(target_id, {})
--- a/tanagerloft/gateway/dialect.py
+++ b/tanagerloft/gateway/dialect.py
@@ -24,6 +24,7 @@
         adapter: Adapter of the model, empty for none.
         tokens: Tokens of the prompt and of the longest answer; None if the
             request names no tokens.
+        prompt_tokens: Tokens of the prompt, 0 if not known.
         last_event_id: Last event that the caller has, None for none.
         headers: Headers that go to the target.
     """
@@ -36,6 +37,7 @@
     model: str
     adapter: str
     tokens: int | None
+    prompt_tokens: int
     last_event_id: int | None
     headers: tuple[tuple[bytes, bytes], ...]
 
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -49,6 +49,9 @@
     "The target did not answer in time.",
     run=errors.UNKNOWN,
 )
+STOPPING = Refusal(
+    "stopping", 503, "This instance is stopping.", retry_after_ms=100
+)
 OVERLOADED = Refusal(
     "overloaded",
     503,
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -26,6 +26,11 @@
 _MAX_SENDS = 4
 # Pause before a request goes to the same target again.
 _SAME_TARGET_MS = 100
+# Prompt tokens that wait at an engine, beyond which a further request is held
+# for a while: about a quarter of the longest gap that callers accept.
+_MAX_PREFILL_TOKENS = 3_000
+_HOLD_MS = 20
+_MAX_HOLD_MS = 250
 # A request that has less time than this left is not sent any more.
 _MIN_SEND_MS = 20
 _SERVER_ERROR = 500
@@ -84,6 +89,8 @@
         self._tried: set[str] = set()
         self._may_have_run: set[str] = set()
         self._waits = False
+        self._hold_until_ms: int | None = None
+        self._prefill_tokens = 0
         self._ended = False
         began_ms = context.request.began_ms
         self.aim_ms = began_ms + context.route.aim_ms
@@ -112,9 +119,20 @@
         if not self.try_send():
             parts.report_soon()
 
+    def refuse_unsent(self, refusal: errors.Refusal) -> None:
+        """Refuses the request if it has not been sent."""
+        if not self._ended and self.first_sent_ms is None:
+            self._cancel_send()
+            self._refuse(refusal)
+
+    def end(self) -> None:
+        """Ends the request now, whatever has become of it."""
+        if not self._ended:
+            self._time_over()
+
     def try_send(self) -> bool:
         """Sends the request if a target can take it now, else waits."""
-        if self._ended or self._target is not None:
+        if self._ended or self._target is not None or self._again is not None:
             return True
         parts, context = self._parts, self.context
         if context.account is not None and not parts.keys_are_current():
@@ -130,12 +148,38 @@
         if context.ends_ms - now_ms < _MIN_SEND_MS:
             self._refuse(errors.OUT_OF_TIME)
             return True
+        if self._should_hold(target, now_ms):
+            self._hold()
+            return True
         if self.sends and not parts.take_repeat(context.service):
             self._give_up("no budget for a repeat")
             return True
         self._send(target, now_ms)
         return True
 
+    def _should_hold(self, target: types.TargetEntry, now_ms: int) -> bool:
+        """Whether to send later, when the target has read other prompts.
+
+        Load answered: bursts of long prompts. An engine reads them between
+        the tokens of others, whose streams then stand still for too long.
+        """
+        tokens = self.context.ask.prompt_tokens
+        queued = self._parts.directory.prefill_tokens(target.target_id)
+        if not queued or queued + tokens <= _MAX_PREFILL_TOKENS:
+            return False
+        if self._hold_until_ms is None:
+            self._hold_until_ms = now_ms + min(
+                _MAX_HOLD_MS, max(0, self.aim_ms - now_ms) // 2
+            )
+        return now_ms < self._hold_until_ms
+
+    def _hold(self) -> None:
+        """Tries again soon, by then with a new view of the others."""
+        if self._again is None:
+            self._parts.report_soon()
+            loop = asyncio.get_running_loop()
+            self._again = loop.call_later(_HOLD_MS / 1_000, self._try_again)
+
     def _wait(self, now_ms: int) -> bool:
         """Lets the request wait, or refuses it if that cannot help."""
         later_ms = self._parts.later_ms(self.context.ask.model)
@@ -198,6 +242,10 @@
         self._mark = None
         self._splitter = events_lib.EventSplitter()
         parts.directory.note_start(target.target_id, context.subject)
+        if context.ask.model:
+            self._prefill_tokens = context.ask.prompt_tokens
+            parts.directory.note_prefill(target.target_id, self._prefill_tokens)
+            parts.report_soon()
         address = (target.host, target.port)
         max_idle_ms = None
         if not context.route.repeatable or self.sends:
@@ -251,8 +299,17 @@
             and self._status == 200
         )
 
+    def _end_prefill(self) -> None:
+        if self._target is not None and self._prefill_tokens:
+            self._parts.directory.note_prefill(
+                self._target.target_id, -self._prefill_tokens
+            )
+        self._prefill_tokens = 0
+
     def _relay(self, events: list[events_lib.Event]) -> None:
         """Passes on events that the caller does not have yet."""
+        if events:
+            self._end_prefill()
         out = []
         for event in events:
             number, last = event.number, self._last_event_id
@@ -423,6 +480,7 @@
 
     def _leave_target(self) -> None:
         """Forgets the present attempt."""
+        self._end_prefill()
         if self._target is not None:
             self._parts.directory.note_end(
                 self._target.target_id, self.context.subject
--- a/tanagerloft/gateway/gateway.py
+++ b/tanagerloft/gateway/gateway.py
@@ -24,6 +24,10 @@
     413: errors.TOO_LARGE,
     431: errors.HEADERS_TOO_LARGE,
 }
+# From the start of a graceful stop, requests are taken for so long: streams go
+# on for seconds, and the process ends after eight.
+_STOP_STREAMS_MS = 2_500
+_STOP_PLAIN_MS = 5_000
 # Requests at once; each takes some tens of kilobytes of the process' memory.
 _MAX_OPEN = 1_500
 
@@ -59,7 +63,7 @@
         self._now_ms = now_ms
         self._metrics = metrics
         self._open: set[exchange_lib.Exchange] = set()
-        self._stopping = False
+        self.stopping_since_ms: int | None = None
 
     @property
     def open_count(self) -> int:
@@ -68,7 +72,17 @@
 
     def stop(self) -> None:
         """Ends each connection with its next answer."""
-        self._stopping = True
+        self.stopping_since_ms = self._now_ms()
+
+    def refuse_waiting(self) -> None:
+        """Refuses requests that no target has, for others to take them."""
+        for exchange in list(self._open):
+            exchange.refuse_unsent(errors.STOPPING)
+
+    def end_all(self) -> None:
+        """Ends all requests, at the end of a graceful stop."""
+        for exchange in list(self._open):
+            exchange.end()
 
     def limits(self) -> types.CallerLimits:
         """Returns the bounds in force."""
@@ -81,7 +95,7 @@
 
     def closing(self) -> bool:
         """Returns whether connections are to end with their answer."""
-        return self._stopping
+        return self.stopping_since_ms is not None
 
     def refuse_unread(
         self, responder: caller_connection.Responder, status: int
@@ -111,7 +125,7 @@
         context = context_lib.RequestContext(
             request, responder, ask, configuration
         )
-        for step in self._steps:
+        for step in (*self._steps, self._refuse_late):
             refusal = step(context)
             if refusal is not None:
                 detail = f"{ask.host}{ask.path}"
@@ -119,6 +133,22 @@
                 return
         self._charge(context)
 
+    def _refuse_late(
+        self, context: context_lib.RequestContext
+    ) -> errors.Refusal | None:
+        """Refuses what could be cut by the end of a graceful stop.
+
+        Load answered: callers that go on using open connections, and new ones
+        while most instances of a data centre stop.
+        """
+        if self.stopping_since_ms is None:
+            return None
+        stream = context.route.kind is types.RouteKind.STREAM
+        accept_ms = _STOP_STREAMS_MS if stream else _STOP_PLAIN_MS
+        if self._now_ms() - self.stopping_since_ms < accept_ms:
+            return None
+        return errors.STOPPING
+
     def _charge(self, context: context_lib.RequestContext) -> None:
         """Takes the request's tokens, then starts it."""
         account = context.account
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -169,7 +169,7 @@
             steps_lib.make_identify(random.SystemRandom()),
             steps_lib.make_authenticate(self._keys_are_current),
         ]
-        self._gateway = gateway_lib.Gateway(
+        self.gateway = gateway_lib.Gateway(
             self._deployment.dialect,
             self._configuration,
             self._link,
@@ -189,7 +189,7 @@
         gauge("targets", "Known targets.", lambda: len(self.directory.entries))
 
     def _count_open(self) -> int:
-        return self._gateway.open_count
+        return self.gateway.open_count
 
     def _holds_lease(self) -> int:
         return int(self._lease.may_order(self._clock.now_ms()))
@@ -238,7 +238,7 @@
             },
             self._clock.now_ms,
         )
-        await self._serve("callers", self._gateway, self._connections)
+        await self._serve("callers", self.gateway, self._connections)
         ready = self._settings.get("listen", "ready")
         others: set[caller_connection.CallerConnection] = set()
         await self._serve("ready", pages, others)
@@ -263,11 +263,12 @@
         """Stops without cutting an answer."""
         grace_ms = self._settings.get("stop", "grace_ms")
         ends_ms = self._clock.now_ms() + grace_ms - _STOP_MARGIN_MS
-        logger.info("stopping", extra={"open": self._gateway.open_count})
+        logger.info("stopping", extra={"open": self.gateway.open_count})
         self._stopping = True
-        self._gateway.stop()
+        self.gateway.stop()
         release = asyncio.create_task(self._lease_keeper.release())
         await asyncio.sleep(_LAME_DUCK_MS / 1_000)
+        self.gateway.refuse_waiting()
         self._link.report(leaving=True)
         while self._clock.now_ms() < ends_ms:
             for connection in list(self._connections):
@@ -275,11 +276,14 @@
             if not self._connections and release.done():
                 break
             await asyncio.sleep(_STOP_POLL_MS / 1_000)
+        cut = self.gateway.open_count
+        self.gateway.end_all()
+        await asyncio.sleep(0)
         for task in self._tasks:
             task.remove_done_callback(_report_end)
             task.cancel()
         self._datagrams.close()
-        logger.info("stopped", extra={"cut": self._gateway.open_count})
+        logger.info("stopped", extra={"cut": cut})
 
     def _reload(self) -> None:
         """Answers SIGHUP: all that may change comes from the store."""
--- a/tanagerloft/platform/requests.py
+++ b/tanagerloft/platform/requests.py
@@ -160,19 +160,22 @@
         wait_ms=int(wait) if wait is not None else None,
         model=model.decode("latin-1"),
         adapter=adapter.decode("latin-1"),
-        tokens=tokens,
+        tokens=None if tokens is None else sum(tokens),
+        prompt_tokens=0 if tokens is None else tokens[0],
         last_event_id=int(last_event) if last_event is not None else None,
         headers=passed,
     )
 
 
-def _decode_tokens(value: bytes | None) -> int | errors.Refusal | None:
+def _decode_tokens(
+    value: bytes | None,
+) -> tuple[int, int] | errors.Refusal | None:
     if value is None:
         return None
     parts = [part.strip() for part in value.split(b",")]
     if len(parts) != 2 or not all(map(_NUMBER.fullmatch, parts)):
         return errors.MALFORMED
-    return int(parts[0]) + int(parts[1])
+    return int(parts[0]), int(parts[1])
 
 
 def _decode_key(value: bytes | None) -> str | None:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -493,3 +493,60 @@
         assert b"Retry-After: " in data
 
     _run(test, tenants=[account])
+
+
+def test_a_stop_refuses_what_no_target_has():
+    # Found by a hunt: requests that waited for a model at the end of a
+    # graceful stop got no answer at all.
+    async def test(platform):
+        reader, writer = await platform.connect()
+        writer.write(_STREAM_REQUEST)
+
+        async def waits() -> bool:
+            return platform.instance.waiting_room.count() == 1
+
+        await platform.eventually(waits)
+        platform.instance.gateway.refuse_waiting()
+        data = await reader.read(-1)
+        assert _status(data) == 503
+        assert b"Retry-After: " in data
+        writer.close()
+
+    _run(test)
+
+
+def test_the_end_of_a_stop_answers_what_is_under_way():
+    async def test(platform):
+        async def never(_request, _writer):
+            await asyncio.Event().wait()
+
+        target = await platform.add_target(never)
+        reader, writer = await platform.connect()
+        writer.write(platform_lib.request_bytes("POST", "/once/x"))
+
+        async def sent() -> bool:
+            return bool(target.requests)
+
+        await platform.eventually(sent)
+        platform.instance.gateway.end_all()
+        assert _status(await reader.read(-1)) == 504
+        writer.close()
+
+    _run(test)
+
+
+def test_late_in_a_stop_new_requests_are_refused():
+    # Found by a hunt: a stream that began seven seconds after SIGTERM was cut.
+    async def test(platform):
+        target = await platform.add_target(_stream, "engines")
+        gateway = platform.instance.gateway
+        gateway.stop()
+        data = await platform.call("POST", "/stream/x", Model="m1")
+        assert _status(data) == 200
+        gateway.stopping_since_ms -= 10_000
+        data = await platform.call("POST", "/stream/x", Model="m1")
+        assert _status(data) == 503
+        assert b"Connection: close" in data
+        assert len(target.requests) == 1
+
+    _run(test)
