--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -79,7 +79,7 @@
         self.heard_ms = 0
         self.struggling = False
         self.instances = 1
-        self.later_ms: dict[str, int] = {}
+        self._later_ms: dict[str, int] = {}
         self.loopback: Callable[[messages.Report], None] | None = None
 
     def configure(self, configuration: types.Configuration) -> None:
@@ -125,6 +125,10 @@
         if grants is not None:
             grants.forget(done)
 
+    def model_later_ms(self, model: str) -> int | None:
+        """Returns the time until a model will be there, if the holder told."""
+        return self._later_ms.get(model)
+
     def note_use(self, subject: str) -> None:
         """Counts a request for a model."""
         self._used[subject] = self._used.get(subject, 0) + 1
@@ -201,7 +205,7 @@
         self._heard_sequence = view.sequence
         self.heard_ms = now_ms
         self.instances = max(1, view.instances)
-        self.later_ms = view.later_ms
+        self._later_ms = view.later_ms
         self._take_proof(view, now_ms)
         changed = self._directory.on_view(
             view.in_flight, view.prefilling, view.models
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -36,6 +36,8 @@
 # The same for a model with adapters.
 _HAS_ADAPTERS_REQUESTS = 1.0
 _REPORT_POLL_MS = 300
+# Time between lines of the log on what is waited for.
+_TELL_PLAN_MS = 1_000
 # Window over which the weight store's rate holds.
 _LOAD_WINDOW_MS = 5_000
 # Loads from the store in the window, and at once at full speed, as long as the
@@ -149,6 +151,7 @@
         self._placed: set[str] = set()
         self._store_loads: list[int] = []
         self._later_ms: dict[str, int] = {}
+        self._tell_plan_ms = 0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
 
@@ -449,6 +452,23 @@
             now_ms,
         )
         self._later_ms.update(planned.later_ms)
+        if planned.later_ms and now_ms >= self._tell_plan_ms:
+            self._tell_plan_ms = now_ms + _TELL_PLAN_MS
+            logger.info(
+                "models waited for",
+                extra={
+                    "service": service,
+                    "later_ms": planned.later_ms,
+                    "busy_ms": {
+                        engine.target_id: engine.busy_ms
+                        for engine in engines
+                        if engine.busy
+                    },
+                    "idle": [e.target_id for e in engines if not e.busy],
+                    "store_loads": weight_store.under_way,
+                    "store_left": weight_store.loads_left,
+                },
+            )
         for order in planned.orders:
             self._give(order, now_ms)
 
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -510,6 +510,7 @@
                 "outcome": outcome,
                 "status": status,
                 "reason": reason,
+                "model_later_ms": self._parts.later_ms(context.ask.model),
                 "target": target,
                 "sends": self.sends,
                 "events": self._events,
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -161,7 +161,7 @@
             note_first=self._note_first,
             keys_are_current=self._keys_are_current,
             report_soon=self._link.report_soon,
-            later_ms=self._link.later_ms.get,
+            later_ms=self._link.model_later_ms,
             now_ms=now_ms,
             done=lambda _exchange, _outcome: None,
         )
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -550,3 +550,22 @@
         assert len(target.requests) == 1
 
     _run(test)
+
+
+def test_a_model_that_comes_too_late_is_refused_at_once():
+    # Found by a hunt: requests were held until their callers left, because the
+    # gateway kept asking for the very first word on models.
+    async def test(platform):
+        async def refused_load(request, writer):
+            writer.write(platform_lib.answer(request, status=409))
+
+        engine = await platform.add_target(refused_load, "engines")
+        data = await platform.call("POST", "/stream/x", Model="m2")
+        assert _status(data) == 503
+        assert b"Retry-After: " in data
+        assert not [r for r in engine.requests if r.target == "/stream/x"]
+
+    config = platform_lib.configuration()
+    models = config["services"][1]["engine"]["models"]
+    models.append({"name": "m2", "weights_mb": 70_000, "load_s": 60})
+    _run(test, services=config["services"])
