--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -78,21 +78,31 @@
         self._token = 0
         self.heard_ms = 0
         self.struggling = False
-        self.instances = 1
+        self._rates: dict[str, float] = {}
+        self._told_instances = 0
         self._later_ms: dict[str, int] = {}
         self.loopback: Callable[[messages.Report], None] | None = None
 
     def configure(self, configuration: types.Configuration) -> None:
         """Takes in the accounts of a new configuration."""
-        for name, account in configuration.accounts.items():
-            share = account.rate_tokens_per_s / max(1, self.instances)
-            known = self._accounts.get(name)
-            if known is None:
-                self._accounts[name] = token_grants.GrantAccount(
-                    share, _SILENCE_MS
-                )
-            else:
-                known.fallback_tokens_per_s = share
+        self._rates = {
+            name: account.rate_tokens_per_s
+            for name, account in configuration.accounts.items()
+        }
+        for name in self._rates:
+            if name not in self._accounts:
+                self._accounts[name] = token_grants.GrantAccount(_SILENCE_MS)
+        self._share_rates()
+
+    def _share_rates(self) -> None:
+        """Sets what each account may use here while no holder answers.
+
+        Nothing before a holder has told how many instances share the rate.
+        """
+        for name, account in self._accounts.items():
+            rate = self._rates.get(name, 0.0)
+            share = rate / self._told_instances if self._told_instances else 0
+            account.fallback_tokens_per_s = share
 
     def ask(
         self,
@@ -125,6 +135,11 @@
         if grants is not None:
             grants.forget(done)
 
+    @property
+    def instances(self) -> int:
+        """Number of instances, 1 if no holder has told it."""
+        return max(1, self._told_instances)
+
     def model_later_ms(self, model: str) -> int | None:
         """Returns the time until a model will be there, if the holder told."""
         return self._later_ms.get(model)
@@ -204,7 +219,9 @@
         self._token = view.token
         self._heard_sequence = view.sequence
         self.heard_ms = now_ms
-        self.instances = max(1, view.instances)
+        if view.instances != self._told_instances:
+            self._told_instances = view.instances
+            self._share_rates()
         self._later_ms = view.later_ms
         self._take_proof(view, now_ms)
         changed = self._directory.on_view(
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -65,6 +65,7 @@
         self._pending: _Pending | None = None
         self._unloading = False
         self._adapters: dict[tuple[str, str], int] = {}
+        self._dropping: set[tuple[str, str]] = set()
         self._blocked = True
         self._verify = True
         self._changed_ms = -1
@@ -94,7 +95,14 @@
 
     def usable(self) -> dict[str, frozenset[str]]:
         """Returns the models that requests can be sent to."""
-        return self._models
+        if not self._dropping:
+            return self._models
+        return {
+            model: frozenset(
+                name for name in names if (model, name) not in self._dropping
+            )
+            for model, names in self._models.items()
+        }
 
     def held(self) -> dict[str, frozenset[str]]:
         """Returns all that may take memory."""
@@ -133,12 +141,13 @@
         self._changed_ms = now_ms
         model = order.model
         if order.adapter:
-            adapters = self._models.get(model, frozenset())
+            key = (model, order.adapter)
             if order.verb is model_plan.Verb.LOAD:
-                self._adapters[model, order.adapter] = now_ms
+                adapters = self._models.get(model, frozenset())
+                self._adapters[key] = now_ms
                 self._models[model] = adapters | {order.adapter}
             else:
-                self._models[model] = adapters - {order.adapter}
+                self._dropping.add(key)
             return
         if order.verb is model_plan.Verb.UNLOAD:
             self._models.pop(model, None)
@@ -221,6 +230,7 @@
         self.in_memory = report.in_memory
         self.on_disk = report.on_disk
         self._adapters.clear()
+        self._dropping.clear()
         if report.busy:
             if self._pending is None:
                 self._blocked = True
@@ -272,9 +282,15 @@
         self, order: model_plan.Order, result: Result
     ) -> None:
         self._verify = True
-        if result is Result.ACCEPTED or (
-            result is Result.HOLDS and order.verb is model_plan.Verb.UNLOAD
-        ):
-            self._sequence += 1
-        elif result is not Result.HOLDS:
+        if result not in (Result.ACCEPTED, Result.HOLDS):
+            # Until a report tells, it counts as held.
             self._blocked = True
+            return
+        drops = order.verb is model_plan.Verb.UNLOAD
+        if result is Result.ACCEPTED or drops:
+            self._sequence += 1
+        if drops:
+            self._dropping.discard((order.model, order.adapter))
+            adapters = self._models.get(order.model, frozenset())
+            if order.model in self._models:
+                self._models[order.model] = adapters - {order.adapter}
--- a/tanagerloft/decisions/token_grants.py
+++ b/tanagerloft/decisions/token_grants.py
@@ -183,13 +183,16 @@
     """Tokens of one account, at an instance.
 
     Args:
-        fallback_tokens_per_s: Rate at which the instance may go on by itself
-            while no holder answers: its share of the account's rate.
-        silence_ms: Time without an answer after which it does.
+        silence_ms: Time without an answer of the holder after which the
+            instance goes on by itself.
+
+    Attributes:
+        fallback_tokens_per_s: Rate at which it then does: its share of the
+            account's rate, 0 while that is not known.
     """
 
-    def __init__(self, fallback_tokens_per_s: float, silence_ms: int):
-        self.fallback_tokens_per_s = fallback_tokens_per_s
+    def __init__(self, silence_ms: int):
+        self.fallback_tokens_per_s = 0.0
         self._silence_ms = silence_ms
         self._used = 0.0
         self._granted = 0.0
--- a/tests/decisions/test_engine_orders.py
+++ b/tests/decisions/test_engine_orders.py
@@ -154,3 +154,23 @@
         orders.give(_LOAD, 1_000, at_ms)
         orders.on_answer(_LOAD, engine_orders.Result.REFUSED, at_ms + 5)
     assert orders.wants_report(2_500)
+
+
+def test_an_adapter_counts_until_its_unload_is_confirmed():
+    # Found by a hunt: an unload was not answered, the next adapter took its
+    # place, and the engine crashed.
+    drop = model_plan.Order(model_plan.Verb.UNLOAD, "e", "m", "a1")
+    orders = engine_orders.EngineOrders({"m": frozenset(["a1"])})
+    report = _report(("m",))._replace(models={"m": frozenset(["a1"])})
+    orders.on_report(report, 1_000)
+    orders.give(drop, 0, 2_000)
+    assert orders.held() == {"m": frozenset(["a1"])}
+    assert orders.usable() == {"m": frozenset()}
+    orders.on_answer(drop, engine_orders.Result.UNKNOWN, 2_800)
+    assert orders.held() == {"m": frozenset(["a1"])}
+    assert orders.busy(2_900)
+    orders.on_report(report, 3_500)
+    assert not orders.busy(3_500)
+    orders.give(drop, 0, 3_600)
+    orders.on_answer(drop, engine_orders.Result.HOLDS, 3_605)
+    assert orders.held() == {"m": frozenset()}
--- a/tests/decisions/test_token_grants.py
+++ b/tests/decisions/test_token_grants.py
@@ -57,7 +57,9 @@
 
 def _account() -> tuple[token_grants.GrantAccount, list]:
     outcomes: list[token_grants.Outcome] = []
-    return token_grants.GrantAccount(100, 400), outcomes
+    account = token_grants.GrantAccount(400)
+    account.fallback_tokens_per_s = 100
+    return account, outcomes
 
 
 def test_a_request_waits_for_the_answer_that_knows_its_need():
@@ -117,3 +119,14 @@
     limit = token_grants.stretch(token_grants.Limit(2_600, 2_600), tolerance)
     ledger.configure({"acc": limit}, 0)
     assert ledger.grant("a", "acc", _need(4_800), 0).granted_tokens == 4_800
+
+
+def test_nobody_goes_on_alone_without_knowing_the_share():
+    # Found by a hunt: instances that had not heard how many they were used
+    # the whole rate each.
+    outcomes = []
+    account = token_grants.GrantAccount(400)
+    account.ask(20, 1, 0, outcomes.append)
+    account.on_silence(500)
+    account.on_silence(900)
+    assert outcomes == [token_grants.Outcome(False, 1_000)]
