--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(BIN)/tanagerloft trial
 
 test: .venv/ready
-	PYTHONHASHSEED=0 $(BIN)/python -m pytest
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest -n auto --dist worksteal
 
 EXAMPLES ?= 2000
 fuzz: .venv/ready
