--- a/tanagerloft/cmd/main.py
+++ b/tanagerloft/cmd/main.py
@@ -11,6 +11,7 @@
 _COMMANDS = {
     "bench": "bench",
     "config": "config",
+    "explain": "explain",
     "gateway": "gateway",
     "inventory": "inventory",
     "keys": "keys",
--- a/tanagerloft/util/log.py
+++ b/tanagerloft/util/log.py
@@ -73,6 +73,7 @@
         self._queue: collections.deque[bytes] = collections.deque()
         self._wake = threading.Event()
         self.dropped = 0
+        self._told_dropped = 0
         thread = threading.Thread(target=self._write, name="log", daemon=True)
         thread.start()
 
@@ -82,6 +83,7 @@
         if second != self._second:
             self._second = second
             self._counts.clear()
+            self._tell_dropped()
         kind = str(record.msg)
         count = self._counts.get(kind, 0) + 1
         self._counts[kind] = count
@@ -91,6 +93,20 @@
         self._queue.append(self.format(record).encode() + b"\n")
         self._wake.set()
 
+    def _tell_dropped(self) -> None:
+        """Says how many lines have been dropped since it last was."""
+        if self.dropped == self._told_dropped:
+            return
+        record = logging.makeLogRecord(
+            {
+                "levelname": "WARNING",
+                "msg": "log lines dropped",
+                "lines": self.dropped - self._told_dropped,
+            }
+        )
+        self._told_dropped = self.dropped
+        self._queue.append(self.format(record).encode() + b"\n")
+
     def drain(self, timeout_ms: int) -> None:
         """Waits until the queue is empty, at the end of the process."""
         waited = threading.Event()
--- a/tests/coordination/__init__.py
+++ b/tests/coordination/__init__.py
@@ -1,1 +1,1 @@
-"""Tests."""
+"""Tests of tanagerloft.coordination."""
--- a/tests/net/__init__.py
+++ b/tests/net/__init__.py
@@ -1,1 +1,1 @@
-"""Tests."""
+"""Tests of tanagerloft.net."""
--- /dev/null
+++ b/tests/util/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tanagerloft.util."""
