--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -16,6 +16,9 @@
 
 # Time between reports; loads of targets are at most this old.
 _REPORT_MS = 100
+# The more instances, the more seldom each reports, so that the holder's work
+# for plain reports does not grow with their number.
+_REPORT_PER_INSTANCE_MS = 5
 # Asks for tokens and models are sent after this time, so that those of one
 # burst travel together.
 _SOON_MS = 1
@@ -79,6 +82,7 @@
         self.heard_ms = 0
         self.struggling = False
         self._rates: dict[str, float] = {}
+        self._models_seen = (0, 0)
         self._told_instances = 0
         self._later_ms: dict[str, int] = {}
         self.loopback: Callable[[messages.Report], None] | None = None
@@ -165,7 +169,7 @@
             for account in self._accounts.values():
                 if now_ms - self.heard_ms > _SILENCE_MS:
                     account.on_silence(now_ms)
-            delay_ms = _REPORT_MS
+            delay_ms = max(_REPORT_MS, self.instances * _REPORT_PER_INSTANCE_MS)
             if urgent or self._waited():
                 delay_ms = _REPEAT_MS
             await asyncio.sleep(delay_ms / 1_000)
@@ -194,6 +198,7 @@
             used=self._recently_used(now_ms),
             leaving=leaving,
             reads_store=self._reads_store(),
+            models_seen=self._models_seen,
         )
         if self._lease.mine:
             if self.loopback is not None:
@@ -216,6 +221,7 @@
         if view.token < self._token or view.sequence < self._heard_sequence:
             return
         now_ms = self._now_ms()
+        fresh_term = view.token != self._token
         self._token = view.token
         self._heard_sequence = view.sequence
         self.heard_ms = now_ms
@@ -225,8 +231,9 @@
         self._later_ms = view.later_ms
         self._take_proof(view, now_ms)
         changed = self._directory.on_view(
-            view.in_flight, view.prefilling, view.models
+            view.in_flight, view.prefilling, view.models, fresh_term
         )
+        self._models_seen = (view.token, view.models_mark)
         changed |= bool(view.later_ms)
         for name, grant in view.grants.items():
             account = self._accounts.get(name)
--- /dev/null
+++ b/tanagerloft/coordination/fleet_loads.py
@@ -0,0 +1,81 @@
+"""Sums of what instances report, kept up with each report."""
+
+from __future__ import annotations
+
+from tanagerloft.coordination import messages
+
+
+class FleetLoads:
+    """Loads of targets over all instances.
+
+    Attributes:
+        running: Requests under way by target and model (with adapter).
+    """
+
+    def __init__(self):
+        self._reports: dict[str, messages.Report] = {}
+        self._in_flight: dict[str, int] = {}
+        self._prefilling: dict[str, int] = {}
+        self.running: dict[str, dict[str, int]] = {}
+
+    def put(self, report: messages.Report) -> None:
+        """Takes in a report in place of the instance's last one."""
+        self.remove(report.instance)
+        self._reports[report.instance] = report
+        self._add(report, 1)
+
+    def remove(self, instance: str) -> None:
+        """Forgets an instance."""
+        report = self._reports.pop(instance, None)
+        if report is not None:
+            self._add(report, -1)
+
+    def others_in_flight(self, instance: str) -> dict[str, int]:
+        """Returns requests of the other instances by target."""
+        report = self._reports.get(instance)
+        own = report.in_flight if report is not None else {}
+        return _positive(
+            (target_id, total - sum(own.get(target_id, {}).values()))
+            for target_id, total in self._in_flight.items()
+        )
+
+    def others_prefilling(self, instance: str) -> dict[str, int]:
+        """Returns unread prompt tokens of the other instances by target."""
+        report = self._reports.get(instance)
+        own = report.prefilling if report is not None else {}
+        return _positive(
+            (target_id, total - own.get(target_id, 0))
+            for target_id, total in self._prefilling.items()
+        )
+
+    def by_model(self) -> dict[str, int]:
+        """Returns requests under way by model, adapters included."""
+        total: dict[str, int] = {}
+        for counts in self.running.values():
+            for subject, count in counts.items():
+                model = subject.partition("/")[0]
+                total[model] = total.get(model, 0) + count
+        return total
+
+    def _add(self, report: messages.Report, sign: int) -> None:
+        for target_id, counts in report.in_flight.items():
+            _change(self._in_flight, target_id, sign * sum(counts.values()))
+            sums = self.running.setdefault(target_id, {})
+            for subject, count in counts.items():
+                _change(sums, subject, sign * count)
+            if not sums:
+                del self.running[target_id]
+        for target_id, tokens in report.prefilling.items():
+            _change(self._prefilling, target_id, sign * tokens)
+
+
+def _change(sums: dict[str, int], key: str, delta: int) -> None:
+    left = sums.get(key, 0) + delta
+    if left:
+        sums[key] = left
+    else:
+        sums.pop(key, None)
+
+
+def _positive(items) -> dict[str, int]:
+    return {key: value for key, value in items if value > 0}
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -10,7 +10,9 @@
 from typing import NamedTuple
 
 from tanagerloft.coordination import errors
+from tanagerloft.coordination import fleet_loads
 from tanagerloft.coordination import messages
+from tanagerloft.coordination import model_marks
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import engine_orders
 from tanagerloft.decisions import model_plan
@@ -28,6 +30,10 @@
 _STRUGGLING_MS = 1_900
 # An instance that has not reported for this long counts no more.
 _REPORT_MAX_AGE_MS = 2_000
+# Least time between two counts of the instances, and two looks for changes of
+# what engines hold.
+_COUNT_MS = 100
+_MARK_MS = 5
 _RECENT_HALF_LIFE_MS = 4_000
 _RECENT_STEP_MS = 500
 # Recent requests that a model counts for which the platform has placed on two
@@ -139,6 +145,11 @@
         self._knowledge = knowledge
         self._tolerance = tolerance
         self._heard: dict[str, _Heard] = {}
+        self._loads = fleet_loads.FleetLoads()
+        self._marks = model_marks.ModelMarks()
+        self._marked_ms = 0
+        self._count = 0
+        self._counted_ms = 0
         self._engines: dict[str, _EngineState] = {}
         self._ledger: token_grants.GrantLedger | None = None
         self._ledger_token = 0
@@ -189,8 +200,10 @@
         elif heard.report.sequence >= report.sequence:
             return None
         self._heard[report.instance] = _Heard(report, now_ms)
+        self._loads.put(report)
         if report.leaving:
             del self._heard[report.instance]
+            self._loads.remove(report.instance)
         self._note_use(report, now_ms)
         if report.waited:
             self._wake.set()
@@ -208,6 +221,7 @@
             if self._configuration is None or not self._lease.leads(now_ms):
                 self._engines.clear()
                 continue
+            self._drop_silent(now_ms)
             self._refresh(now_ms)
             self._poll_reports(now_ms)
             self._follow_orders(now_ms)
@@ -218,6 +232,12 @@
 
     def _view(self, report: messages.Report, now_ms: int) -> messages.View:
         ledger = self._current_ledger(now_ms)
+        token = self._lease.term.token if self._lease.term else 0
+        seen_token, seen_mark = report.models_seen
+        self._update_marks(now_ms)
+        models, mark = self._marks.since(
+            seen_mark if seen_token == token else 0
+        )
         process = f"{report.instance}/{report.incarnation}"
         grants = {
             account: ledger.grant(process, account, need, now_ms)
@@ -225,13 +245,14 @@
         }
         return messages.View(
             holder=self._name,
-            token=self._lease.term.token if self._lease.term else 0,
+            token=token,
             sequence=report.sequence,
-            instances=len(self._live(now_ms)),
+            instances=self._live_count(now_ms),
             grants=grants,
-            in_flight=self._others_in_flight(report.instance, now_ms),
-            prefilling=self._others_prefilling(report.instance, now_ms),
-            models=self._told_models(),
+            in_flight=self._loads.others_in_flight(report.instance),
+            prefilling=self._loads.others_prefilling(report.instance),
+            models=models,
+            models_mark=mark,
             later_ms=self._later_ms,
             proof=self._proof(now_ms),
         )
@@ -242,11 +263,12 @@
             holder=self._name,
             token=self._lease.term.token if self._lease.term else 0,
             sequence=report.sequence,
-            instances=len(self._live(now_ms)),
+            instances=self._live_count(now_ms),
             grants={},
-            in_flight=self._others_in_flight(report.instance, now_ms),
-            prefilling=self._others_prefilling(report.instance, now_ms),
-            models=self._told_models(),
+            in_flight=self._loads.others_in_flight(report.instance),
+            prefilling=self._loads.others_prefilling(report.instance),
+            models={},
+            models_mark=report.models_seen[1],
             later_ms={},
             proof=self._proof(now_ms),
         )
@@ -289,6 +311,19 @@
             limits[account.name] = limit
         return limits
 
+    def _drop_silent(self, now_ms: int) -> None:
+        """Forgets instances that have not reported for a while."""
+        oldest_ms = now_ms - _REPORT_MAX_AGE_MS
+        for instance, heard in list(self._heard.items()):
+            if heard.at_ms < oldest_ms:
+                self._loads.remove(instance)
+
+    def _live_count(self, now_ms: int) -> int:
+        if now_ms - self._counted_ms >= _COUNT_MS:
+            self._counted_ms = now_ms
+            self._count = len(self._live(now_ms))
+        return max(1, self._count)
+
     def _live(self, now_ms: int) -> list[messages.Report]:
         oldest_ms = now_ms - _REPORT_MAX_AGE_MS
         return [
@@ -297,34 +332,16 @@
             if heard.at_ms >= oldest_ms
         ]
 
-    def _others_in_flight(self, instance: str, now_ms: int) -> dict[str, int]:
-        total: dict[str, int] = {}
-        for report in self._live(now_ms):
-            if report.instance == instance:
-                continue
-            for target_id, counts in report.in_flight.items():
-                total[target_id] = total.get(target_id, 0) + sum(
-                    counts.values()
-                )
-        return total
-
-    def _others_prefilling(self, instance: str, now_ms: int) -> dict[str, int]:
-        total: dict[str, int] = {}
-        for report in self._live(now_ms):
-            if report.instance != instance:
-                for target_id, tokens in report.prefilling.items():
-                    total[target_id] = total.get(target_id, 0) + tokens
-        return total
-
-    def _told_models(self) -> dict[str, dict[str, list[str]]]:
-        return {
-            target_id: {
-                name: sorted(adapters)
-                for name, adapters in state.orders.usable().items()
+    def _update_marks(self, now_ms: int) -> None:
+        if now_ms - self._marked_ms < _MARK_MS:
+            return
+        self._marked_ms = now_ms
+        self._marks.update(
+            {
+                target_id: _told(state.orders)
+                for target_id, state in self._engines.items()
             }
-            for target_id, state in self._engines.items()
-            if state.orders.known
-        }
+        )
 
     def _note_use(self, report: messages.Report, now_ms: int) -> None:
         seen = self._used_seen.setdefault(report.instance, {})
@@ -420,17 +437,12 @@
         self, service: str, plan: model_plan.ModelPlan, now_ms: int
     ) -> None:
         live = self._live(now_ms)
-        running = _sum_in_flight(live)
+        running = self._loads.running
         engines = [
             self._engine(entry, self._engines[entry.target_id], running, now_ms)
             for entry in self._directory.entries.values()
             if entry.service == service and entry.target_id in self._engines
         ]
-        in_flight: dict[str, int] = {}
-        for counts in running.values():
-            for subject, count in counts.items():
-                model = subject.partition("/")[0]
-                in_flight[model] = in_flight.get(model, 0) + count
         self._store_loads = [
             at_ms
             for at_ms in self._store_loads
@@ -447,7 +459,9 @@
         planned = plan.plan(
             engines,
             _demands(live, service),
-            model_plan.Usage(self._last_used_ms, self._recent, in_flight),
+            model_plan.Usage(
+                self._last_used_ms, self._recent, self._loads.by_model()
+            ),
             weight_store,
             now_ms,
         )
@@ -585,13 +599,10 @@
     return list(merged.values())
 
 
-def _sum_in_flight(
-    reports: list[messages.Report],
-) -> dict[str, dict[str, int]]:
-    total: dict[str, dict[str, int]] = {}
-    for report in reports:
-        for target_id, counts in report.in_flight.items():
-            sums = total.setdefault(target_id, {})
-            for subject, count in counts.items():
-                sums[subject] = sums.get(subject, 0) + count
-    return total
+def _told(orders: engine_orders.EngineOrders) -> model_marks.Models | None:
+    """Returns what instances are told that an engine holds."""
+    if not orders.known:
+        return None
+    return {
+        name: sorted(adapters) for name, adapters in orders.usable().items()
+    }
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -50,6 +50,7 @@
         used: Requests for each model since the start of the process.
         leaving: Whether it is the last one.
         reads_store: Whether it has just read the store.
+        models_seen: Term and mark of the models that it knows of.
     """
 
     instance: str
@@ -62,6 +63,7 @@
     used: dict[str, int]
     leaving: bool
     reads_store: bool
+    models_seen: tuple[int, int]
 
 
 class Proof(NamedTuple):
@@ -99,7 +101,10 @@
         grants: Grants by account.
         in_flight: Requests of other instances by target.
         prefilling: Prompt tokens of other instances by target, see there.
-        models: Models with adapters by target, as the holder knows them.
+        models: Models with adapters by target, where they have changed since
+            the mark in the report; None for a target that the holder does not
+            know of.
+        models_mark: Mark up to which the changes are told.
         later_ms: Time until a waited-for model can be had, by model.
         proof: How current the holder's knowledge is.
     """
@@ -111,7 +116,8 @@
     grants: dict[str, token_grants.Grant]
     in_flight: dict[str, int]
     prefilling: dict[str, int]
-    models: dict[str, dict[str, list[str]]]
+    models: dict[str, dict[str, list[str]] | None]
+    models_mark: int
     later_ms: dict[str, int]
     proof: Proof
 
@@ -139,6 +145,7 @@
     return raw._replace(
         needs={k: token_grants.Need(*v) for k, v in raw.needs.items()},
         waited=[Waited(*item) for item in raw.waited],
+        models_seen=tuple(raw.models_seen),
     )
 
 
--- /dev/null
+++ b/tanagerloft/coordination/model_marks.py
@@ -0,0 +1,38 @@
+"""Marks on what engines hold, so that only changes are told."""
+
+from __future__ import annotations
+
+Models = dict[str, list[str]]
+
+# Targets told of in one message, so that it stays a small datagram.
+_MAX_TOLD = 12
+
+
+class ModelMarks:
+    """What was last told of each target, and when."""
+
+    def __init__(self):
+        self._mark = 0
+        self._told: dict[str, tuple[int, Models | None]] = {}
+
+    def update(self, models: dict[str, Models | None]) -> None:
+        """Takes in what targets hold now; None for one that is not known."""
+        for target_id in self._told.keys() - models.keys():
+            del self._told[target_id]
+        for target_id, held in models.items():
+            told = self._told.get(target_id)
+            if told is None or told[1] != held:
+                self._mark += 1
+                self._told[target_id] = (self._mark, held)
+
+    def since(self, mark: int) -> tuple[dict[str, Models | None], int]:
+        """Returns what has changed since a mark, and the mark reached."""
+        changed = [
+            (at, target_id, held)
+            for target_id, (at, held) in self._told.items()
+            if at > mark
+        ]
+        changed = sorted(changed, key=lambda item: item[0])[:_MAX_TOLD]
+        if not changed:
+            return {}, mark
+        return {item[1]: item[2] for item in changed}, changed[-1][0]
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -102,18 +102,32 @@
         self,
         others: dict[str, int],
         others_prefilling: dict[str, int],
-        models: dict[str, dict[str, list[str]]],
+        models: dict[str, dict[str, list[str]] | None],
+        whole: bool,
     ) -> bool:
-        """Takes in the holder's view; returns whether models were added."""
+        """Takes in the holder's view.
+
+        Args:
+            others: Requests of other instances by target.
+            others_prefilling: Their unread prompt tokens by target.
+            models: What targets hold, where that has changed.
+            whole: Whether the changes are all that this holder has told.
+
+        Returns:
+            Whether requests may find more targets.
+        """
         self._others = others
         self._others_prefilling = others_prefilling
-        told = {
-            target_id: {name: frozenset(a) for name, a in held.items()}
-            for target_id, held in models.items()
-        }
-        changed = told != self._told_models
-        self._told_models = told
-        return changed
+        if whole:
+            self._told_models.clear()
+        for target_id, held in models.items():
+            if held is None:
+                self._told_models.pop(target_id, None)
+            else:
+                self._told_models[target_id] = {
+                    name: frozenset(adapters) for name, adapters in held.items()
+                }
+        return bool(models)
 
     def models_of(self, entry: types.TargetEntry) -> dict[str, frozenset[str]]:
         """Returns what an engine holds, by the holder's word if there is."""
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -199,8 +199,9 @@
                 model_demands[demand.model] = demand
         for demand in sorted(model_demands.values(), key=round_.urgency):
             round_.place_model(demand.model)
-        for name in self._models:
-            round_.add_replica(name)
+        for name in usage.recent:
+            if name in self._models:
+                round_.add_replica(name)
         round_.fetch_copies()
         return Plan(round_.orders, round_.later_ms)
 
@@ -273,6 +274,18 @@
         self._free_in_ms = {
             engine.target_id: float(engine.busy_ms) for engine in self._engines
         }
+        self._holders: dict[str, list[Engine]] = {}
+        self._with_copies: set[str] = set()
+        self._loading = {engine.loading for engine in self._engines}
+        for engine in self._engines:
+            for model in engine.models:
+                self._holders.setdefault(model, []).append(engine)
+            self._with_copies |= engine.in_memory | engine.on_disk
+        self._with_copies |= self._holders.keys() | self._loading
+        self._held_mb = {
+            engine.target_id: held_mb(engine.held(), models)
+            for engine in self._engines
+        }
         # When each of the loads that the store takes at once will be done.
         under_way = [
             float(engine.busy_ms)
@@ -288,7 +301,7 @@
 
     def holders(self, model: str) -> list[Engine]:
         """Returns the engines that have a model and stay."""
-        return [engine for engine in self._engines if model in engine.models]
+        return self._holders.get(model, [])
 
     def urgency(self, demand: Demand) -> tuple[float, str]:
         """Returns the rank of a demand, the most urgent the least.
@@ -337,9 +350,7 @@
 
     def add_replica(self, model: str) -> None:
         """Adds a replica of a model that is in steady use or crowded."""
-        if model in self.wanted or any(
-            engine.loading == model for engine in self._engines
-        ):
+        if model in self.wanted or model in self._loading:
             return
         holders = self.holders(model)
         in_flight = self._usage.in_flight.get(model, 0)
@@ -373,7 +384,7 @@
         """
         if self.wanted:
             return
-        missing = [name for name in self._models if not self._copies(name)]
+        missing = [n for n in self._models if n not in self._with_copies]
         for engine in self._engines:
             if not self._free(engine) or not missing:
                 continue
@@ -470,18 +481,9 @@
         return not engine.busy and engine.target_id not in self._taken
 
     def _has_room(self, engine: Engine, model: str) -> bool:
-        used_mb = held_mb(engine.held(), self._models)
+        used_mb = self._held_mb[engine.target_id]
         return used_mb + self._models[model].size_mb <= engine.room_mb
 
-    def _copies(self, model: str) -> bool:
-        return any(
-            model in engine.models
-            or model == engine.loading
-            or model in engine.in_memory
-            or model in engine.on_disk
-            for engine in self._engines
-        )
-
     def _victim(self, engine: Engine) -> str | None:
         """Returns the idle model with the least use, None if all are used."""
         choices = []
--- /dev/null
+++ b/tests/coordination/test_fleet_loads.py
@@ -0,0 +1,77 @@
+"""Sums of reports and marks on what engines hold."""
+
+from tanagerloft.coordination import fleet_loads
+from tanagerloft.coordination import messages
+from tanagerloft.coordination import model_marks
+
+
+def _report(instance, in_flight=None, prefilling=None) -> messages.Report:
+    return messages.Report(
+        instance=instance,
+        incarnation="1",
+        sequence=1,
+        needs={},
+        in_flight=in_flight or {},
+        prefilling=prefilling or {},
+        waited=[],
+        used={},
+        leaving=False,
+        reads_store=False,
+        models_seen=(0, 0),
+    )
+
+
+def test_others_leave_out_the_instance_itself():
+    loads = fleet_loads.FleetLoads()
+    loads.put(_report("a", {"t": {"m": 2}}, {"t": 500}))
+    loads.put(_report("b", {"t": {"m/x": 3}, "u": {"": 1}}))
+    assert loads.others_in_flight("a") == {"t": 3, "u": 1}
+    assert loads.others_in_flight("b") == {"t": 2}
+    assert loads.others_prefilling("b") == {"t": 500}
+    assert loads.others_prefilling("a") == {}
+    assert loads.by_model() == {"m": 5, "": 1}
+
+
+def test_a_report_replaces_the_one_before():
+    loads = fleet_loads.FleetLoads()
+    loads.put(_report("a", {"t": {"m": 2}}))
+    loads.put(_report("a", {"u": {"m": 1}}))
+    assert loads.running == {"u": {"m": 1}}
+    loads.remove("a")
+    loads.remove("a")
+    assert loads.running == {}
+    assert loads.others_in_flight("b") == {}
+
+
+def test_only_changes_are_told():
+    marks = model_marks.ModelMarks()
+    marks.update({"t": {"m": []}, "u": {"n": ["a"]}})
+    told, mark = marks.since(0)
+    assert told == {"t": {"m": []}, "u": {"n": ["a"]}}
+    marks.update({"t": {"m": []}, "u": None})
+    told, later = marks.since(mark)
+    assert told == {"u": None}
+    assert marks.since(later) == ({}, later)
+
+
+def test_many_changes_are_told_in_parts():
+    marks = model_marks.ModelMarks()
+    marks.update({f"t{n}": {"m": []} for n in range(30)})
+    told: dict = {}
+    mark = 0
+    for _ in range(3):
+        part, mark = marks.since(mark)
+        assert len(part) <= 12
+        told |= part
+    assert len(told) == 30
+
+
+def test_messages_survive_the_wire():
+    report = _report("a", {"t": {"m": 2}})
+    decoded = messages.decode(messages.encode(report))
+    assert decoded == report
+
+
+def test_other_bytes_are_no_message():
+    for data in (b"", b"\xff", b"\x93\x01\x02\x03", b"\x91\xa1r"):
+        assert messages.decode(data) is None
