--- a/tanagerloft/coordination/configuration.py
+++ b/tanagerloft/coordination/configuration.py
@@ -20,7 +20,7 @@
 # A proof that the holder passes on counts up to this age, and spares this
 # instance its own reading for so long.
 _TOLD_MAX_AGE_MS = 2_500
-_TOLD_FRESH_MS = 1_000
+_TOLD_FRESH_MS = 600
 _MAX_RETRY_MS = 800
 
 Decode = Callable[[bytes], types.Configuration | errors.MalformedEntry]
--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -230,16 +230,17 @@
             self._share_rates()
         self._later_ms = view.later_ms
         self._take_proof(view, now_ms)
-        self._directory.on_view(
+        changed = self._directory.on_view(
             view.in_flight, view.prefilling, view.models, fresh_term
         )
         self._models_seen = (view.token, view.models_mark)
+        changed |= bool(view.later_ms)
         for name, grant in view.grants.items():
             account = self._accounts.get(name)
             if account is not None:
                 account.on_grant(grant, view.sequence, now_ms)
-        # Also without a change: a target that lacked a model is due again.
-        self._changed()
+        if changed:
+            self._changed()
 
     def _take_proof(self, view: messages.View, now_ms: int) -> None:
         proof = view.proof
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -528,7 +528,7 @@
             orders.held(), order, shapes, _ROOM_MB, _MAX_ADAPTERS
         ):
             return
-        takes_ms, timely = 0.0, True
+        takes_ms = 0.0
         if order.verb is model_plan.Verb.LOAD and not order.adapter:
             shape = shapes[order.model]
             if order.model in orders.in_memory:
@@ -536,9 +536,9 @@
             elif order.model in orders.on_disk:
                 takes_ms = shape.disk_load_ms
             else:
-                takes_ms, timely = shape.load_ms, False
+                takes_ms = shape.load_ms
                 self._store_loads.append(now_ms)
-        orders.give(order, takes_ms, now_ms, timely)
+        orders.give(order, takes_ms, now_ms)
         self._start(self._carry_out(entry, state, order))
 
     async def _carry_out(
--- a/tanagerloft/coordination/target_list.py
+++ b/tanagerloft/coordination/target_list.py
@@ -19,7 +19,7 @@
 # What the holder tells counts up to this age, and spares this instance its own
 # polls for so long.
 _TOLD_MAX_AGE_MS = 1_200
-_TOLD_FRESH_MS = 1_000
+_TOLD_FRESH_MS = 600
 
 
 class TargetList:
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -12,10 +12,9 @@
 
 logger = logging.getLogger(__name__)
 
-# A target that said that it lacks a model is asked again after this time, each
-# time after twice as long up to a bound: what is known of it lags behind.
+# A target that said that it lacks a model is asked again after this time;
+# entries lag behind by up to a poll.
 _LACKS_MS = 100
-_LACKS_MAX_MS = 1_600
 _FAILURE_HALF_LIFE_MS = 3_000
 # Prompt tokens still to be read that weigh as much as a request under way.
 _TOKENS_PER_LOAD = 250.0
@@ -39,11 +38,6 @@
     models: bool
 
 
-class _Lacks(NamedTuple):
-    until_ms: int
-    wait_ms: int
-
-
 class _Failures(NamedTuple):
     weight: float
     at_ms: int
@@ -67,7 +61,7 @@
         self._decode = decode
         self._now_ms = now_ms
         self._data_centre = data_centre
-        self._lacks: dict[tuple[str, str], _Lacks] = {}
+        self._lacks: dict[tuple[str, str], int] = {}
         self._failures: dict[str, _Failures] = {}
         self._others: dict[str, int] = {}
         self._others_prefilling: dict[str, int] = {}
@@ -110,7 +104,7 @@
         others_prefilling: dict[str, int],
         models: dict[str, dict[str, list[str]] | None],
         whole: bool,
-    ) -> None:
+    ) -> bool:
         """Takes in the holder's view.
 
         Args:
@@ -118,6 +112,9 @@
             others_prefilling: Their unread prompt tokens by target.
             models: What targets hold, where that has changed.
             whole: Whether the changes are all that this holder has told.
+
+        Returns:
+            Whether requests may find more targets.
         """
         self._others = others
         self._others_prefilling = others_prefilling
@@ -130,6 +127,7 @@
                 self._told_models[target_id] = {
                     name: frozenset(adapters) for name, adapters in held.items()
                 }
+        return bool(models)
 
     def models_of(self, entry: types.TargetEntry) -> dict[str, frozenset[str]]:
         """Returns what an engine holds, by the holder's word if there is."""
@@ -207,12 +205,7 @@
 
     def note_lacks(self, target_id: str, subject: str) -> None:
         """Remembers that a target said that it lacks a model or adapter."""
-        now_ms = self._now_ms()
-        before = self._lacks.get((target_id, subject))
-        wait_ms = _LACKS_MS
-        if before is not None and now_ms < before.until_ms + _LACKS_MAX_MS:
-            wait_ms = min(_LACKS_MAX_MS, 2 * before.wait_ms)
-        self._lacks[target_id, subject] = _Lacks(now_ms + wait_ms, wait_ms)
+        self._lacks[target_id, subject] = self._now_ms()
 
     def _holds(
         self, entry: types.TargetEntry, model: str, adapter: str, now_ms: int
@@ -220,8 +213,8 @@
         adapters = self.models_of(entry).get(model)
         if adapters is None or (adapter and adapter not in adapters):
             return False
-        lacks = self._lacks.get((entry.target_id, subject(model, adapter)))
-        return lacks is None or now_ms >= lacks.until_ms
+        lacks_ms = self._lacks.get((entry.target_id, subject(model, adapter)))
+        return lacks_ms is None or now_ms - lacks_ms >= _LACKS_MS
 
     def _load(self, target_id: str) -> int:
         own = sum(self.in_flight.get(target_id, {}).values())
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -49,7 +49,6 @@
     expected: int
     given_ms: int
     due_ms: int
-    timely: bool
     phase: _Phase
     repeated: bool
 
@@ -135,21 +134,9 @@
         return self._blocked or self._verify or overdue or bool(self._adapters)
 
     def give(
-        self,
-        order: model_plan.Order,
-        takes_ms: float,
-        now_ms: int,
-        timely: bool = True,
+        self, order: model_plan.Order, takes_ms: float, now_ms: int
     ) -> None:
-        """Notes an order that is about to be sent.
-
-        Args:
-            order: The order.
-            takes_ms: Time that it should take.
-            now_ms: Reading of the clock.
-            timely: Whether it takes just that time. Loads from the weight
-                store take longer the more of them there are.
-        """
+        """Notes an order that is about to be sent."""
         self._before_ms = self._changed_ms
         self._changed_ms = now_ms
         model = order.model
@@ -169,7 +156,6 @@
             self._sequence,
             now_ms,
             now_ms + int(takes_ms) + (_MARGIN_MS if takes_ms else 0),
-            timely,
             _Phase.SENT,
             repeated=False,
         )
@@ -229,7 +215,7 @@
         pending = self._pending
         if pending is None or pending.phase is not _Phase.ACCEPTED:
             return False
-        if now_ms < pending.due_ms or not pending.timely:
+        if now_ms < pending.due_ms:
             return False
         self._done(pending)
         self._changed_ms = now_ms
@@ -261,7 +247,6 @@
         if shown:
             self._pending = None
         elif pending.phase is _Phase.ACCEPTED:
-            # An idle engine does not carry it out: it has been restarted.
             if seen_ms > pending.due_ms + _GRACE_MS:
                 self._pending = None
         elif self._sequence > pending.expected:
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -23,7 +23,7 @@
 # within this time, or on a new one: a target closes idle ones.
 _FRESH_IDLE_MS = 300
 # Sends of one request, those that did not run included.
-_MAX_SENDS = 6
+_MAX_SENDS = 4
 # Pause before a request goes to the same target again.
 _SAME_TARGET_MS = 100
 # Prompt tokens that wait at an engine, beyond which a further request is held
@@ -378,26 +378,11 @@
         assert self._target is not None
         target_id = self._target.target_id
         self._may_have_run.discard(target_id)
-        if not mark.lacks:
-            self._parts.directory.note_failure(target_id)
-            self._failed(attempts.Evidence.REFUSED, f"status {self._status}")
-            return
-        self._parts.directory.note_lacks(target_id, self.context.subject)
-        self._tried.discard(target_id)
-        self._leave_target()
-        logger.info(
-            "target lacks model",
-            extra={
-                "request": self.context.ask.request_id,
-                "target": target_id,
-                "model": self.context.subject,
-                "sends": self.sends,
-            },
-        )
-        if self.sends >= _MAX_SENDS:
-            self._give_up("targets lack the model")
+        if mark.lacks:
+            self._parts.directory.note_lacks(target_id, self.context.subject)
         else:
-            self._try_again()
+            self._parts.directory.note_failure(target_id)
+        self._failed(attempts.Evidence.REFUSED, f"status {self._status}")
 
     def _failed(self, evidence: attempts.Evidence, reason: str) -> None:
         """Decides what follows an attempt that gave no whole answer."""
--- a/tests/decisions/test_engine_orders.py
+++ b/tests/decisions/test_engine_orders.py
@@ -174,18 +174,3 @@
     orders.give(drop, 0, 3_600)
     orders.on_answer(drop, engine_orders.Result.HOLDS, 3_605)
     assert orders.held() == {"m": frozenset()}
-
-
-def test_a_load_of_unknown_length_is_done_when_a_report_shows_it():
-    # Seen on a grown site: more loads from the weight store than it takes at
-    # once took twice as long, and requests went to engines without the model.
-    orders = _known()
-    orders.give(_LOAD, 6_000, 2_000, timely=False)
-    orders.on_answer(_LOAD, engine_orders.Result.ACCEPTED, 2_005)
-    assert not orders.on_time(9_000)
-    assert orders.wants_report(9_000)
-    orders.on_report(_report(busy=True, sequence=1), 9_000)
-    assert orders.loading == "m"
-    orders.on_report(_report(("m",), sequence=1), 12_000)
-    assert "m" in orders.usable()
-    assert not orders.busy(12_000)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -569,20 +569,3 @@
     models = config["services"][1]["engine"]["models"]
     models.append({"name": "m2", "weights_mb": 70_000, "load_s": 60})
     _run(test, services=config["services"])
-
-
-def test_a_target_that_lacks_the_model_is_asked_again_later():
-    async def test(platform):
-        async def first_lacks(request, writer):
-            if len(engine.requests) < 3:
-                writer.write(platform_lib.answer(request, status=421))
-            else:
-                await _stream(request, writer)
-
-        engine = await platform.add_target(first_lacks, "engines")
-        data = await platform.call("POST", "/stream/x", Model="m1")
-        assert _status(data) == 200
-        assert _is_whole(data)
-        assert len(engine.requests) == 3
-
-    _run(test)
