Split the holder and the exchange; check keys again before each send

Holder: what it hears and answers stays; engines and orders go to engine_keeper, use of models to decisions/model_usage, types of plans to decisions/model_orders. Exchange: streams go to stream_relay.

--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -12,7 +12,7 @@
 import enum
 from typing import NamedTuple
 
-from tanagerloft.decisions import model_plan
+from tanagerloft.decisions import model_orders
 from tanagerloft.fleet import types
 
 # Reports tell how things were this long ago, at most.
@@ -45,7 +45,7 @@
 
 
 class _Pending(NamedTuple):
-    order: model_plan.Order
+    order: model_orders.Order
     expected: int
     given_ms: int
     due_ms: int
@@ -89,7 +89,7 @@
     def loading(self) -> str:
         """Model under way, empty for none."""
         pending = self._pending
-        if pending is None or pending.order.verb is model_plan.Verb.UNLOAD:
+        if pending is None or pending.order.verb is model_orders.Verb.UNLOAD:
             return ""
         return pending.order.model
 
@@ -134,7 +134,7 @@
         return self._blocked or self._verify or overdue or bool(self._adapters)
 
     def give(
-        self, order: model_plan.Order, takes_ms: float, now_ms: int
+        self, order: model_orders.Order, takes_ms: float, now_ms: int
     ) -> None:
         """Notes an order that is about to be sent."""
         self._before_ms = self._changed_ms
@@ -142,14 +142,14 @@
         model = order.model
         if order.adapter:
             key = (model, order.adapter)
-            if order.verb is model_plan.Verb.LOAD:
+            if order.verb is model_orders.Verb.LOAD:
                 adapters = self._models.get(model, frozenset())
                 self._adapters[key] = now_ms
                 self._models[model] = adapters | {order.adapter}
             else:
                 self._dropping.add(key)
             return
-        if order.verb is model_plan.Verb.UNLOAD:
+        if order.verb is model_orders.Verb.UNLOAD:
             self._models.pop(model, None)
         self._pending = _Pending(
             order,
@@ -160,7 +160,7 @@
             repeated=False,
         )
 
-    def count_before(self, order: model_plan.Order) -> int:
+    def count_before(self, order: model_orders.Order) -> int:
         """Returns the number of orders before one that is sent now."""
         pending = self._pending
         if pending is not None and pending.order == order:
@@ -170,7 +170,7 @@
             return pending.expected
         return self._sequence
 
-    def repeat(self, now_ms: int) -> model_plan.Order | None:
+    def repeat(self, now_ms: int) -> model_orders.Order | None:
         """Returns an order to send again as it was."""
         pending = self._pending
         if pending is None or pending.phase is not _Phase.DOUBT:
@@ -182,7 +182,7 @@
         return pending.order
 
     def on_answer(
-        self, order: model_plan.Order, result: Result, now_ms: int
+        self, order: model_orders.Order, result: Result, now_ms: int
     ) -> None:
         """Takes in the answer to an order."""
         self._changed_ms = now_ms
@@ -242,7 +242,7 @@
         if pending is None:
             return
         shown = (pending.order.model in report.models) is (
-            pending.order.verb is model_plan.Verb.LOAD
+            pending.order.verb is model_orders.Verb.LOAD
         )
         if shown:
             self._pending = None
@@ -252,13 +252,13 @@
         elif self._sequence > pending.expected:
             # Another order was accepted instead; this one never will be.
             self._pending = None
-        if pending.order.verb is model_plan.Verb.UNLOAD and self._pending:
+        if pending.order.verb is model_orders.Verb.UNLOAD and self._pending:
             self._models.pop(pending.order.model, None)
 
     def _done(self, pending: _Pending) -> None:
         self._pending = None
         self._verify = True
-        self._unloading = pending.order.verb is model_plan.Verb.UNLOAD
+        self._unloading = pending.order.verb is model_orders.Verb.UNLOAD
         if not self._unloading:
             model = pending.order.model
             self._models.setdefault(model, frozenset())
@@ -269,7 +269,7 @@
         self._verify = True
         # Nothing has changed: reports from before the order are as good.
         self._changed_ms = self._before_ms
-        if pending.order.verb is model_plan.Verb.UNLOAD:
+        if pending.order.verb is model_orders.Verb.UNLOAD:
             self._models.setdefault(pending.order.model, frozenset())
         if result is Result.NOT_SENT:
             self._next_ms = now_ms + _REPEAT_MS
@@ -279,14 +279,14 @@
             self._blocked = True
 
     def _on_adapter_answer(
-        self, order: model_plan.Order, result: Result
+        self, order: model_orders.Order, result: Result
     ) -> None:
         self._verify = True
         if result not in (Result.ACCEPTED, Result.HOLDS):
             # Until a report tells, it counts as held.
             self._blocked = True
             return
-        drops = order.verb is model_plan.Verb.UNLOAD
+        drops = order.verb is model_orders.Verb.UNLOAD
         if result is Result.ACCEPTED or drops:
             self._sequence += 1
         if drops:
--- /dev/null
+++ b/tanagerloft/decisions/model_orders.py
@@ -0,0 +1,162 @@
+"""What a plan of loads and unloads starts from, and the orders it gives."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from tanagerloft.fleet import types
+
+
+class Verb(enum.Enum):
+    """What an order does."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class Order(NamedTuple):
+    """An order to an engine.
+
+    Attributes:
+        verb: What to do.
+        target_id: Engine.
+        model: Model.
+        adapter: Adapter of the model, empty for the model itself.
+    """
+
+    verb: Verb
+    target_id: str
+    model: str
+    adapter: str = ""
+
+
+class Demand(NamedTuple):
+    """Requests that wait for a model or adapter, over all instances.
+
+    Attributes:
+        model: Model.
+        adapter: Adapter, empty for none.
+        aims_left_ms: Time left until each misses its aim, less than zero if
+            it has.
+        patience_left_ms: Time until the caller of each leaves.
+    """
+
+    model: str
+    adapter: str
+    aims_left_ms: tuple[int, ...]
+    patience_left_ms: tuple[int, ...]
+
+
+class Engine(NamedTuple):
+    """An engine as the planner sees it.
+
+    Attributes:
+        target_id: Identity.
+        service: Service.
+        models: Loaded models with their adapters, those on the way included.
+        loading: Model that it loads, empty for none.
+        busy: Whether it carries out an order, or one is on its way to it.
+        busy_ms: How long it will still do so.
+        leaving: Whether it gets no new work.
+        in_memory: Models with a copy in its memory.
+        on_disk: Models with a copy on its disk.
+        running: Requests under way by model, over all instances.
+        room_mb: Size of its memory for weights.
+        max_adapters: Adapters that it can hold.
+    """
+
+    target_id: str
+    service: str
+    models: dict[str, frozenset[str]]
+    loading: str
+    busy: bool
+    busy_ms: int
+    leaving: bool
+    in_memory: frozenset[str]
+    on_disk: frozenset[str]
+    running: dict[str, int]
+    room_mb: float
+    max_adapters: int
+
+    def held(self) -> dict[str, frozenset[str]]:
+        """Returns what takes memory, the model under way included."""
+        held = dict(self.models)
+        if self.loading:
+            held.setdefault(self.loading, frozenset())
+        return held
+
+
+class Usage(NamedTuple):
+    """Use of models over all instances.
+
+    Attributes:
+        last_used_ms: Reading of the clock at the last request, by model.
+        recent: Requests of the last seconds, by model.
+        in_flight: Requests under way, by model.
+    """
+
+    last_used_ms: dict[str, int]
+    recent: dict[str, float]
+    in_flight: dict[str, int]
+
+
+class WeightStore(NamedTuple):
+    """What the weight store allows now.
+
+    Attributes:
+        loads_left: Loads that may begin in the present window.
+        under_way: Loads from the store under way.
+        at_once: Loads at full speed.
+    """
+
+    loads_left: int
+    under_way: int
+    at_once: int
+
+
+def merge(one: Demand, other: Demand) -> Demand:
+    """Returns the demand of two instances for the same model."""
+    return one._replace(
+        aims_left_ms=one.aims_left_ms + other.aims_left_ms,
+        patience_left_ms=one.patience_left_ms + other.patience_left_ms,
+    )
+
+
+def fits(
+    held: dict[str, frozenset[str]],
+    order: Order,
+    models: dict[str, types.Model],
+    room_mb: float,
+    max_adapters: int,
+) -> bool:
+    """Returns whether an engine has room for what an order loads.
+
+    Args:
+        held: Models and adapters that it holds or may hold.
+        order: The order.
+        models: Models of the service.
+        room_mb: Memory of the engine for weights.
+        max_adapters: Adapters that it can hold.
+    """
+    if order.verb is Verb.UNLOAD:
+        return True
+    adapters = sum(len(names) for names in held.values())
+    needed_mb = models[order.model].size_mb
+    if order.adapter:
+        needed_mb = models[order.model].adapter_size_mb
+        adapters += 1
+    used_mb = held_mb(held, models)
+    return used_mb + needed_mb <= room_mb and adapters <= max_adapters
+
+
+def held_mb(
+    held: dict[str, frozenset[str]], models: dict[str, types.Model]
+) -> float:
+    """Returns the memory that models and adapters take, at most."""
+    total_mb = 0.0
+    for name, adapters in held.items():
+        model = models.get(name)
+        if model is not None:
+            total_mb += model.size_mb + len(adapters) * model.adapter_size_mb
+    return total_mb
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -9,119 +9,11 @@
 
 from __future__ import annotations
 
-import enum
 from typing import NamedTuple
 
+from tanagerloft.decisions import model_orders
 from tanagerloft.fleet import types
 
-
-class Verb(enum.Enum):
-    """What an order does."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
-class Order(NamedTuple):
-    """An order to an engine.
-
-    Attributes:
-        verb: What to do.
-        target_id: Engine.
-        model: Model.
-        adapter: Adapter of the model, empty for the model itself.
-    """
-
-    verb: Verb
-    target_id: str
-    model: str
-    adapter: str = ""
-
-
-class Demand(NamedTuple):
-    """Requests that wait for a model or adapter, over all instances.
-
-    Attributes:
-        model: Model.
-        adapter: Adapter, empty for none.
-        aims_left_ms: Time left until each misses its aim, less than zero if
-            it has.
-        patience_left_ms: Time until the caller of each leaves.
-    """
-
-    model: str
-    adapter: str
-    aims_left_ms: tuple[int, ...]
-    patience_left_ms: tuple[int, ...]
-
-
-class Engine(NamedTuple):
-    """An engine as the planner sees it.
-
-    Attributes:
-        target_id: Identity.
-        service: Service.
-        models: Loaded models with their adapters, those on the way included.
-        loading: Model that it loads, empty for none.
-        busy: Whether it carries out an order, or one is on its way to it.
-        busy_ms: How long it will still do so.
-        leaving: Whether it gets no new work.
-        in_memory: Models with a copy in its memory.
-        on_disk: Models with a copy on its disk.
-        running: Requests under way by model, over all instances.
-        room_mb: Size of its memory for weights.
-        max_adapters: Adapters that it can hold.
-    """
-
-    target_id: str
-    service: str
-    models: dict[str, frozenset[str]]
-    loading: str
-    busy: bool
-    busy_ms: int
-    leaving: bool
-    in_memory: frozenset[str]
-    on_disk: frozenset[str]
-    running: dict[str, int]
-    room_mb: float
-    max_adapters: int
-
-    def held(self) -> dict[str, frozenset[str]]:
-        """Returns what takes memory, the model under way included."""
-        held = dict(self.models)
-        if self.loading:
-            held.setdefault(self.loading, frozenset())
-        return held
-
-
-class Usage(NamedTuple):
-    """Use of models over all instances.
-
-    Attributes:
-        last_used_ms: Reading of the clock at the last request, by model.
-        recent: Requests of the last seconds, by model.
-        in_flight: Requests under way, by model.
-    """
-
-    last_used_ms: dict[str, int]
-    recent: dict[str, float]
-    in_flight: dict[str, int]
-
-
-class WeightStore(NamedTuple):
-    """What the weight store allows now.
-
-    Attributes:
-        loads_left: Loads that may begin in the present window.
-        under_way: Loads from the store under way.
-        at_once: Loads at full speed.
-    """
-
-    loads_left: int
-    under_way: int
-    at_once: int
-
-
 # Requests under way on each replica beyond which another one is loaded; half
 # of the slots would slow every token of the batch.
 _REPLICA_REQUESTS = 16
@@ -157,7 +49,7 @@
         later_ms: Time until a waited-for model will be there, by model.
     """
 
-    orders: list[Order]
+    orders: list[model_orders.Order]
     later_ms: dict[str, int]
 
 
@@ -173,10 +65,10 @@
 
     def plan(
         self,
-        engines: list[Engine],
-        demands: list[Demand],
-        usage: Usage,
-        weight_store: WeightStore,
+        engines: list[model_orders.Engine],
+        demands: list[model_orders.Demand],
+        usage: model_orders.Usage,
+        weight_store: model_orders.WeightStore,
         now_ms: int,
     ) -> Plan:
         """Returns the orders to give now, at most one model an engine."""
@@ -184,7 +76,7 @@
         round_.wanted = {demand.model for demand in demands} | {
             f"{demand.model}/{demand.adapter}" for demand in demands
         }
-        model_demands: dict[str, Demand] = {}
+        model_demands: dict[str, model_orders.Demand] = {}
         for demand in demands:
             if demand.model not in self._models:
                 continue
@@ -194,7 +86,7 @@
                 continue
             known = model_demands.get(demand.model)
             if known is not None:
-                model_demands[demand.model] = merge(known, demand)
+                model_demands[demand.model] = model_orders.merge(known, demand)
             else:
                 model_demands[demand.model] = demand
         for demand in sorted(model_demands.values(), key=round_.urgency):
@@ -206,62 +98,15 @@
         return Plan(round_.orders, round_.later_ms)
 
 
-def merge(one: Demand, other: Demand) -> Demand:
-    """Returns the demand of two instances for the same model."""
-    return one._replace(
-        aims_left_ms=one.aims_left_ms + other.aims_left_ms,
-        patience_left_ms=one.patience_left_ms + other.patience_left_ms,
-    )
-
-
-def fits(
-    held: dict[str, frozenset[str]],
-    order: Order,
-    models: dict[str, types.Model],
-    room_mb: float,
-    max_adapters: int,
-) -> bool:
-    """Returns whether an engine has room for what an order loads.
-
-    Args:
-        held: Models and adapters that it holds or may hold.
-        order: The order.
-        models: Models of the service.
-        room_mb: Memory of the engine for weights.
-        max_adapters: Adapters that it can hold.
-    """
-    if order.verb is Verb.UNLOAD:
-        return True
-    adapters = sum(len(names) for names in held.values())
-    needed_mb = models[order.model].size_mb
-    if order.adapter:
-        needed_mb = models[order.model].adapter_size_mb
-        adapters += 1
-    used_mb = held_mb(held, models)
-    return used_mb + needed_mb <= room_mb and adapters <= max_adapters
-
-
-def held_mb(
-    held: dict[str, frozenset[str]], models: dict[str, types.Model]
-) -> float:
-    """Returns the memory that models and adapters take, at most."""
-    total_mb = 0.0
-    for name, adapters in held.items():
-        model = models.get(name)
-        if model is not None:
-            total_mb += model.size_mb + len(adapters) * model.adapter_size_mb
-    return total_mb
-
-
 class _Round:
     """One run of the planner."""
 
     def __init__(
         self,
         models: dict[str, types.Model],
-        engines: list[Engine],
-        usage: Usage,
-        weight_store: WeightStore,
+        engines: list[model_orders.Engine],
+        usage: model_orders.Usage,
+        weight_store: model_orders.WeightStore,
         now_ms: int,
     ):
         self._models = models
@@ -274,7 +119,7 @@
         self._free_in_ms = {
             engine.target_id: float(engine.busy_ms) for engine in self._engines
         }
-        self._holders: dict[str, list[Engine]] = {}
+        self._holders: dict[str, list[model_orders.Engine]] = {}
         self._with_copies: set[str] = set()
         self._loading = {engine.loading for engine in self._engines}
         for engine in self._engines:
@@ -283,7 +128,7 @@
             self._with_copies |= engine.in_memory | engine.on_disk
         self._with_copies |= self._holders.keys() | self._loading
         self._held_mb = {
-            engine.target_id: held_mb(engine.held(), models)
+            engine.target_id: model_orders.held_mb(engine.held(), models)
             for engine in self._engines
         }
         # When each of the loads that the store takes at once will be done.
@@ -296,14 +141,14 @@
         self._lanes = under_way + [0.0] * idle
         self._taken: set[str] = set()
         self.wanted: set[str] = set()
-        self.orders: list[Order] = []
+        self.orders: list[model_orders.Order] = []
         self.later_ms: dict[str, int] = {}
 
-    def holders(self, model: str) -> list[Engine]:
+    def holders(self, model: str) -> list[model_orders.Engine]:
         """Returns the engines that have a model and stay."""
         return self._holders.get(model, [])
 
-    def urgency(self, demand: Demand) -> tuple[float, str]:
+    def urgency(self, demand: model_orders.Demand) -> tuple[float, str]:
         """Returns the rank of a demand, the most urgent the least.
 
         What counts is the worth of a load for each second that it takes:
@@ -421,8 +266,10 @@
         )
         if engine.busy:
             return
-        order = Order(Verb.LOAD, engine.target_id, model, adapter)
-        if fits(
+        order = model_orders.Order(
+            model_orders.Verb.LOAD, engine.target_id, model, adapter
+        )
+        if model_orders.fits(
             engine.held(),
             order,
             self._models,
@@ -433,9 +280,15 @@
             return
         victim = self._idle_adapter(engine)
         if victim is not None:
-            self.orders.append(Order(Verb.UNLOAD, engine.target_id, *victim))
+            self.orders.append(
+                model_orders.Order(
+                    model_orders.Verb.UNLOAD, engine.target_id, *victim
+                )
+            )
 
-    def _idle_adapter(self, engine: Engine) -> tuple[str, str] | None:
+    def _idle_adapter(
+        self, engine: model_orders.Engine
+    ) -> tuple[str, str] | None:
         """Returns the adapter that has been unused for the longest."""
         choices = []
         for model, adapters in engine.models.items():
@@ -448,43 +301,49 @@
                     choices.append((last_ms, model, adapter))
         return min(choices)[1:] if choices else None
 
-    def _load(self, engine: Engine, model: str) -> None:
+    def _load(self, engine: model_orders.Engine, model: str) -> None:
         self._taken.add(engine.target_id)
         if not self._has_room(engine, model):
             victim = self._victim(engine)
             if victim is not None:
-                self.orders.append(Order(Verb.UNLOAD, engine.target_id, victim))
+                self.orders.append(
+                    model_orders.Order(
+                        model_orders.Verb.UNLOAD, engine.target_id, victim
+                    )
+                )
             return
         if self._from_store(engine, model):
             if self._store_left <= 0:
                 return
             self._store_left -= 1
             self._store_under_way += 1
-        self.orders.append(Order(Verb.LOAD, engine.target_id, model))
+        self.orders.append(
+            model_orders.Order(model_orders.Verb.LOAD, engine.target_id, model)
+        )
 
-    def _from_store(self, engine: Engine, model: str) -> bool:
+    def _from_store(self, engine: model_orders.Engine, model: str) -> bool:
         return model not in engine.in_memory | engine.on_disk
 
-    def _may_load_long(self, engine: Engine) -> bool:
+    def _may_load_long(self, engine: model_orders.Engine) -> bool:
         """Whether an engine may be kept from short loads by a long one."""
         most = self._store_at_once
         if not self._is_bare(engine):
             most = min(most, len(self._engines) // _ENGINES_PER_LONG_LOAD)
         return self._store_under_way < max(1, most) and self._store_left > 0
 
-    def _is_bare(self, engine: Engine) -> bool:
+    def _is_bare(self, engine: model_orders.Engine) -> bool:
         """Whether an engine has too few copies to be of use for short loads."""
         copies = len(engine.in_memory | engine.on_disk)
         return copies < _BARE_SHARE * len(self._models)
 
-    def _free(self, engine: Engine) -> bool:
+    def _free(self, engine: model_orders.Engine) -> bool:
         return not engine.busy and engine.target_id not in self._taken
 
-    def _has_room(self, engine: Engine, model: str) -> bool:
+    def _has_room(self, engine: model_orders.Engine, model: str) -> bool:
         used_mb = self._held_mb[engine.target_id]
         return used_mb + self._models[model].size_mb <= engine.room_mb
 
-    def _victim(self, engine: Engine) -> str | None:
+    def _victim(self, engine: model_orders.Engine) -> str | None:
         """Returns the idle model with the least use, None if all are used."""
         choices = []
         for name in engine.models:
@@ -500,7 +359,7 @@
             choices.append((steady, last_ms, recent, name))
         return min(choices)[3] if choices else None
 
-    def _load_ms(self, engine: Engine, model: str) -> float:
+    def _load_ms(self, engine: model_orders.Engine, model: str) -> float:
         shape = self._models[model]
         if model in engine.in_memory:
             return shape.memory_load_ms
@@ -508,7 +367,7 @@
             return shape.disk_load_ms
         return shape.load_ms
 
-    def _ready_in_ms(self, engine: Engine, model: str) -> float:
+    def _ready_in_ms(self, engine: model_orders.Engine, model: str) -> float:
         """Returns a guess of the time until ``engine`` would have it."""
         starts_ms = self._free_in_ms[engine.target_id]
         if self._from_store(engine, model):
@@ -521,7 +380,7 @@
         return time_ms
 
 
-def _running(engine: Engine, model: str) -> int:
+def _running(engine: model_orders.Engine, model: str) -> int:
     total = engine.running.get(model, 0)
     prefix = model + "/"
     for name, count in engine.running.items():
@@ -530,5 +389,5 @@
     return total
 
 
-def _adapters(engine: Engine) -> int:
+def _adapters(engine: model_orders.Engine) -> int:
     return sum(len(adapters) for adapters in engine.models.values())
--- /dev/null
+++ b/tanagerloft/decisions/model_usage.py
@@ -0,0 +1,89 @@
+"""Use of models over the fleet: what was asked for, how often, how lately."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from tanagerloft.decisions import model_orders
+from tanagerloft.fleet import types
+
+_RECENT_HALF_LIFE_MS = 4_000
+_RECENT_STEP_MS = 500
+# Recent requests that a model counts for which the platform has placed on two
+# engines or more, before there are any.
+_PLACED_TWICE_REQUESTS = 8.0
+# The same for a model with adapters.
+_HAS_ADAPTERS_REQUESTS = 1.0
+
+
+class ModelUsage:
+    """Counts requests for models, with and without adapters."""
+
+    def __init__(self):
+        self._seen: dict[str, dict[str, int]] = {}
+        self._last_used_ms: dict[str, int] = {}
+        self._recent: dict[str, float] = {}
+        self._recent_ms = 0
+        self._placed: set[str] = set()
+
+    def forget(self, instance: str) -> None:
+        """Begins anew with an instance that has been restarted."""
+        self._seen.pop(instance, None)
+
+    def note_counts(
+        self, instance: str, counts: dict[str, int], now_ms: int
+    ) -> None:
+        """Takes in what an instance has counted since its start.
+
+        Args:
+            instance: Name of the instance.
+            counts: Requests by model, or by model and adapter.
+            now_ms: Reading of the clock.
+        """
+        seen = self._seen.setdefault(instance, {})
+        for subject, count in counts.items():
+            more = count - seen.get(subject, 0)
+            if more > 0:
+                model = subject.partition("/")[0]
+                self._last_used_ms[model] = now_ms
+                self._last_used_ms[subject] = now_ms
+                self._recent[model] = self._recent.get(model, 0.0) + more
+            seen[subject] = count
+        self._decay(now_ms)
+
+    def note_placed(
+        self, placed: Iterable[str], models: dict[str, types.Model]
+    ) -> None:
+        """Guesses the use of models before there is any.
+
+        A model that the platform has placed twice is a busy one. One that has
+        adapters serves several purposes, so it is likely to be asked for.
+
+        Args:
+            placed: Models that a new engine holds.
+            models: Models of its service.
+        """
+        for name in placed:
+            if name in models and models[name].adapter_count:
+                self._recent.setdefault(name, _HAS_ADAPTERS_REQUESTS)
+            if name in self._placed and name not in self._last_used_ms:
+                self._recent[name] = _PLACED_TWICE_REQUESTS
+            self._placed.add(name)
+
+    def keep_until(self, model: str, until_ms: int) -> None:
+        """Counts a model as used until then, though nobody has reached it."""
+        self._last_used_ms[model] = until_ms
+
+    def usage(self, in_flight: dict[str, int]) -> model_orders.Usage:
+        """Returns the use of models for a plan."""
+        return model_orders.Usage(self._last_used_ms, self._recent, in_flight)
+
+    def _decay(self, now_ms: int) -> None:
+        if not self._last_used_ms:
+            self._recent_ms = now_ms
+        elapsed_ms = now_ms - self._recent_ms
+        if elapsed_ms >= _RECENT_STEP_MS:
+            factor = 0.5 ** (elapsed_ms / _RECENT_HALF_LIFE_MS)
+            self._recent_ms = now_ms
+            for model in self._recent:
+                self._recent[model] *= factor
--- a/tanagerloft/gateway/deployment.py
+++ b/tanagerloft/gateway/deployment.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from tanagerloft.coordination import configuration as configuration_lib
-from tanagerloft.coordination import holder as holder_lib
+from tanagerloft.coordination import engine_keeper
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.gateway import dialect as dialect_lib
@@ -37,8 +37,8 @@
     targets_table: str
     decode_configuration: configuration_lib.Decode
     decode_entry: targets_lib.DecodeEntry
-    send_order: holder_lib.SendOrder
-    fetch_report: holder_lib.FetchReport
+    send_order: engine_keeper.SendOrder
+    fetch_report: engine_keeper.FetchReport
     ready_path: bytes
     metrics_path: bytes
 
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -13,7 +13,7 @@
 from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import dialect as dialect_lib
 from tanagerloft.gateway import errors
-from tanagerloft.gateway import events as events_lib
+from tanagerloft.gateway import stream_relay
 from tanagerloft.gateway import waiting as waiting_lib
 from tanagerloft.net import target_connection
 
@@ -46,7 +46,8 @@
         room: Requests that wait for a model.
         take_repeat: Takes a repeat of the budget of a service.
         note_first: Counts a first send at a service.
-        keys_are_current: Whether keys can still be accepted.
+        recheck_key: Checks the key of a request again; a refusal if it does
+            not hold any more, or cannot be confirmed.
         report_soon: Tells the holder soon what is waited for.
         later_ms: Returns the time until a model will be there, if known.
         now_ms: Clock.
@@ -59,7 +60,7 @@
     room: waiting_lib.WaitingRoom
     take_repeat: Callable[[str], bool]
     note_first: Callable[[str], None]
-    keys_are_current: Callable[[], bool]
+    recheck_key: Callable[[context_lib.RequestContext], errors.Refusal | None]
     report_soon: Callable[[], None]
     later_ms: Callable[[str], int | None]
     now_ms: Callable[[], int]
@@ -81,11 +82,7 @@
         self._mark: dialect_lib.Mark | None = None
         self._status = 0
         self._body: list[bytes] = []
-        self._splitter = events_lib.EventSplitter()
-        self._last_event_id = context.ask.last_event_id
-        self._events = 0
-        self._last_event_ms = 0
-        self._longest_gap_ms = 0
+        self._stream = stream_relay.StreamRelay(context.ask.last_event_id)
         self._tried: set[str] = set()
         self._may_have_run: set[str] = set()
         self._waits = False
@@ -135,8 +132,9 @@
         if self._ended or self._target is not None or self._again is not None:
             return True
         parts, context = self._parts, self.context
-        if context.account is not None and not parts.keys_are_current():
-            self._refuse(errors.KEYS_UNCONFIRMED)
+        refusal = parts.recheck_key(context)
+        if refusal is not None:
+            self._give_up(refusal.detail, refusal)
             return True
         target = parts.directory.choose(*self._subject, frozenset(self._tried))
         now_ms = parts.now_ms()
@@ -203,7 +201,7 @@
         if self._mark is None or not self._mark.ours:
             return
         if self._relays_events():
-            self._relay(self._splitter.feed(data))
+            self._relay(data)
         else:
             self._body.append(data)
 
@@ -232,7 +230,7 @@
         """Takes in the end of the connection before that of the answer."""
         self._connection = None
         evidence = attempts.Evidence.UNKNOWN
-        if self._events:
+        if self._stream.events:
             evidence = attempts.Evidence.CUT
         self._failed(evidence, loss.value)
 
@@ -240,7 +238,7 @@
         parts, context = self._parts, self.context
         self._target = target
         self._mark = None
-        self._splitter = events_lib.EventSplitter()
+        self._stream.restart()
         parts.directory.note_start(target.target_id, context.subject)
         if context.ask.model:
             self._prefill_tokens = context.ask.prompt_tokens
@@ -284,7 +282,7 @@
             target=self._target,
             left_ms=max(1, ends_ms - now_ms),
             account=context.account_name,
-            last_event_id=self._last_event_id,
+            last_event_id=self._stream.last_event_id,
         )
         data = parts.dialect.encode(context.request, context.ask, send)
         connection.send(data, self)
@@ -306,46 +304,27 @@
             )
         self._prefill_tokens = 0
 
-    def _relay(self, events: list[events_lib.Event]) -> None:
+    def _relay(self, data: bytes) -> None:
         """Passes on events that the caller does not have yet."""
-        if events:
+        completed, fresh = self._stream.feed(data, self._parts.now_ms())
+        if completed:
             self._end_prefill()
-        out = []
-        for event in events:
-            number, last = event.number, self._last_event_id
-            if number is not None and last is not None and number <= last:
-                continue
-            if number is not None:
-                self._last_event_id = number
-            out.append(event.data)
-        if not out:
-            return
-        if not self._events:
+        if fresh:
             self._begin_stream()
-        self._note_gap()
-        self._events += len(out)
-        self.context.responder.write(b"".join(out))
-
-    def _note_gap(self) -> None:
-        now_ms = self._parts.now_ms()
-        if self._events:
-            self._longest_gap_ms = max(
-                self._longest_gap_ms, now_ms - self._last_event_ms
-            )
-        self._last_event_ms = now_ms
+            self.context.responder.write(fresh)
 
     def _begin_stream(self) -> None:
+        """Sends the head, unless that of an earlier target is out."""
         assert self._mark is not None
-        self.first_answer_ms = self._parts.now_ms()
         responder = self.context.responder
         if not responder.started:
+            self.first_answer_ms = self._parts.now_ms()
             responder.start(self._status, self._mark.headers, None)
 
     def _end_stream(self) -> None:
         responder = self.context.responder
-        if not self._events:
-            self._begin_stream()
-        responder.write(self._splitter.rest())
+        self._begin_stream()
+        responder.write(self._stream.rest())
         self._finish("answered", self._status)
         responder.finish()
 
@@ -400,7 +379,7 @@
                 "evidence": evidence.value,
                 "reason": reason,
                 "sends": self.sends,
-                "events": self._events,
+                "events": self._stream.events,
             },
         )
         not_run = evidence in (
@@ -432,15 +411,22 @@
         if not self.try_send():
             self._parts.report_soon()
 
-    def _give_up(self, reason: str) -> None:
-        """Ends a request for which no further send is allowed."""
+    def _give_up(
+        self, reason: str, refusal: errors.Refusal = errors.NO_TARGET
+    ) -> None:
+        """Ends a request for which no further send is allowed.
+
+        Args:
+            reason: Text for logs.
+            refusal: Answer if no target can have run it.
+        """
         if self.context.responder.started:
             self._finish("cut", 0, reason)
             self.context.responder.abort()
         elif self._may_have_run:
             self._refuse(errors.UNKNOWN_OUTCOME)
         else:
-            self._refuse(errors.NO_TARGET)
+            self._refuse(refusal)
 
     def _time_over(self) -> None:
         self._timer = None
@@ -513,8 +499,8 @@
                 "model_later_ms": self._parts.later_ms(context.ask.model),
                 "target": target,
                 "sends": self.sends,
-                "events": self._events,
-                "longest_gap_ms": self._longest_gap_ms,
+                "events": self._stream.events,
+                "longest_gap_ms": self._stream.longest_gap_ms,
                 "configuration": context.configuration.version,
                 "waited_ms": _since(context.request, self.first_sent_ms),
                 "first_ms": _since(context.request, self.first_answer_ms),
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -10,6 +10,7 @@
 
 from tanagerloft.config import settings as settings_lib
 from tanagerloft.coordination import configuration as configuration_lib
+from tanagerloft.coordination import engine_keeper
 from tanagerloft.coordination import fleet_link
 from tanagerloft.coordination import holder as holder_lib
 from tanagerloft.coordination import lease_keeper
@@ -20,7 +21,9 @@
 from tanagerloft.decisions import retry_budget
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
+from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import deployment as deployment_lib
+from tanagerloft.gateway import errors
 from tanagerloft.gateway import exchange as exchange_lib
 from tanagerloft.gateway import gateway as gateway_lib
 from tanagerloft.gateway import metrics as metrics_lib
@@ -126,12 +129,17 @@
             self._reads_store,
             self._take_proof,
         )
-        self._holder = holder_lib.Holder(
+        engines = engine_keeper.EngineKeeper(
             self._lease,
             self.directory,
             deployment.send_order,
             deployment.fetch_report,
             now_ms,
+        )
+        self._holder = holder_lib.Holder(
+            self._lease,
+            engines,
+            now_ms,
             self._name,
             self._tell_knowledge,
             token_grants.Tolerance(
@@ -159,7 +167,7 @@
             room=self.waiting_room,
             take_repeat=self._take_repeat,
             note_first=self._note_first,
-            keys_are_current=self._keys_are_current,
+            recheck_key=self._recheck_key,
             report_soon=self._link.report_soon,
             later_ms=self._link.model_later_ms,
             now_ms=now_ms,
@@ -317,6 +325,14 @@
             token, proof.targets_mark, proof.targets_age_ms, asked_ms
         )
 
+    def _recheck_key(
+        self, context: context_lib.RequestContext
+    ) -> errors.Refusal | None:
+        configuration = self._configuration.current or context.configuration
+        return steps_lib.recheck_key(
+            context, configuration, self._keys_are_current()
+        )
+
     def _receive(self, data: bytes, address: tuple[str, int]) -> None:
         message = messages.decode(data)
         if isinstance(message, messages.Report):
--- a/tanagerloft/gateway/steps.py
+++ b/tanagerloft/gateway/steps.py
@@ -71,6 +71,31 @@
     return authenticate
 
 
+def recheck_key(
+    context: context_lib.RequestContext,
+    configuration: types.Configuration,
+    keys_are_current: bool,
+) -> errors.Refusal | None:
+    """Checks a key again before a request is sent.
+
+    Load answered: requests that wait for a model while their key is taken
+    away.
+
+    Args:
+        context: The request.
+        configuration: Configuration in force now.
+        keys_are_current: Whether its keys can still be accepted.
+    """
+    if context.account is None:
+        return None
+    if not keys_are_current:
+        return errors.KEYS_UNCONFIRMED
+    account = configuration.account_by_key.get(context.ask.key or "")
+    if account is None or account.name != context.account.name:
+        return errors.KEY_UNKNOWN
+    return None
+
+
 def _pick(route: types.Route, choose: random.Random) -> str:
     if len(route.splits) == 1:
         return route.splits[0].service
--- /dev/null
+++ b/tanagerloft/gateway/stream_relay.py
@@ -0,0 +1,61 @@
+"""State of a stream on its way from targets to the caller."""
+
+from __future__ import annotations
+
+from tanagerloft.gateway import events as events_lib
+
+
+class StreamRelay:
+    """Passes on each event once, also when a stream goes on elsewhere.
+
+    Args:
+        last_event_id: Event that the caller has already, None for none.
+
+    Attributes:
+        last_event_id: Last event passed on, None for none.
+        events: Events passed on.
+        longest_gap_ms: Longest time between two of them.
+    """
+
+    def __init__(self, last_event_id: int | None):
+        self._splitter = events_lib.EventSplitter()
+        self._last_event_ms = 0
+        self.last_event_id = last_event_id
+        self.events = 0
+        self.longest_gap_ms = 0
+
+    def restart(self) -> None:
+        """Begins with the answer of another target."""
+        self._splitter = events_lib.EventSplitter()
+
+    def feed(self, data: bytes, now_ms: int) -> tuple[bool, bytes]:
+        """Takes a piece of the answer.
+
+        Returns:
+            Whether it completed an event, and what goes to the caller.
+        """
+        completed = self._splitter.feed(data)
+        fresh = [event for event in completed if self._is_fresh(event)]
+        if fresh:
+            self._note_gap(now_ms)
+            self.events += len(fresh)
+        return bool(completed), b"".join(event.data for event in fresh)
+
+    def rest(self) -> bytes:
+        """Returns the bytes after the last whole event."""
+        return self._splitter.rest()
+
+    def _is_fresh(self, event: events_lib.Event) -> bool:
+        number, last = event.number, self.last_event_id
+        if number is None:
+            return True
+        if last is not None and number <= last:
+            return False
+        self.last_event_id = number
+        return True
+
+    def _note_gap(self, now_ms: int) -> None:
+        if self.events:
+            gap_ms = now_ms - self._last_event_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self._last_event_ms = now_ms
--- a/tanagerloft/platform/orders.py
+++ b/tanagerloft/platform/orders.py
@@ -4,10 +4,10 @@
 
 import orjson
 
+from tanagerloft.coordination import engine_keeper
 from tanagerloft.coordination import errors
-from tanagerloft.coordination import holder as holder_lib
 from tanagerloft.decisions import engine_orders
-from tanagerloft.decisions import model_plan
+from tanagerloft.decisions import model_orders
 from tanagerloft.fleet import types
 from tanagerloft.net import http_client
 from tanagerloft.net import target_connection
@@ -39,10 +39,10 @@
     async def send(
         self,
         entry: types.TargetEntry,
-        order: model_plan.Order,
+        order: model_orders.Order,
         token: int,
         sequence: int,
-    ) -> holder_lib.OrderAnswer:
+    ) -> engine_keeper.OrderAnswer:
         """Sends an order; it holds for this life of the engine only."""
         payload = {
             "operation": order.verb.value,
@@ -73,11 +73,11 @@
             result = engine_orders.Result.NOT_SENT
             if answer.sent:
                 result = engine_orders.Result.UNKNOWN
-            return holder_lib.OrderAnswer(result, answer.reason)
+            return engine_keeper.OrderAnswer(result, answer.reason)
         status = answer.head.status
         result = _RESULTS.get(status, engine_orders.Result.REFUSED)
         detail = f"{status} {answer.body[:_DETAIL_BYTES].decode('latin-1')}"
-        return holder_lib.OrderAnswer(result, detail)
+        return engine_keeper.OrderAnswer(result, detail)
 
     async def report(
         self, entry: types.TargetEntry
--- a/tests/decisions/test_engine_orders.py
+++ b/tests/decisions/test_engine_orders.py
@@ -1,11 +1,11 @@
 """Account of the orders of one engine."""
 
 from tanagerloft.decisions import engine_orders
-from tanagerloft.decisions import model_plan
+from tanagerloft.decisions import model_orders
 from tanagerloft.fleet import types
 
-_LOAD = model_plan.Order(model_plan.Verb.LOAD, "e", "m")
-_UNLOAD = model_plan.Order(model_plan.Verb.UNLOAD, "e", "old")
+_LOAD = model_orders.Order(model_orders.Verb.LOAD, "e", "m")
+_UNLOAD = model_orders.Order(model_orders.Verb.UNLOAD, "e", "old")
 _NONE: frozenset[str] = frozenset()
 
 
@@ -134,7 +134,7 @@
 def test_an_order_behind_one_for_an_adapter_counts_it():
     # Seen on the bench: the count was taken before the adapter's order was
     # accepted, and all later orders were refused for seconds.
-    adapter = model_plan.Order(model_plan.Verb.LOAD, "e", "old", "a1")
+    adapter = model_orders.Order(model_orders.Verb.LOAD, "e", "old", "a1")
     orders = _known("old")
     orders.give(adapter, 0, 2_000)
     orders.give(_UNLOAD, 0, 2_000)
@@ -159,7 +159,7 @@
 def test_an_adapter_counts_until_its_unload_is_confirmed():
     # Found by a hunt: an unload was not answered, the next adapter took its
     # place, and the engine crashed.
-    drop = model_plan.Order(model_plan.Verb.UNLOAD, "e", "m", "a1")
+    drop = model_orders.Order(model_orders.Verb.UNLOAD, "e", "m", "a1")
     orders = engine_orders.EngineOrders({"m": frozenset(["a1"])})
     report = _report(("m",))._replace(models={"m": frozenset(["a1"])})
     orders.on_report(report, 1_000)
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -1,5 +1,6 @@
 """Plans of loads and unloads."""
 
+from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import model_plan
 from tanagerloft.fleet import types
 
@@ -8,7 +9,7 @@
 _ROOM_MB = 230_000.0
 _SLOTS = 8
 _NOW_MS = 100_000
-_PLENTY = model_plan.WeightStore(loads_left=10, under_way=0, at_once=4)
+_PLENTY = model_orders.WeightStore(loads_left=10, under_way=0, at_once=4)
 
 
 def _models(count: int) -> dict[str, types.Model]:
@@ -18,8 +19,8 @@
     }
 
 
-def _engine(name: str, models=(), **changes) -> model_plan.Engine:
-    engine = model_plan.Engine(
+def _engine(name: str, models=(), **changes) -> model_orders.Engine:
+    engine = model_orders.Engine(
         target_id=name,
         service="s",
         models=dict.fromkeys(models, _NONE),
@@ -37,13 +38,13 @@
 
 
 def _demand(model: str, adapter="", requests=1, aim=3_000, patience=12_000):
-    return model_plan.Demand(
+    return model_orders.Demand(
         model, adapter, (aim,) * requests, (patience,) * requests
     )
 
 
-def _usage(recent=None, last=None) -> model_plan.Usage:
-    return model_plan.Usage(last or {}, recent or {}, {})
+def _usage(recent=None, last=None) -> model_orders.Usage:
+    return model_orders.Usage(last or {}, recent or {}, {})
 
 
 def _plan(engines, demands, usage=None, store=_PLENTY, count=8):
@@ -54,14 +55,14 @@
 def test_a_waited_for_model_goes_where_a_copy_is():
     engines = [_engine("a", on_disk=_NONE), _engine("b")]
     orders = _plan(engines, [_demand("m1")]).orders
-    assert orders == [model_plan.Order(model_plan.Verb.LOAD, "b", "m1")]
+    assert orders == [model_orders.Order(model_orders.Verb.LOAD, "b", "m1")]
 
 
 def test_a_full_engine_drops_the_model_unused_for_longest():
     engine = _engine("a", ["m1", "m2", "m3"])
     last = {"m1": 90_000, "m2": 50_000, "m3": 80_000}
     orders = _plan([engine], [_demand("m4")], _usage(last=last)).orders
-    assert orders == [model_plan.Order(model_plan.Verb.UNLOAD, "a", "m2")]
+    assert orders == [model_orders.Order(model_orders.Verb.UNLOAD, "a", "m2")]
 
 
 def test_a_model_that_is_waited_for_is_not_dropped():
@@ -71,20 +72,20 @@
     last = {"m1": 90_000, "m2": 50_000, "m3": 80_000}
     demands = [_demand("m4"), _demand("m2")]
     orders = _plan([engine], demands, _usage(last=last)).orders
-    assert orders == [model_plan.Order(model_plan.Verb.UNLOAD, "a", "m3")]
+    assert orders == [model_orders.Order(model_orders.Verb.UNLOAD, "a", "m3")]
 
 
 def test_a_model_with_running_requests_is_not_dropped():
     engine = _engine("a", ["m1", "m2", "m3"], running={"m2": 1, "m3/a1": 1})
     orders = _plan([engine], [_demand("m4")]).orders
-    assert orders == [model_plan.Order(model_plan.Verb.UNLOAD, "a", "m1")]
+    assert orders == [model_orders.Order(model_orders.Verb.UNLOAD, "a", "m1")]
 
 
 def test_the_last_replica_in_steady_use_stays():
     engine = _engine("a", ["m1", "m2", "m3"], running={"m2": 1})
     recent = {"m1": 9.0, "m3": 0.1}
     orders = _plan([engine], [_demand("m4")], _usage(recent)).orders
-    assert orders == [model_plan.Order(model_plan.Verb.UNLOAD, "a", "m3")]
+    assert orders == [model_orders.Order(model_orders.Verb.UNLOAD, "a", "m3")]
 
 
 def test_copies_are_not_fetched_in_the_place_of_models_in_use():
@@ -98,7 +99,7 @@
 def test_an_idle_engine_fetches_what_nobody_has():
     engine = _engine("a", ["m1"], on_disk=frozenset(["m0", "m2"]))
     orders = _plan([engine], [], count=4).orders
-    assert orders == [model_plan.Order(model_plan.Verb.LOAD, "a", "m3")]
+    assert orders == [model_orders.Order(model_orders.Verb.LOAD, "a", "m3")]
 
 
 def test_loads_from_the_store_keep_to_its_rate():
@@ -137,7 +138,7 @@
     ]
     used = _usage({"m1": 9.0}, {"m1": _NOW_MS})
     orders = _plan(engines, [], used).orders
-    assert orders == [model_plan.Order(model_plan.Verb.LOAD, "b", "m1")]
+    assert orders == [model_orders.Order(model_orders.Verb.LOAD, "b", "m1")]
 
 
 def test_a_replica_waits_for_the_engine_with_a_copy():
@@ -176,23 +177,23 @@
     last = {f"m1/a{n}": 90_000 - n for n in range(_SLOTS)}
     last["m1/a3"] = 10
     orders = _plan([engine], [_demand("m1", "b")], _usage(last=last)).orders
-    unload = model_plan.Order(model_plan.Verb.UNLOAD, "a", "m1", "a3")
+    unload = model_orders.Order(model_orders.Verb.UNLOAD, "a", "m1", "a3")
     assert orders == [unload]
 
 
 def test_a_model_in_steady_use_gets_a_second_replica():
     engines = [_engine("a", ["m1"]), _engine("b")]
     orders = _plan(engines, [], _usage({"m1": 9.0})).orders
-    assert model_plan.Order(model_plan.Verb.LOAD, "b", "m1") in orders
+    assert model_orders.Order(model_orders.Verb.LOAD, "b", "m1") in orders
 
 
 def test_fits_counts_memory_and_places():
     held = {"m1": _NONE, "m2": _NONE, "m3": _NONE}
-    order = model_plan.Order(model_plan.Verb.LOAD, "a", "m4")
+    order = model_orders.Order(model_orders.Verb.LOAD, "a", "m4")
     models = _models(8)
-    assert not model_plan.fits(held, order, models, _ROOM_MB, _SLOTS)
+    assert not model_orders.fits(held, order, models, _ROOM_MB, _SLOTS)
     del held["m3"]
-    assert model_plan.fits(held, order, models, _ROOM_MB, _SLOTS)
+    assert model_orders.fits(held, order, models, _ROOM_MB, _SLOTS)
 
 
 def test_a_model_that_many_ask_for_comes_before_a_rare_one():
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -569,3 +569,27 @@
     models = config["services"][1]["engine"]["models"]
     models.append({"name": "m2", "weights_mb": 70_000, "load_s": 60})
     _run(test, services=config["services"])
+
+
+def test_a_waiting_request_is_refused_when_its_key_is_taken_away():
+    async def test(platform):
+        reader, writer = await platform.connect()
+        writer.write(_STREAM_REQUEST)
+
+        async def waits() -> bool:
+            return platform.instance.waiting_room.count() == 1
+
+        await platform.eventually(waits)
+        config = platform_lib.configuration(version=2, tenants=[])
+        platform.store.put("op", "config", config)
+
+        async def refused() -> bool:
+            return _status(await platform.call("GET", "/safe/x")) == 401
+
+        await platform.eventually(refused)
+        target = await platform.add_target(_stream, "engines")
+        assert _status(await reader.read(-1)) == 401
+        assert not target.requests
+        writer.close()
+
+    _run(test)
