Count adapters on their way as held; say where bounds come from

An engine that loads an adapter slowly reports it as arriving, not as held; the next order could have taken its place.

--- a/tanagerloft/coordination/configuration.py
+++ b/tanagerloft/coordination/configuration.py
@@ -16,12 +16,14 @@
 # The store tells a change at once; this only bounds the age of the proof that
 # there was none.
 _WAIT_MS = 1_000
+# Pause after a failed call, longer with each up to a bound well below the age
+# at which keys are no longer accepted.
 _RETRY_MS = 100
+_MAX_RETRY_MS = 800
 # A proof that the holder passes on counts up to this age, and spares this
 # instance its own reading for so long.
 _TOLD_MAX_AGE_MS = 2_500
 _TOLD_FRESH_MS = 600
-_MAX_RETRY_MS = 800
 
 Decode = Callable[[bytes], types.Configuration | errors.MalformedEntry]
 
--- a/tanagerloft/coordination/lease_keeper.py
+++ b/tanagerloft/coordination/lease_keeper.py
@@ -16,10 +16,12 @@
 
 TABLE = "lease"
 _KEY = "orders"
+# Four renewals fall into the time for which one is valid.
 RENEW_MS = 700
 # While the holder answers, the row need not be read.
 _HOLDER_SILENT_MS = 900
 _TICK_MS = 100
+# Time between two readings by one instance while the lease may be free.
 _READ_MS = 500
 
 
--- a/tanagerloft/coordination/target_list.py
+++ b/tanagerloft/coordination/target_list.py
@@ -15,6 +15,7 @@
 
 # Leaving targets must be known well within the drain time of two seconds.
 POLL_MS = 500
+# Pause after a failed call; the drain time of two seconds holds ten.
 _RETRY_MS = 200
 # What the holder tells counts up to this age, and spares this instance its own
 # polls for so long.
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -15,6 +15,7 @@
 # A target that said that it lacks a model is asked again after this time;
 # entries lag behind by up to a poll.
 _LACKS_MS = 100
+# A target that failed is tried again within seconds: most are back by then.
 _FAILURE_HALF_LIFE_MS = 3_000
 # Prompt tokens still to be read that weigh as much as a request under way.
 _TOKENS_PER_LOAD = 250.0
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -238,6 +238,10 @@
             return
         self._blocked = self._verify = False
         self._models = dict(report.models)
+        for model, adapter in report.arriving:
+            # It takes its place already.
+            held = self._models.get(model, frozenset())
+            self._models[model] = held | {adapter}
         pending = self._pending
         if pending is None:
             return
--- a/tanagerloft/decisions/model_usage.py
+++ b/tanagerloft/decisions/model_usage.py
@@ -7,6 +7,7 @@
 from tanagerloft.decisions import model_orders
 from tanagerloft.fleet import types
 
+# Demand moves within some seconds, so older requests tell little.
 _RECENT_HALF_LIFE_MS = 4_000
 _RECENT_STEP_MS = 500
 # Recent requests that a model counts for which the platform has placed on two
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -29,6 +29,8 @@
 # Prompt tokens that wait at an engine, beyond which a further request is held
 # for a while: about a quarter of the longest gap that callers accept.
 _MAX_PREFILL_TOKENS = 3_000
+# A held request looks again after the time of a short prompt, and is held for
+# less than half of the shortest aim.
 _HOLD_MS = 20
 _MAX_HOLD_MS = 250
 # A request that has less time than this left is not sent any more.
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -38,6 +38,7 @@
 
 logger = logging.getLogger(__name__)
 
+# Connections that wait to be accepted: more than callers open in a second.
 _BACKLOG = 1_024
 # Taken off the time within which a withdrawn key must stop working, for the
 # way of a request and for a store that answers from a second ago.
@@ -48,6 +49,7 @@
 # Left of the grace at the end, for the last bytes.
 _STOP_MARGIN_MS = 500
 _STOP_POLL_MS = 50
+# Spread of the instances' readings of the lease row, below one reading's pause.
 _JITTER_MS = 300
 
 
--- a/tanagerloft/platform/orders.py
+++ b/tanagerloft/platform/orders.py
@@ -14,6 +14,8 @@
 from tanagerloft.platform import entries
 from tanagerloft.platform import wire
 
+# Engines answer within milliseconds; an order that takes this long is one that
+# is carried out late, and is repeated as it was.
 _ORDER_TIMEOUT_MS = 800
 _REPORT_TIMEOUT_MS = 500
 # Bytes of an answer that go to the log.
--- a/tanagerloft/platform/requests.py
+++ b/tanagerloft/platform/requests.py
@@ -34,6 +34,7 @@
 _REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
 _STREAM_TYPE = b"text/event-stream"
 _REFUSAL_TYPE = (b"Content-Type", b"application/json")
+# Callers that come back sooner than this meet the same state.
 _MIN_RETRY_MS = 50
 _MISDIRECTED = 421
 _PROMISES = frozenset((408, 421, 429, 503))
--- a/tanagerloft/platform/store.py
+++ b/tanagerloft/platform/store.py
@@ -18,6 +18,7 @@
 # Answers take 4 ms; a call that takes this long is on a dead connection or
 # meets a store in trouble, and is made again on a new one.
 _CALL_TIMEOUT_MS = 1_000
+# Most rows in one answer of the store.
 _PAGE_ROWS = 500
 
 
--- a/tests/decisions/test_engine_orders.py
+++ b/tests/decisions/test_engine_orders.py
@@ -174,3 +174,10 @@
     orders.give(drop, 0, 3_600)
     orders.on_answer(drop, engine_orders.Result.HOLDS, 3_605)
     assert orders.held() == {"m": frozenset()}
+
+
+def test_an_adapter_on_its_way_takes_its_place():
+    orders = engine_orders.EngineOrders({})
+    report = _report(("m",))._replace(arriving=frozenset([("m", "a1")]))
+    orders.on_report(report, 1_000)
+    assert orders.held() == {"m": frozenset(["a1"])}
