--- /dev/null
+++ b/tests/fuzz/test_order_lease.py
@@ -0,0 +1,149 @@
+"""Stateful fuzzing of the order lease against a simple oracle.
+
+Instances claim, renew, order, freeze, restart and hand over; writes lose
+their answers or are carried out late. The oracle sees the orders only: two
+holders are a turn apart, and a token belongs to one holder and never falls.
+"""
+
+import collections
+import os
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tanagerloft.decisions import order_lease
+from tests.fuzz import machines
+
+_VALID_MS = 3_000
+_TURN_MS = 3_000
+_EXAMPLES = int(os.environ.get("EXAMPLES", "150"))
+_NAMES = ("a", "b", "c")
+_names = strategies.sampled_from(_NAMES)
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Three instances and the row."""
+
+    turn_ms = _TURN_MS
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 0
+        self.version = 0
+        self.term = None
+        self.late: list[order_lease.Claim] = []
+        self.lives = collections.Counter()
+        self.orders: list[tuple[int, str, int]] = []
+        self.leases = {name: self._new(name) for name in _NAMES}
+
+    def _new(self, name: str) -> order_lease.OrderLease:
+        self.lives[name] += 1
+        return order_lease.OrderLease(
+            name, str(self.lives[name]), f"{name}:1", _VALID_MS, self.turn_ms
+        )
+
+    def _apply(self, claim: order_lease.Claim) -> bool:
+        if claim.expected_version != self.version:
+            return False
+        self.version += 1
+        self.term = claim.term
+        return True
+
+    @stateful.rule(delta_ms=strategies.sampled_from((1, 50, 400, 1_000, 3_000)))
+    def time_passes(self, delta_ms):
+        self.now_ms += delta_ms
+
+    @stateful.rule(name=_names)
+    def reads(self, name):
+        self.leases[name].on_row(self.version, self.term, self.now_ms)
+
+    @stateful.rule(
+        name=_names,
+        took_ms=strategies.sampled_from((0, 5, 900)),
+        fate=strategies.sampled_from(("answered", "lost", "late", "refused")),
+    )
+    def claims(self, name, took_ms, fate):
+        lease = self.leases[name]
+        claim = lease.next_claim(self.now_ms)
+        if claim is None:
+            return
+        started_ms = self.now_ms
+        self.now_ms += took_ms
+        if fate == "late":
+            self.late.append(claim)
+        elif fate != "refused" and self._apply(claim) and fate == "answered":
+            lease.on_written(claim, self.version, started_ms, self.now_ms)
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule()
+    def a_late_write_is_carried_out(self):
+        self._apply(self.late.pop(0))
+
+    @stateful.rule(name=_names)
+    def restarts(self, name):
+        self.leases[name] = self._new(name)
+
+    @stateful.rule(name=_names)
+    def releases(self, name):
+        claim = self.leases[name].release()
+        if claim is not None and self._apply(claim):
+            self.leases[name] = self._new(name)
+
+    @stateful.rule(name=_names)
+    def gives_up(self, name):
+        lease = self.leases[name]
+        if not lease.mine:
+            return
+        lease.give_up()
+        assert lease.term is not None
+        for other in self.leases.values():
+            other.on_given_up(lease.term.token, self.now_ms)
+
+    @stateful.rule(name=_names, other=_names)
+    def hears(self, name, other):
+        holder = self.leases[name]
+        if holder.leads(self.now_ms):
+            assert holder.term is not None
+            self.leases[other].on_heard(
+                holder.term.token,
+                holder.version,
+                holder.renewed_ago_ms(self.now_ms),
+                self.now_ms,
+            )
+
+    @stateful.rule(name=_names)
+    def orders_if_allowed(self, name):
+        lease = self.leases[name]
+        if not lease.may_order(self.now_ms):
+            return
+        assert lease.term is not None
+        token = lease.term.token
+        for at_ms, holder, earlier in self.orders[-20:]:
+            assert earlier <= token
+            if holder != name:
+                assert earlier < token
+                assert self.now_ms - at_ms >= _TURN_MS
+        self.orders.append((self.now_ms, name, token))
+
+
+class _HastyMachine(LeaseMachine):
+    """Flaw: a new holder gives orders at once."""
+
+    turn_ms = 0
+
+
+def test_orders_of_two_holders_are_apart():
+    stateful.run_state_machine_as_test(
+        LeaseMachine,
+        settings=settings(
+            machines.SETTINGS, max_examples=_EXAMPLES, stateful_step_count=40
+        ),
+    )
+
+
+def test_machine_finds_the_flaw():
+    _HastyMachine.TestCase.settings = settings(
+        machines.SETTINGS, stateful_step_count=40
+    )
+    machines.expect_failure(_HastyMachine)
