--- /dev/null
+++ b/tests/fuzz/test_token_grants.py
@@ -0,0 +1,135 @@
+"""Stateful fuzzing of limits by grants against a simple oracle.
+
+Instances ask, report, miss views and go on alone; holders die and others begin
+with empty buckets. The oracle adds up what was admitted in each window.
+"""
+
+import os
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tanagerloft.decisions import token_grants
+from tests.fuzz import machines
+
+_EXAMPLES = int(os.environ.get("EXAMPLES", "100"))
+_NAMES = ("a", "b", "c")
+_RATE = 400.0
+_BURST = 400.0
+_WINDOW_MS = 8_000
+_TOLERANCE = token_grants.Tolerance(1_100, 0.1)
+_SILENCE_MS = 150
+# What the users tolerate over any window.
+_MOST = (_RATE * _WINDOW_MS / 1_000 + _BURST) * 1.1 + 1_100
+# A holder's death is noticed and its lease waited out before another one leads.
+_TAKEOVER_MS = 3_000
+_names = strategies.sampled_from(_NAMES)
+
+
+class GrantMachine(stateful.RuleBasedStateMachine):
+    """Three instances, one holder at a time."""
+
+    empty_after_takeover = True
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 0
+        self.sequence = 0
+        self.admitted: list[tuple[int, float]] = []
+        self.accounts = {name: self._new() for name in _NAMES}
+        self.lives = dict.fromkeys(_NAMES, 0)
+        self.heard_ms = dict.fromkeys(_NAMES, 0)
+        self.ledger = self._ledger(full=True)
+
+    def _new(self) -> token_grants.GrantAccount:
+        account = token_grants.GrantAccount(_SILENCE_MS)
+        account.fallback_tokens_per_s = _RATE / len(_NAMES)
+        return account
+
+    def _ledger(self, full: bool) -> token_grants.GrantLedger:
+        ledger = token_grants.GrantLedger(full)
+        limit = token_grants.stretch(
+            token_grants.Limit(_RATE, _BURST), _TOLERANCE
+        )
+        ledger.configure({"acc": limit}, self.now_ms)
+        return ledger
+
+    def _admit(self, cost: float) -> None:
+        self.admitted.append((self.now_ms, cost))
+        since_ms = self.now_ms - _WINDOW_MS
+        total = sum(cost for at_ms, cost in self.admitted if at_ms > since_ms)
+        assert total <= _MOST
+
+    @stateful.rule(delta_ms=strategies.sampled_from((1, 20, 100, 500, 2_000)))
+    def time_passes(self, delta_ms):
+        self.now_ms += delta_ms
+
+    @stateful.rule(name=_names, cost=strategies.sampled_from((50, 300, 900)))
+    def asks(self, name, cost):
+        def done(outcome: token_grants.Outcome) -> None:
+            if outcome.admitted:
+                self._admit(cost)
+
+        account = self.accounts[name]
+        if account.ask(cost, self.sequence + 1, self.now_ms, done):
+            self._admit(cost)
+
+    @stateful.rule(name=_names, lost=strategies.booleans())
+    def reports(self, name, lost):
+        self.sequence += 1
+        if self.ledger is None:
+            return
+        process = f"{name}/{self.lives[name]}"
+        need = self.accounts[name].need()
+        grant = self.ledger.grant(process, "acc", need, self.now_ms)
+        if not lost:
+            self.heard_ms[name] = self.now_ms
+            self.accounts[name].on_grant(grant, self.sequence, self.now_ms)
+
+    @stateful.rule(rounds=strategies.integers(1, 8))
+    def everyone_presses(self, rounds):
+        for _ in range(rounds):
+            for name in _NAMES:
+                self.asks(name, 300)
+                self.reports(name, lost=False)
+            self.now_ms += 250
+
+    @stateful.rule(name=_names)
+    def goes_on_alone(self, name):
+        if self.now_ms - self.heard_ms[name] > _SILENCE_MS:
+            self.accounts[name].on_silence(self.now_ms)
+
+    @stateful.rule(name=_names)
+    def restarts(self, name):
+        self.accounts[name] = self._new()
+        self.accounts[name].fallback_tokens_per_s = 0.0
+        self.lives[name] += 1
+
+    @stateful.rule()
+    def holder_is_replaced(self):
+        self.now_ms += _TAKEOVER_MS
+        self.ledger = self._ledger(full=not self.empty_after_takeover)
+
+
+class _GenerousMachine(GrantMachine):
+    """Flaw: a new holder begins with full buckets."""
+
+    empty_after_takeover = False
+
+
+def _settings(max_examples: int) -> settings:
+    return settings(
+        machines.SETTINGS, max_examples=max_examples, stateful_step_count=50
+    )
+
+
+def test_no_window_exceeds_what_is_tolerated():
+    stateful.run_state_machine_as_test(
+        GrantMachine, settings=_settings(_EXAMPLES)
+    )
+
+
+def test_machine_finds_the_flaw():
+    _GenerousMachine.TestCase.settings = _settings(_EXAMPLES)
+    machines.expect_failure(_GenerousMachine)
