--- a/tanagerloft/config/fleet_settings.py
+++ b/tanagerloft/config/fleet_settings.py
@@ -23,7 +23,7 @@
         "store", "address", settings.REQUIRED, "address", "Platform's store"
     ),
     settings.Setting(
-        "stop", "grace_ms", 8_000, "int", "Time from SIGTERM to SIGKILL"
+        "stop", "grace_s", 8.0, "decimal", "Time from SIGTERM to SIGKILL"
     ),
     settings.Setting(
         "keys",
@@ -33,13 +33,13 @@
         "Time within which a withdrawn key must stop working",
     ),
     settings.Setting(
-        "retries", "ratio_percent", 20, "int", "Repeats per 100 requests"
+        "retries", "ratio", 0.2, "decimal", "Repeats for each request"
     ),
     settings.Setting(
-        "retries", "slack", 50, "int", "Repeats besides, for the fleet"
+        "retries", "slack", 50.0, "decimal", "Repeats besides, for the fleet"
     ),
     settings.Setting(
-        "retries", "window_ms", 10_000, "int", "Window of the two above"
+        "retries", "window_s", 10.0, "decimal", "Window of the two above"
     ),
     settings.Setting(
         "orders",
@@ -58,15 +58,15 @@
     settings.Setting(
         "limits",
         "tolerated_tokens",
-        0,
-        "int",
+        0.0,
+        "decimal",
         "Tokens by which an account may exceed its limit",
     ),
     settings.Setting(
         "limits",
-        "tolerated_percent",
-        0,
-        "int",
+        "tolerated_share",
+        0.0,
+        "decimal",
         "Share of its limit by which an account may exceed it besides",
     ),
     settings.Setting("log", "level", "INFO", "str", "Level of the log"),
--- a/tanagerloft/config/settings.py
+++ b/tanagerloft/config/settings.py
@@ -1,6 +1,7 @@
 """Settings of one process: the table of keys, loading and checking."""
 
 import configparser
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -18,7 +19,7 @@
         section: INI section.
         key: Key; its suffix is its unit.
         default: Value if left out, or ``REQUIRED``.
-        kind: ``str``, ``int`` or ``address`` (host:port).
+        kind: ``str``, ``int``, ``decimal`` or ``address`` (host:port).
         doc: One line for operators.
     """
 
@@ -196,6 +197,8 @@
         return _Invalid("value is missing")
     if setting.kind == "int":
         return _convert_int(setting, raw)
+    if setting.kind == "decimal":
+        return _convert_decimal(setting, raw)
     if setting.kind == "address":
         return _convert_address(raw)
     return raw
@@ -210,6 +213,17 @@
     return _Invalid(f"expected a whole number, got {raw!r}")
 
 
+def _convert_decimal(setting: Setting, raw: str) -> float | _Invalid:
+    try:
+        value = float(raw)
+    except ValueError:
+        value = -1.0
+    if 0 <= value < math.inf:
+        return value
+    unit = " of seconds" if setting.key.endswith("_s") else ""
+    return _Invalid(f"expected a number{unit}, got {raw!r}")
+
+
 def _convert_address(raw: str) -> Address | _Invalid:
     host, _, port = raw.rpartition(":")
     if host and port.isascii() and port.isdigit() and int(port) < 65_536:
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -38,6 +38,7 @@
 
 logger = logging.getLogger(__name__)
 
+_MS_PER_S = 1_000
 # Connections that wait to be accepted: more than callers open in a second.
 _BACKLOG = 1_024
 # Taken off the time within which a withdrawn key must stop working, for the
@@ -146,7 +147,7 @@
             self._tell_knowledge,
             token_grants.Tolerance(
                 settings.get("limits", "tolerated_tokens"),
-                settings.get("limits", "tolerated_percent") / 100,
+                settings.get("limits", "tolerated_share"),
             ),
         )
         self._link.loopback = self._hear_itself
@@ -271,7 +272,7 @@
 
     async def _stop(self) -> None:
         """Stops without cutting an answer."""
-        grace_ms = self._settings.get("stop", "grace_ms")
+        grace_ms = int(self._settings.get("stop", "grace_s") * _MS_PER_S)
         ends_ms = self._clock.now_ms() + grace_ms - _STOP_MARGIN_MS
         logger.info("stopping", extra={"open": self.gateway.open_count})
         self._stopping = True
@@ -356,9 +357,9 @@
         if budget is None:
             get = self._settings.get
             budget = retry_budget.RetryBudget(
-                get("retries", "ratio_percent") / 100,
+                get("retries", "ratio"),
                 get("retries", "slack"),
-                get("retries", "window_ms"),
+                int(get("retries", "window_s") * _MS_PER_S),
                 self._clock.now_ms(),
             )
             self._budgets[service] = budget
