Give the holder copies of its own loads

Found by reading the change again: the holder hears its own reports as objects that held its live counts, and took the changed counts off its sums with the next report, so requests of its own stayed in the sums, or went below them, for good. The test fails first on the counts of an ended request.

--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -192,8 +192,11 @@
                 for name, account in self._accounts.items()
                 if account.need().needed_tokens > 0
             },
-            in_flight=self._directory.in_flight,
-            prefilling=self._directory.prefilling,
+            in_flight={
+                target_id: dict(counts)
+                for target_id, counts in self._directory.in_flight.items()
+            },
+            prefilling=dict(self._directory.prefilling),
             waited=self._waited(),
             used=self._recently_used(now_ms),
             leaving=leaving,
--- /dev/null
+++ b/tests/coordination/test_fleet_link.py
@@ -0,0 +1,42 @@
+"""Reports of an instance."""
+
+from tanagerloft.coordination import fleet_link
+from tanagerloft.coordination import messages
+from tanagerloft.coordination import targets
+from tanagerloft.decisions import order_lease
+
+
+def _holding_lease() -> order_lease.OrderLease:
+    lease = order_lease.OrderLease("a", "1", "a:1", 3_000, 3_000)
+    lease.on_row(0, None, 0)
+    claim = lease.next_claim(0)
+    assert claim is not None
+    lease.on_written(claim, 1, 0, 0)
+    return lease
+
+
+def test_a_report_stays_as_it_was_when_loads_change():
+    # The holder hears its own reports as objects, and takes the last one off
+    # its sums when the next comes.
+    directory = targets.TargetDirectory(lambda *_: None, lambda: 0, "dc")
+    heard: list[messages.Report] = []
+    link = fleet_link.FleetLink(
+        "a",
+        "1",
+        _holding_lease(),
+        directory,
+        lambda *_: None,
+        lambda: 0,
+        list,
+        lambda: None,
+        lambda: False,
+        lambda *_: None,
+    )
+    link.loopback = heard.append
+    directory.note_start("t", "m")
+    directory.note_prefill("t", 500)
+    link.report()
+    directory.note_end("t", "m")
+    directory.note_prefill("t", -500)
+    assert heard[0].in_flight == {"t": {"m": 1}}
+    assert heard[0].prefilling == {"t": 500}
