Share what two followers of tables, two views and many waits did alike

The configuration and the list of targets each read a table whole, then its changes, and told of a lost store: coordination/table_reader now does. The last view of a term and the usual one are built in one place; what the holder knows from the store is one type, told as it is. Waits in milliseconds go through util/loops.

--- a/tanagerloft/coordination/configuration.py
+++ b/tanagerloft/coordination/configuration.py
@@ -4,12 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 import logging
 
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import store as store_lib
+from tanagerloft.coordination import table_reader
 from tanagerloft.fleet import types
+from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
 
@@ -51,15 +52,12 @@
         changed: Callable[[types.Configuration], None],
         key_proof_ms: int,
     ):
-        self._store = store
-        self._table = table
+        self._reader = table_reader.TableReader(store, table)
         self._key = key
         self._decode = decode
         self._now_ms = now_ms
         self._changed = changed
         self._key_proof_ms = key_proof_ms
-        self._after_version: int | None = None
-        self._failures = 0
         self._read_now = asyncio.Event()
         self._told_ms = 0
         self.current: types.Configuration | None = None
@@ -95,24 +93,13 @@
         while True:
             await self._wait_for_need()
             started_ms = self._now_ms()
-            error = await self._step()
-            if error is None:
-                if self._failures:
-                    logger.info("store regained", extra={"table": self._table})
-                self._failures = 0
+            found = await self._reader.read(_WAIT_MS)
+            if found is not None:
+                self._take_rows(found.rows)
                 self.proved_ms = max(self.proved_ms, started_ms)
-                continue
-            if error.failure is errors.StoreFailure.HISTORY_LOST:
-                self._after_version = None
-                continue
-            self._failures += 1
-            if self._failures == 1:
-                logger.warning(
-                    "store lost",
-                    extra={"table": self._table, "reason": error.reason},
-                )
-            delay_ms = min(_MAX_RETRY_MS, _RETRY_MS * self._failures)
-            await asyncio.sleep(delay_ms / 1_000)
+            elif self._reader.failures:
+                delay_ms = min(_MAX_RETRY_MS, _RETRY_MS * self._reader.failures)
+                await loops.sleep(delay_ms)
 
     async def _wait_for_need(self) -> None:
         """Waits while the holder tells whether there is anything new."""
@@ -121,27 +108,15 @@
             and self._now_ms() - self._told_ms < _TOLD_FRESH_MS
             and not self._read_now.is_set()
         ):
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_TOLD_FRESH_MS / 1_000):
-                    await self._read_now.wait()
+            await loops.wait(self._read_now, _TOLD_FRESH_MS)
         if self._read_now.is_set():
             self._read_now.clear()
-            self._after_version = None
-
-    async def _step(self) -> errors.StoreError | None:
-        if self._after_version is None:
-            found = await self._store.scan(self._table)
-        else:
-            found = await self._store.changes(
-                self._table, self._after_version, _WAIT_MS
-            )
-        if isinstance(found, errors.StoreError):
-            return found
-        for row in found.rows:
+            self._reader.restart()
+
+    def _take_rows(self, rows: tuple[store_lib.Row, ...]) -> None:
+        for row in rows:
             if row.key == self._key and row.value is not None:
                 self._take(row)
-        self._after_version = found.version
-        return None
 
     def _take(self, row: store_lib.Row) -> None:
         assert row.value is not None
--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -11,6 +11,7 @@
 from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
+from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
 
@@ -156,8 +157,7 @@
     def report_soon(self) -> None:
         """Sends a report within a millisecond."""
         if self._soon is None:
-            loop = asyncio.get_running_loop()
-            self._soon = loop.call_later(_SOON_MS / 1_000, self.report)
+            self._soon = loops.call_later(_SOON_MS, self.report)
 
     async def follow(self) -> None:
         """Reports for as long as the process runs."""
@@ -172,7 +172,7 @@
             delay_ms = max(_REPORT_MS, self.instances * _REPORT_PER_INSTANCE_MS)
             if urgent or self._waited():
                 delay_ms = _REPEAT_MS
-            await asyncio.sleep(delay_ms / 1_000)
+            await loops.sleep(delay_ms)
 
     def report(self, leaving: bool = False) -> None:
         """Sends a report now."""
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 import logging
 from typing import NamedTuple
 
@@ -15,6 +14,7 @@
 from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
+from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
 
@@ -32,22 +32,6 @@
 _MARK_MS = 5
 
 
-class Knowledge(NamedTuple):
-    """How current an instance's knowledge from the store is.
-
-    Attributes:
-        configuration: Version of the configuration in force.
-        configuration_age_ms: Age of the proof that there is no newer one.
-        targets_mark: Number that changes with the list of targets.
-        targets_age_ms: Age of the list.
-    """
-
-    configuration: int
-    configuration_age_ms: int
-    targets_mark: int
-    targets_age_ms: int
-
-
 class _Heard(NamedTuple):
     report: messages.Report
     at_ms: int
@@ -71,7 +55,7 @@
         engines: engine_keeper.EngineKeeper,
         now_ms: Callable[[], int],
         name: str,
-        knowledge: Callable[[], Knowledge],
+        knowledge: Callable[[], messages.Knowledge],
         tolerance: token_grants.Tolerance,
     ):
         self._lease = lease
@@ -133,10 +117,8 @@
     async def follow(self) -> None:
         """Plans for as long as the process runs."""
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_PLAN_MS / 1_000):
-                    await self._wake.wait()
-            await asyncio.sleep(_PLAN_PAUSE_MS / 1_000)
+            await loops.wait(self._wake, _PLAN_MS)
+            await loops.sleep(_PLAN_PAUSE_MS)
             self._wake.clear()
             now_ms = self._now_ms()
             if self._configuration is None or not self._lease.leads(now_ms):
@@ -147,34 +129,26 @@
             self._engines.plan(self._live(now_ms), self._loads, now_ms)
 
     def _view(self, report: messages.Report, now_ms: int) -> messages.View:
+        view = self._last_view(report, now_ms)
         ledger = self._current_ledger(now_ms)
-        token = self._lease.term.token if self._lease.term else 0
         seen_token, seen_mark = report.models_seen
         self._update_marks(now_ms)
         models, mark = self._marks.since(
-            seen_mark if seen_token == token else 0
+            seen_mark if seen_token == view.token else 0
         )
         process = f"{report.instance}/{report.incarnation}"
-        grants = {
-            account: ledger.grant(process, account, need, now_ms)
-            for account, need in report.needs.items()
-        }
-        return messages.View(
-            holder=self._name,
-            token=token,
-            sequence=report.sequence,
-            instances=self._live_count(now_ms),
-            grants=grants,
-            in_flight=self._loads.others_in_flight(report.instance),
-            prefilling=self._loads.others_prefilling(report.instance),
+        return view._replace(
+            grants={
+                account: ledger.grant(process, account, need, now_ms)
+                for account, need in report.needs.items()
+            },
             models=models,
             models_mark=mark,
             later_ms=self._engines.later_ms,
-            proof=self._proof(now_ms),
         )
 
     def _last_view(self, report: messages.Report, now_ms: int) -> messages.View:
-        """Returns a view that only tells that this term has ended."""
+        """Returns a view that grants nothing: this term may have ended."""
         return messages.View(
             holder=self._name,
             token=self._lease.term.token if self._lease.term else 0,
@@ -198,7 +172,7 @@
             renewed_ago_ms=self._lease.renewed_ago_ms(now_ms),
             struggling=self._struggles(now_ms),
             given_up=self._lease.given_up,
-            **self._knowledge()._asdict(),
+            knowledge=self._knowledge(),
         )
 
     def _current_ledger(self, now_ms: int) -> token_grants.GrantLedger:
--- a/tanagerloft/coordination/lease_keeper.py
+++ b/tanagerloft/coordination/lease_keeper.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 import logging
 
@@ -11,6 +10,7 @@
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.decisions import order_lease
+from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
 
@@ -77,7 +77,7 @@
                 self._read_due_ms = now_ms + _READ_MS + self._jitter_ms
                 await self._read()
                 await self._claim()
-            await asyncio.sleep(_TICK_MS / 1_000)
+            await loops.sleep(_TICK_MS)
 
     def _may_be_free(self, now_ms: int) -> bool:
         return (
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -66,28 +66,38 @@
     models_seen: tuple[int, int]
 
 
+class Knowledge(NamedTuple):
+    """How current an instance's knowledge from the store is.
+
+    Attributes:
+        configuration: Version of the configuration in force.
+        configuration_age_ms: Age of the proof that there is no newer one.
+        targets_mark: Number that changes with the list of targets.
+        targets_age_ms: Age of the list.
+    """
+
+    configuration: int
+    configuration_age_ms: int
+    targets_mark: int
+    targets_age_ms: int
+
+
 class Proof(NamedTuple):
-    """How current the holder's own knowledge is.
+    """How current the holder's lease and knowledge are.
 
     Attributes:
         lease_version: Version of the lease row.
         renewed_ago_ms: Time since the last renewal of the lease began.
         struggling: Whether renewals fail.
         given_up: Whether the holder gives no more orders in this term.
-        configuration: Version of the configuration in force.
-        configuration_age_ms: Age of the proof that there is no newer one.
-        targets_mark: Number that changes with the list of targets.
-        targets_age_ms: Age of the list.
+        knowledge: Its knowledge from the store.
     """
 
     lease_version: int
     renewed_ago_ms: int
     struggling: bool
     given_up: bool
-    configuration: int
-    configuration_age_ms: int
-    targets_mark: int
-    targets_age_ms: int
+    knowledge: Knowledge
 
 
 class View(NamedTuple):
@@ -150,7 +160,8 @@
 
 
 def _decode_view(raw: Any) -> View:
+    proof = Proof(*raw.proof)
     return raw._replace(
         grants={k: token_grants.Grant(*v) for k, v in raw.grants.items()},
-        proof=Proof(*raw.proof),
+        proof=proof._replace(knowledge=Knowledge(*proof.knowledge)),
     )
--- a/tanagerloft/coordination/target_list.py
+++ b/tanagerloft/coordination/target_list.py
@@ -4,14 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
-import logging
 
-from tanagerloft.coordination import errors
 from tanagerloft.coordination import store as store_lib
+from tanagerloft.coordination import table_reader
 from tanagerloft.coordination import targets as targets_lib
-
-logger = logging.getLogger(__name__)
+from tanagerloft.util import loops
 
 # Leaving targets must be known well within the drain time of two seconds.
 POLL_MS = 500
@@ -42,13 +39,10 @@
         now_ms: Callable[[], int],
         changed: Callable[[], None],
     ):
-        self._store = store
-        self._table = table
+        self._reader = table_reader.TableReader(store, table)
         self._directory = directory
         self._now_ms = now_ms
         self._changed = changed
-        self._after_version: int | None = None
-        self._lost = False
         self._told_ms = 0
         self._told_mark: tuple[int, int] | None = None
         self._read_now = asyncio.Event()
@@ -79,50 +73,27 @@
         while True:
             self._read_now.clear()
             started_ms = self._now_ms()
-            error = await self._step()
-            if error is None:
-                if self._lost:
-                    logger.info("store regained", extra={"table": self._table})
-                self._lost = False
+            whole = self._reader.whole
+            found = await self._reader.read(wait_ms=0)
+            if found is not None:
+                self._take_rows(found.rows, whole)
                 self.read_ms = started_ms
                 await self._wait_for_need()
-                continue
-            if error.failure is errors.StoreFailure.HISTORY_LOST:
-                self._after_version = None
-                continue
-            if not self._lost:
-                logger.warning(
-                    "store lost",
-                    extra={"table": self._table, "reason": error.reason},
-                )
-            self._lost = True
-            await asyncio.sleep(_RETRY_MS / 1_000)
+            elif self._reader.failures:
+                await loops.sleep(_RETRY_MS)
 
     async def _wait_for_need(self) -> None:
         """Waits for the next poll, or while the holder tells of no change."""
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(POLL_MS / 1_000):
-                    await self._read_now.wait()
+            await loops.wait(self._read_now, POLL_MS)
             told_ago_ms = self._now_ms() - self._told_ms
             if self._read_now.is_set() or told_ago_ms > _TOLD_FRESH_MS:
                 return
 
-    async def _step(self) -> errors.StoreError | None:
-        whole = self._after_version is None
-        if self._after_version is None:
-            found = await self._store.scan(self._table)
-        else:
-            found = await self._store.changes(
-                self._table, self._after_version, 0
-            )
-        if isinstance(found, errors.StoreError):
-            return found
-        self._after_version = found.version
+    def _take_rows(self, rows: tuple[store_lib.Row, ...], whole: bool) -> None:
         self.known = True
-        changes = self._directory.on_rows(found.rows, whole)
+        changes = self._directory.on_rows(rows, whole)
         if changes.members:
             self.mark += 1
         if changes.models:
             self._changed()
-        return None
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -16,6 +16,7 @@
 from tanagerloft.gateway import stream_relay
 from tanagerloft.gateway import waiting as waiting_lib
 from tanagerloft.net import target_connection
+from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
 
@@ -111,8 +112,7 @@
         """Begins; the responder must lead to this exchange."""
         parts, context = self._parts, self.context
         left_ms = context.ends_ms - parts.now_ms()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(max(0, left_ms) / 1_000, self._time_over)
+        self._timer = loops.call_later(max(0, left_ms), self._time_over)
         context.responder.on_gone = self._caller_gone
         context.responder.on_flow = self._set_flow
         if not self.try_send():
@@ -177,8 +177,7 @@
         """Tries again soon, by then with a new view of the others."""
         if self._again is None:
             self._parts.report_soon()
-            loop = asyncio.get_running_loop()
-            self._again = loop.call_later(_HOLD_MS / 1_000, self._try_again)
+            self._again = loops.call_later(_HOLD_MS, self._try_again)
 
     def _wait(self, now_ms: int) -> bool:
         """Lets the request wait, or refuses it if that cannot help."""
@@ -401,10 +400,7 @@
             *self._subject, frozenset(self._tried | {failed.target_id})
         )
         if other is None or other.target_id in self._tried | {failed.target_id}:
-            loop = asyncio.get_running_loop()
-            self._again = loop.call_later(
-                _SAME_TARGET_MS / 1_000, self._try_again
-            )
+            self._again = loops.call_later(_SAME_TARGET_MS, self._try_again)
             return
         self.try_send()
 
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -35,6 +35,7 @@
 from tanagerloft.net import target_connection
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import ids
+from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
 
@@ -278,7 +279,7 @@
         self._stopping = True
         self.gateway.stop()
         release = asyncio.create_task(self._lease_keeper.release())
-        await asyncio.sleep(_LAME_DUCK_MS / 1_000)
+        await loops.sleep(_LAME_DUCK_MS)
         self.gateway.refuse_waiting()
         self._link.report(leaving=True)
         while self._clock.now_ms() < ends_ms:
@@ -286,7 +287,7 @@
                 connection.close_if_idle()
             if not self._connections and release.done():
                 break
-            await asyncio.sleep(_STOP_POLL_MS / 1_000)
+            await loops.sleep(_STOP_POLL_MS)
         cut = self.gateway.open_count
         self.gateway.end_all()
         await asyncio.sleep(0)
@@ -307,9 +308,9 @@
     def _keys_are_current(self) -> bool:
         return self._configuration.keys_are_current(self._clock.now_ms())
 
-    def _tell_knowledge(self) -> holder_lib.Knowledge:
+    def _tell_knowledge(self) -> messages.Knowledge:
         now_ms = self._clock.now_ms()
-        return holder_lib.Knowledge(
+        return messages.Knowledge(
             configuration=self._configuration.version,
             configuration_age_ms=now_ms - self._configuration.proved_ms,
             targets_mark=self._targets.mark,
@@ -320,12 +321,13 @@
         return self._lease_keeper.reads_store()
 
     def _take_proof(self, proof: messages.Proof, asked_ms: int) -> None:
+        known = proof.knowledge
         token = self._lease.term.token if self._lease.term else 0
         self._configuration.on_proof(
-            proof.configuration, proof.configuration_age_ms, asked_ms
+            known.configuration, known.configuration_age_ms, asked_ms
         )
         self._targets.on_proof(
-            token, proof.targets_mark, proof.targets_age_ms, asked_ms
+            token, known.targets_mark, known.targets_age_ms, asked_ms
         )
 
     def _recheck_key(
--- a/tanagerloft/net/caller_connection.py
+++ b/tanagerloft/net/caller_connection.py
@@ -13,6 +13,7 @@
 import httptools
 
 from tanagerloft.fleet import types
+from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
 
@@ -310,8 +311,7 @@
 
     def _arm(self, delay_ms: int, action: Callable[[], None]) -> None:
         self._disarm()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_ms / 1_000, action)
+        self._timer = loops.call_later(delay_ms, action)
 
     def _disarm(self) -> None:
         if self._timer is not None:
--- a/tanagerloft/net/http_client.py
+++ b/tanagerloft/net/http_client.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from tanagerloft.net import target_connection
+from tanagerloft.util import loops
 
 
 class Answer(NamedTuple):
@@ -77,7 +78,7 @@
     collector = _Collector()
     connection.send(data, collector)
     try:
-        async with asyncio.timeout(timeout_ms / 1_000):
+        async with loops.timeout(timeout_ms):
             return await collector.done
     except TimeoutError:
         connection.cancel()
--- a/tanagerloft/net/target_connection.py
+++ b/tanagerloft/net/target_connection.py
@@ -11,6 +11,8 @@
 
 import httptools
 
+from tanagerloft.util import loops
+
 # Bound on setting up a connection; callers allow one second for theirs.
 CONNECT_TIMEOUT_MS = 1_000
 # Bytes that nobody acknowledges end a connection after this time.
@@ -268,7 +270,7 @@
         loop = asyncio.get_running_loop()
         self._open[address] = self._open.get(address, 0) + 1
         try:
-            async with asyncio.timeout(timeout_ms / 1_000):
+            async with loops.timeout(timeout_ms):
                 _, connection = await loop.create_connection(
                     lambda: TargetConnection(self, address), *address
                 )
