Let the engine's copies tell load times; reuse refusals; drop what nothing uses

What an engine has at hand and how long a load takes stood in the planner and in the keeper of engines, with different words; model_orders.Copies tells both. Refusals that the older path already has are taken from there. A page of the store's rows is decoded in one place. Counters, constants, fields and a parameter that nothing read are gone, and an exchange is told who hears of its end instead of a placeholder.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -266,9 +266,7 @@
 
     def _loads_from_store(self, state: _EngineState) -> bool:
         orders = state.orders
-        return bool(orders.loading) and (
-            orders.loading not in orders.in_memory | orders.on_disk
-        )
+        return bool(orders.loading) and orders.loading not in orders.copies
 
     def _engine(
         self,
@@ -287,8 +285,7 @@
             busy=orders.busy(now_ms),
             busy_ms=orders.busy_ms(now_ms),
             leaving=entry.leaving,
-            in_memory=orders.in_memory,
-            on_disk=orders.on_disk,
+            copies=orders.copies,
             running=running.get(entry.target_id, {}),
             room_mb=_ROOM_MB,
             max_adapters=_MAX_ADAPTERS,
@@ -307,13 +304,8 @@
             return
         takes_ms = 0.0
         if order.verb is model_orders.Verb.LOAD and not order.adapter:
-            shape = shapes[order.model]
-            if order.model in orders.in_memory:
-                takes_ms = shape.memory_load_ms
-            elif order.model in orders.on_disk:
-                takes_ms = shape.disk_load_ms
-            else:
-                takes_ms = shape.load_ms
+            takes_ms = orders.copies.load_ms(shapes[order.model])
+            if order.model not in orders.copies:
                 self._store_loads.append(now_ms)
         orders.give(order, takes_ms, now_ms)
         self._start(self._carry_out(entry, state, order))
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -47,7 +47,6 @@
 class _Pending(NamedTuple):
     order: model_orders.Order
     expected: int
-    given_ms: int
     due_ms: int
     phase: _Phase
     repeated: bool
@@ -64,7 +63,7 @@
         self._models = dict(models)
         self._pending: _Pending | None = None
         self._unloading = False
-        self._adapters: dict[tuple[str, str], int] = {}
+        self._loading_adapters = False
         self._dropping: set[tuple[str, str]] = set()
         self._blocked = True
         self._verify = True
@@ -72,8 +71,7 @@
         self._before_ms = -1
         self._next_ms = 0
         self._sequence = 0
-        self.in_memory: frozenset[str] = frozenset()
-        self.on_disk: frozenset[str] = frozenset()
+        self.copies = model_orders.Copies(frozenset(), frozenset())
 
     @property
     def sequence(self) -> int:
@@ -131,7 +129,9 @@
         overdue = pending is not None and (
             pending.phase is _Phase.DOUBT or now_ms >= pending.due_ms
         )
-        return self._blocked or self._verify or overdue or bool(self._adapters)
+        return (
+            self._blocked or self._verify or overdue or self._loading_adapters
+        )
 
     def give(
         self, order: model_orders.Order, takes_ms: float, now_ms: int
@@ -144,7 +144,7 @@
             key = (model, order.adapter)
             if order.verb is model_orders.Verb.LOAD:
                 adapters = self._models.get(model, frozenset())
-                self._adapters[key] = now_ms
+                self._loading_adapters = True
                 self._models[model] = adapters | {order.adapter}
             else:
                 self._dropping.add(key)
@@ -154,7 +154,6 @@
         self._pending = _Pending(
             order,
             self._sequence,
-            now_ms,
             now_ms + int(takes_ms) + (_MARGIN_MS if takes_ms else 0),
             _Phase.SENT,
             repeated=False,
@@ -227,9 +226,8 @@
         seen_ms = asked_ms - REPORT_LAG_MS
         if seen_ms < self._changed_ms:
             return
-        self.in_memory = report.in_memory
-        self.on_disk = report.on_disk
-        self._adapters.clear()
+        self.copies = model_orders.Copies(report.in_memory, report.on_disk)
+        self._loading_adapters = False
         self._dropping.clear()
         if report.busy:
             if self._pending is None:
@@ -266,7 +264,9 @@
         if not self._unloading:
             model = pending.order.model
             self._models.setdefault(model, frozenset())
-            self.on_disk |= {model}
+            self.copies = self.copies._replace(
+                on_disk=self.copies.on_disk | {model}
+            )
 
     def _refused(self, pending: _Pending, result: Result, now_ms: int) -> None:
         self._pending = None
--- a/tanagerloft/decisions/model_orders.py
+++ b/tanagerloft/decisions/model_orders.py
@@ -48,6 +48,30 @@
     patience_left_ms: tuple[int, ...]
 
 
+class Copies(NamedTuple):
+    """Models whose weights an engine has at hand.
+
+    Attributes:
+        in_memory: Models with a copy in its memory.
+        on_disk: Models with a copy on its disk.
+    """
+
+    in_memory: frozenset[str]
+    on_disk: frozenset[str]
+
+    def __contains__(self, model: object) -> bool:
+        """Returns whether there is a copy of a model."""
+        return model in self.in_memory or model in self.on_disk
+
+    def load_ms(self, model: types.Model) -> float:
+        """Returns the time that a load takes, from the nearest copy."""
+        if model.name in self.in_memory:
+            return model.memory_load_ms
+        if model.name in self.on_disk:
+            return model.disk_load_ms
+        return model.load_ms
+
+
 class Engine(NamedTuple):
     """An engine as the planner sees it.
 
@@ -59,8 +83,7 @@
         busy: Whether it carries out an order, or one is on its way to it.
         busy_ms: How long it will still do so.
         leaving: Whether it gets no new work.
-        in_memory: Models with a copy in its memory.
-        on_disk: Models with a copy on its disk.
+        copies: Models whose weights it has at hand.
         running: Requests under way by model, over all instances.
         room_mb: Size of its memory for weights.
         max_adapters: Adapters that it can hold.
@@ -73,8 +96,7 @@
     busy: bool
     busy_ms: int
     leaving: bool
-    in_memory: frozenset[str]
-    on_disk: frozenset[str]
+    copies: Copies
     running: dict[str, int]
     room_mb: float
     max_adapters: int
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -125,7 +125,7 @@
         for engine in self._engines:
             for model in engine.models:
                 self._holders.setdefault(model, []).append(engine)
-            self._with_copies |= engine.in_memory | engine.on_disk
+            self._with_copies |= engine.copies.in_memory | engine.copies.on_disk
         self._with_copies |= self._holders.keys() | self._loading
         self._held_mb = {
             engine.target_id: model_orders.held_mb(engine.held(), models)
@@ -156,7 +156,10 @@
         and those that will come while the model is there.
         """
         load_ms = min(
-            (self._load_ms(engine, demand.model) for engine in self._engines),
+            (
+                engine.copies.load_ms(self._models[demand.model])
+                for engine in self._engines
+            ),
             default=1.0,
         )
         in_aim = sum(left > load_ms for left in demand.aims_left_ms)
@@ -322,7 +325,7 @@
         )
 
     def _from_store(self, engine: model_orders.Engine, model: str) -> bool:
-        return model not in engine.in_memory | engine.on_disk
+        return model not in engine.copies
 
     def _may_load_long(self, engine: model_orders.Engine) -> bool:
         """Whether an engine may be kept from short loads by a long one."""
@@ -333,7 +336,7 @@
 
     def _is_bare(self, engine: model_orders.Engine) -> bool:
         """Whether an engine has too few copies to be of use for short loads."""
-        copies = len(engine.in_memory | engine.on_disk)
+        copies = len(engine.copies.in_memory | engine.copies.on_disk)
         return copies < _BARE_SHARE * len(self._models)
 
     def _free(self, engine: model_orders.Engine) -> bool:
@@ -359,20 +362,12 @@
             choices.append((steady, last_ms, recent, name))
         return min(choices)[3] if choices else None
 
-    def _load_ms(self, engine: model_orders.Engine, model: str) -> float:
-        shape = self._models[model]
-        if model in engine.in_memory:
-            return shape.memory_load_ms
-        if model in engine.on_disk:
-            return shape.disk_load_ms
-        return shape.load_ms
-
     def _ready_in_ms(self, engine: model_orders.Engine, model: str) -> float:
         """Returns a guess of the time until ``engine`` would have it."""
         starts_ms = self._free_in_ms[engine.target_id]
         if self._from_store(engine, model):
             starts_ms = max(starts_ms, min(self._lanes))
-        time_ms = starts_ms + self._load_ms(engine, model)
+        time_ms = starts_ms + engine.copies.load_ms(self._models[model])
         if not self._has_room(engine, model):
             time_ms += _UNLOAD_MS
             if self._victim(engine) is None:
--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -50,7 +50,6 @@
         valid_ms: Time after the start of a write for which it lets its holder
             give orders.
         turn_ms: Time that must lie between orders of two holders.
-        patience_ms: Further wait before a claim, to let candidates differ.
     """
 
     def __init__(
@@ -60,14 +59,12 @@
         address: str,
         valid_ms: int,
         turn_ms: int,
-        patience_ms: int = 0,
     ):
         self._holder = holder
         self._incarnation = incarnation
         self._address = address
         self._valid_ms = valid_ms
         self._turn_ms = turn_ms
-        self._patience_ms = patience_ms
         self._version: int | None = None
         self._seen_ms = 0
         self._valid_until_ms = -1
@@ -188,7 +185,7 @@
         self._valid_until_ms = started_ms + self._valid_ms
 
     def _free_at_ms(self) -> int:
-        return self._seen_ms + self._valid_ms + self._patience_ms
+        return self._seen_ms + self._valid_ms
 
     def _first_order_ms(self, before: Term | None, now_ms: int) -> int:
         if before is None:
--- a/tanagerloft/decisions/token_grants.py
+++ b/tanagerloft/decisions/token_grants.py
@@ -144,13 +144,6 @@
             self._refill(account, now_ms)
             self._levels[account] -= tokens
 
-    def take_back(self, account: str, tokens: float) -> None:
-        """Returns tokens that an instance was granted and will not use."""
-        if account in self._levels:
-            limit = self._limits[account]
-            level = self._levels[account] + tokens
-            self._levels[account] = min(limit.burst_tokens, level)
-
     def _refill(self, account: str, now_ms: int) -> None:
         limit = self._limits[account]
         elapsed_ms = now_ms - self._filled_ms[account]
--- a/tanagerloft/gateway/context.py
+++ b/tanagerloft/gateway/context.py
@@ -21,7 +21,6 @@
         account: Client account, None on open routes; set by ``authenticate``.
         cost_tokens: Tokens charged; set by ``identify``.
         ends_ms: When it needs its final answer; set by ``identify``.
-        caller_ends_ms: When the caller stops waiting, None if not known.
         charged: Whether the tokens have been taken.
     """
 
@@ -41,7 +40,6 @@
         self.account: types.Account | None = None
         self.cost_tokens = 0
         self.ends_ms = 0
-        self.caller_ends_ms: int | None = None
         self.charged = False
 
     @property
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -3,6 +3,7 @@
 from tanagerloft.filters import errors
 
 Refusal = errors.Refusal
+limit_exceeded = errors.limit_exceeded
 
 MALFORMED = Refusal("malformed_request", 400, "The request cannot be read.")
 TOO_LARGE = Refusal("too_large", 413, "The body is too large.")
@@ -10,21 +11,11 @@
     "headers_too_large", 431, "The headers are too large."
 )
 SLOW_SENDER = Refusal("slow_sender", 408, "The request did not arrive in time.")
-KEY_MISSING = Refusal("key_missing", 401, "This route needs a key.")
+KEY_MISSING = errors.KEY_MISSING
 KEY_UNKNOWN = Refusal("key_unknown", 401, "The key is not valid.")
-UNKNOWN_ROUTE = Refusal("unknown_route", 404, "There is nothing at this path.")
-NOT_CONFIGURED = Refusal(
-    "not_configured",
-    503,
-    "No configuration is in force yet.",
-    retry_after_ms=500,
-)
-KEYS_UNCONFIRMED = Refusal(
-    "keys_unconfirmed",
-    503,
-    "This instance cannot confirm that keys are current.",
-    retry_after_ms=500,
-)
+UNKNOWN_ROUTE = errors.UNKNOWN_ROUTE
+NOT_CONFIGURED = errors.NOT_CONFIGURED._replace(retry_after_ms=500)
+KEYS_UNCONFIRMED = errors.KEYS_UNCONFIRMED._replace(retry_after_ms=500)
 MODEL_NOT_READY = Refusal(
     "model_not_ready",
     503,
@@ -49,22 +40,5 @@
     "The target did not answer in time.",
     run=errors.UNKNOWN,
 )
-STOPPING = Refusal(
-    "stopping", 503, "This instance is stopping.", retry_after_ms=100
-)
-OVERLOADED = Refusal(
-    "overloaded",
-    503,
-    "Too many requests at this instance.",
-    retry_after_ms=500,
-)
-
-
-def limit_exceeded(retry_after_ms: int) -> Refusal:
-    """The account has spent its tokens for now."""
-    return Refusal(
-        "limit_exceeded",
-        429,
-        "The account's limit is spent.",
-        retry_after_ms=retry_after_ms,
-    )
+STOPPING = errors.STOPPING._replace(retry_after_ms=100)
+OVERLOADED = errors.OVERLOADED._replace(retry_after_ms=500)
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -54,7 +54,6 @@
         report_soon: Tells the holder soon what is waited for.
         later_ms: Returns the time until a model will be there, if known.
         now_ms: Clock.
-        done: Told when a request has ended.
     """
 
     dialect: dialect_lib.Dialect
@@ -67,14 +66,25 @@
     report_soon: Callable[[], None]
     later_ms: Callable[[str], int | None]
     now_ms: Callable[[], int]
-    done: Callable[[Exchange, str], None]
 
 
 class Exchange:
-    """One request on its way to targets; a ``net`` receiver and a waiter."""
+    """One request on its way to targets; a ``net`` receiver and a waiter.
 
-    def __init__(self, parts: Parts, context: context_lib.RequestContext):
+    Args:
+        parts: What exchanges share.
+        context: The request.
+        done: Told once, with the outcome, when the request has ended.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        context: context_lib.RequestContext,
+        done: Callable[[Exchange, str], None],
+    ):
         self._parts = parts
+        self._done = done
         self.context = context
         self._subject = waiting_lib.Subject(
             context.service, context.ask.model, context.ask.adapter
@@ -505,7 +515,7 @@
                 "took_ms": self._parts.now_ms() - context.request.began_ms,
             },
         )
-        self._parts.done(self, outcome)
+        self._done(self, outcome)
 
 
 def _since(request, at_ms: int | None) -> int | None:
--- a/tanagerloft/gateway/gateway.py
+++ b/tanagerloft/gateway/gateway.py
@@ -59,7 +59,7 @@
         self._configuration = configuration
         self._link = link
         self._steps = steps
-        self._parts = parts._replace(done=self._done)
+        self._parts = parts
         self._now_ms = now_ms
         self._metrics = metrics
         self._open: set[exchange_lib.Exchange] = set()
@@ -175,7 +175,7 @@
         context.responder.on_gone = lambda: self._link.forget(account, decided)
 
     def _start(self, context: context_lib.RequestContext) -> None:
-        exchange = exchange_lib.Exchange(self._parts, context)
+        exchange = exchange_lib.Exchange(self._parts, context, self._done)
         self._open.add(exchange)
         if context.ask.model:
             self._link.note_use(context.subject)
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -175,7 +175,6 @@
             report_soon=self._link.report_soon,
             later_ms=self._link.model_later_ms,
             now_ms=now_ms,
-            done=lambda _exchange, _outcome: None,
         )
         steps = [
             steps_lib.make_identify(random.SystemRandom()),
--- a/tanagerloft/gateway/steps.py
+++ b/tanagerloft/gateway/steps.py
@@ -34,7 +34,6 @@
         wait_ms = route.timeout_ms
         began_ms = context.request.began_ms
         if ask.wait_ms is not None:
-            context.caller_ends_ms = began_ms + ask.wait_ms
             wait_ms = min(wait_ms, ask.wait_ms - _WAY_BACK_MS)
         context.ends_ms = began_ms + wait_ms
         return None
--- a/tanagerloft/net/datagrams.py
+++ b/tanagerloft/net/datagrams.py
@@ -16,7 +16,6 @@
     def __init__(self, receive: Callable[[bytes, tuple[str, int]], None]):
         self._receive = receive
         self._transport: asyncio.DatagramTransport | None = None
-        self.sent_bytes = 0
 
     async def open(self, host: str, port: int) -> None:
         """Binds the socket."""
@@ -39,7 +38,6 @@
     def send(self, data: bytes, address: tuple[str, int]) -> None:
         """Sends a datagram, which may get lost."""
         if self._transport is not None:
-            self.sent_bytes += len(data)
             self._transport.sendto(data, address)
 
     def close(self) -> None:
--- a/tanagerloft/net/target_connection.py
+++ b/tanagerloft/net/target_connection.py
@@ -90,8 +90,6 @@
         self._closed = False
         self._idle_ms = _DEFAULT_IDLE_MS
         self.idle_since_ms = 0
-        self.exchanges = 0
-        self.counted_closed = False
 
     def connection_made(self, transport) -> None:
         self._transport = transport
@@ -169,7 +167,6 @@
     def send(self, data: bytes, receiver: Receiver) -> None:
         """Starts an exchange."""
         self._receiver = receiver
-        self.exchanges += 1
         self._transport.write(data)
 
     def skip_answer(self, receiver: Receiver) -> None:
@@ -240,12 +237,6 @@
     def __init__(self, now_ms: Callable[[], int]):
         self._now_ms = now_ms
         self._idle: dict[tuple[str, int], list[TargetConnection]] = {}
-        self._open: dict[tuple[str, int], int] = {}
-        self.opened = 0
-
-    def open_count(self, address: tuple[str, int]) -> int:
-        """Returns how many connections to ``address`` are open."""
-        return self._open.get(address, 0)
 
     def take_idle(
         self, address: tuple[str, int], max_idle_ms: int | None = None
@@ -268,19 +259,13 @@
     ) -> TargetConnection | Loss:
         """Opens a connection."""
         loop = asyncio.get_running_loop()
-        self._open[address] = self._open.get(address, 0) + 1
         try:
             async with loops.timeout(timeout_ms):
                 _, connection = await loop.create_connection(
                     lambda: TargetConnection(self, address), *address
                 )
         except (OSError, TimeoutError):
-            self._count_closed(address)
             return Loss.NOT_CONNECTED
-        except asyncio.CancelledError:
-            self._count_closed(address)
-            raise
-        self.opened += 1
         return connection
 
     def put_back(self, connection: TargetConnection) -> None:
@@ -293,16 +278,6 @@
         idle = self._idle.get(connection.address, [])
         if connection in idle:
             idle.remove(connection)
-        if not connection.counted_closed:
-            connection.counted_closed = True
-            self._count_closed(connection.address)
-
-    def _count_closed(self, address: tuple[str, int]) -> None:
-        left = self._open.get(address, 1) - 1
-        if left > 0:
-            self._open[address] = left
-        else:
-            self._open.pop(address, None)
 
 
 def _set_keepalive(sock: socket.socket) -> None:
--- a/tanagerloft/platform/requests.py
+++ b/tanagerloft/platform/requests.py
@@ -37,7 +37,6 @@
 # Callers that come back sooner than this meet the same state.
 _MIN_RETRY_MS = 50
 _MISDIRECTED = 421
-_PROMISES = frozenset((408, 421, 429, 503))
 
 
 class PlatformDialect:
--- a/tanagerloft/platform/store.py
+++ b/tanagerloft/platform/store.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 from typing import Any
+from typing import NamedTuple
 from urllib import parse
 
 import orjson
@@ -22,6 +23,20 @@
 _PAGE_ROWS = 500
 
 
+class _Page(NamedTuple):
+    """Rows of one answer of the store.
+
+    Attributes:
+        rows: The rows.
+        has_more: Whether there are more.
+        version: Newest version of the store at that moment.
+    """
+
+    rows: tuple[store_lib.Row, ...]
+    has_more: bool
+    version: int
+
+
 class Store:
     """The platform's store; a ``coordination.store.Store``."""
 
@@ -29,7 +44,6 @@
         self._pool = pool
         self._address = address
         self._host = f"{address[0]}:{address[1]}"
-        self.calls = 0
 
     async def read(
         self, table: str, key: str
@@ -37,13 +51,10 @@
         """Returns a row."""
         after_key = key + "\0"
         query = {"table": table, "part": "", "from": key, "to": after_key}
-        body = await self._get("/tanagerloft/rows-get", query)
-        if isinstance(body, errors.StoreError):
-            return body
-        rows = _decode_rows(body)
-        if isinstance(rows, errors.StoreError):
-            return rows
-        return rows[0] if rows else store_lib.Row(key, None, 0)
+        page = await self._get("/tanagerloft/rows-get", query)
+        if isinstance(page, errors.StoreError):
+            return page
+        return page.rows[0] if page.rows else store_lib.Row(key, None, 0)
 
     async def scan(self, table: str) -> store_lib.Snapshot | errors.StoreError:
         """Returns all rows of a table, as of the first page's version."""
@@ -55,30 +66,24 @@
             "limit": _PAGE_ROWS,
         }
         while True:
-            body = await self._get("/tanagerloft/rows-get", query)
-            if isinstance(body, errors.StoreError):
-                return body
-            rows = _decode_rows(body)
-            if isinstance(rows, errors.StoreError):
-                return rows
-            found += rows
-            version = version or _version_of(body)
-            if not body.get("has_more") or not rows:
+            page = await self._get("/tanagerloft/rows-get", query)
+            if isinstance(page, errors.StoreError):
+                return page
+            found += page.rows
+            version = version or page.version
+            if not page.has_more or not page.rows:
                 return store_lib.Snapshot(tuple(found), version)
-            query["from"] = rows[-1].key + "\0"
+            query["from"] = page.rows[-1].key + "\0"
 
     async def changes(
         self, table: str, after_version: int, wait_ms: int
     ) -> store_lib.Snapshot | errors.StoreError:
         """Returns the rows changed since a version."""
         query = {"table": table, "after": after_version, "wait_ms": wait_ms}
-        body = await self._get("/tanagerloft/rows-feed", query, wait_ms)
-        if isinstance(body, errors.StoreError):
-            return body
-        rows = _decode_rows(body)
-        if isinstance(rows, errors.StoreError):
-            return rows
-        return store_lib.Snapshot(tuple(rows), _version_of(body))
+        page = await self._get("/tanagerloft/rows-feed", query, wait_ms)
+        if isinstance(page, errors.StoreError):
+            return page
+        return store_lib.Snapshot(page.rows, page.version)
 
     async def write(
         self, table: str, key: str, value: bytes, expected_version: int
@@ -99,14 +104,16 @@
 
     async def _get(
         self, path: str, query: dict[str, Any], wait_ms: int = 0
-    ) -> dict | errors.StoreError:
+    ) -> _Page | errors.StoreError:
         target = f"{path}?{parse.urlencode(query)}"
-        return await self._call("GET", target, None, wait_ms)
+        body = await self._call("GET", target, None, wait_ms)
+        if isinstance(body, errors.StoreError):
+            return body
+        return _decode_page(body)
 
     async def _call(
         self, method: str, target: str, payload: bytes | None, wait_ms: int
     ) -> dict | errors.StoreError:
-        self.calls += 1
         headers = _JSON if payload is not None else []
         request = http_client.encode_request(
             method, target, self._host, headers, payload
@@ -140,12 +147,13 @@
     return body
 
 
-def _decode_rows(body: dict) -> list[store_lib.Row] | errors.StoreError:
+def _decode_page(body: dict) -> _Page | errors.StoreError:
     try:
-        return [_decode_row(row) for row in body["rows"]]
+        rows = tuple(_decode_row(row) for row in body["rows"])
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
         reason = f"malformed rows: {error!r}"
         return errors.StoreError(errors.StoreFailure.UNKNOWN, reason)
+    return _Page(rows, bool(body.get("has_more")), _version_of(body))
 
 
 def _decode_row(row: dict) -> store_lib.Row:
--- a/tanagerloft/platform/wire.py
+++ b/tanagerloft/platform/wire.py
@@ -5,7 +5,6 @@
 DEADLINE_MS = b"deadline-ms"
 MODEL = b"model"
 TOKENS = b"token-counts"
-PROMPT_PARTS = b"prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
 AUTHORIZATION = b"authorization"
 
@@ -32,8 +31,6 @@
 # Headers of answers.
 SEAL = b"response-seal"
 NOT_RUN = b"not-executed"
-TARGET_ID = b"instance-id"
-RETRY_AFTER = b"retry-after"
 
 # Headers that concern one connection only.
 HOP_BY_HOP = frozenset(
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -19,6 +19,10 @@
     }
 
 
+def _on_disk(*models: str) -> model_orders.Copies:
+    return model_orders.Copies(_NONE, frozenset(models))
+
+
 def _engine(name: str, models=(), **changes) -> model_orders.Engine:
     engine = model_orders.Engine(
         target_id=name,
@@ -28,8 +32,7 @@
         busy=False,
         busy_ms=0,
         leaving=False,
-        in_memory=_NONE,
-        on_disk=frozenset(f"m{n}" for n in range(20)),
+        copies=_on_disk(*(f"m{n}" for n in range(20))),
         running={},
         room_mb=_ROOM_MB,
         max_adapters=_SLOTS,
@@ -53,7 +56,7 @@
 
 
 def test_a_waited_for_model_goes_where_a_copy_is():
-    engines = [_engine("a", on_disk=_NONE), _engine("b")]
+    engines = [_engine("a", copies=_on_disk()), _engine("b")]
     orders = _plan(engines, [_demand("m1")]).orders
     assert orders == [model_orders.Order(model_orders.Verb.LOAD, "b", "m1")]
 
@@ -91,19 +94,19 @@
 def test_copies_are_not_fetched_in_the_place_of_models_in_use():
     # Seen on the bench: before traffic began, the models that the platform
     # had placed for it were dropped for rare ones.
-    engine = _engine("a", ["m1", "m2", "m3"], on_disk=_NONE)
+    engine = _engine("a", ["m1", "m2", "m3"], copies=_on_disk())
     recent = {"m1": 9.0, "m2": 9.0, "m3": 9.0}
     assert not _plan([engine], [], _usage(recent)).orders
 
 
 def test_an_idle_engine_fetches_what_nobody_has():
-    engine = _engine("a", ["m1"], on_disk=frozenset(["m0", "m2"]))
+    engine = _engine("a", ["m1"], copies=_on_disk("m0", "m2"))
     orders = _plan([engine], [], count=4).orders
     assert orders == [model_orders.Order(model_orders.Verb.LOAD, "a", "m3")]
 
 
 def test_loads_from_the_store_keep_to_its_rate():
-    engine = _engine("a", on_disk=_NONE)
+    engine = _engine("a", copies=_on_disk())
     store = _PLENTY._replace(loads_left=0)
     assert not _plan([engine], [_demand("m1")], store=store).orders
 
@@ -111,8 +114,8 @@
 def test_long_loads_leave_engines_for_short_ones():
     # Seen on the bench: engines that fetched copies for six seconds each kept
     # requests waiting for models that take a second and a half.
-    some = frozenset(f"m{n}" for n in range(3, 8))
-    engines = [_engine(name, on_disk=some) for name in ("a", "b", "c")]
+    some = _on_disk(*(f"m{n}" for n in range(3, 8)))
+    engines = [_engine(name, copies=some) for name in ("a", "b", "c")]
     demands = [_demand("m1"), _demand("m2")]
     assert len(_plan(engines, demands).orders) == 1
     used = _usage(last={"m1": _NOW_MS})
@@ -122,7 +125,7 @@
 def test_new_engines_load_long_all_at_once():
     # Found by a hunt: after all engines had been replaced by new ones without
     # copies, only one of them loaded at a time.
-    engines = [_engine(name, on_disk=_NONE) for name in "abcdef"]
+    engines = [_engine(name, copies=_on_disk()) for name in "abcdef"]
     demands = [_demand(f"m{n}") for n in range(6)]
     planned = _plan(engines, demands)
     assert len(planned.orders) == _PLENTY.at_once
@@ -134,7 +137,7 @@
 def test_a_busy_model_whose_engines_leave_is_loaded_elsewhere():
     engines = [
         _engine("a", ["m1"], leaving=True),
-        _engine("b", on_disk=_NONE),
+        _engine("b", copies=_on_disk()),
     ]
     used = _usage({"m1": 9.0}, {"m1": _NOW_MS})
     orders = _plan(engines, [], used).orders
@@ -144,7 +147,7 @@
 def test_a_replica_waits_for_the_engine_with_a_copy():
     engines = [
         _engine("a", ["m1"]),
-        _engine("b", on_disk=frozenset(["m5", "m6", "m7"])),
+        _engine("b", copies=_on_disk("m5", "m6", "m7")),
         _engine("c", busy=True, busy_ms=500),
     ]
     used = _usage({"m1": 9.0}, {"m1": _NOW_MS})
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -27,6 +27,13 @@
     platform_lib.reset(writer)
 
 
+async def _one_waits(platform) -> None:
+    async def waits() -> bool:
+        return platform.instance.waiting_room.count() == 1
+
+    await platform.eventually(waits)
+
+
 def _status(data: bytes) -> int:
     return int(data.split(b" ", 2)[1])
 
@@ -393,13 +400,10 @@
         )
         room = platform.instance.waiting_room
 
-        async def waits() -> bool:
-            return room.count() == 1
-
         async def empty() -> bool:
             return room.count() == 0
 
-        await platform.eventually(waits)
+        await _one_waits(platform)
         writer.close()
         await platform.eventually(empty)
         target = await platform.add_target(_stream, "engines")
@@ -502,10 +506,7 @@
         reader, writer = await platform.connect()
         writer.write(_STREAM_REQUEST)
 
-        async def waits() -> bool:
-            return platform.instance.waiting_room.count() == 1
-
-        await platform.eventually(waits)
+        await _one_waits(platform)
         platform.instance.gateway.refuse_waiting()
         data = await reader.read(-1)
         assert _status(data) == 503
@@ -576,10 +577,7 @@
         reader, writer = await platform.connect()
         writer.write(_STREAM_REQUEST)
 
-        async def waits() -> bool:
-            return platform.instance.waiting_room.count() == 1
-
-        await platform.eventually(waits)
+        await _one_waits(platform)
         config = platform_lib.configuration(version=2, tenants=[])
         platform.store.put("op", "config", config)
 
