--- /dev/null
+++ b/tanagerloft/coordination/demands.py
@@ -0,0 +1,28 @@
+"""What requests wait for, over all instances."""
+
+from __future__ import annotations
+
+from tanagerloft.coordination import messages
+from tanagerloft.decisions import model_orders
+
+
+def of_service(
+    reports: list[messages.Report], service: str
+) -> list[model_orders.Demand]:
+    """Returns the demands for the models of one service."""
+    merged: dict[tuple[str, str], model_orders.Demand] = {}
+    for report in reports:
+        for item in report.waited:
+            if item.service != service:
+                continue
+            key = (item.model, item.adapter)
+            demand = model_orders.Demand(
+                *key,
+                aims_left_ms=tuple(item.aims_left_ms),
+                patience_left_ms=tuple(item.patience_left_ms),
+            )
+            known = merged.get(key)
+            if known is not None:
+                demand = model_orders.merge(known, demand)
+            merged[key] = demand
+    return list(merged.values())
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -141,7 +141,9 @@
         """Plans for as long as the process runs."""
         while True:
             await loops.sleep(_PLAN_PAUSE_MS)
-            pause_ms = self._engines.changes_in_ms(self._now_ms(), _PLAN_MS)
+            pause_ms = self._engines.states.changes_in_ms(
+                self._now_ms(), _PLAN_MS
+            )
             await loops.wait(self._wake, min(pause_ms, _PLAN_MS))
             self._wake.clear()
             now_ms = self._now_ms()
@@ -260,7 +262,9 @@
     def _update_marks(self, now_ms: int) -> None:
         if now_ms - self._marked_ms >= _MARK_MS:
             self._marked_ms = now_ms
-            self._arrived |= self._marks.update(self._engines.told_models())
+            self._arrived |= self._marks.update(
+                self._engines.states.told_models()
+            )
 
 
 def _process(report: messages.Report) -> str:
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -9,10 +9,9 @@
 
 from __future__ import annotations
 
-import enum
-from typing import NamedTuple
-
+from tanagerloft.decisions import held_models
 from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import order_progress as progress
 from tanagerloft.fleet import types
 
 # Reports tell how things were this long ago, at most.
@@ -30,31 +29,6 @@
 _BUSY_MS = 40
 
 
-class Result(enum.Enum):
-    """What an engine answered to an order."""
-
-    ACCEPTED = "accepted"
-    HOLDS = "holds"
-    REFUSED = "refused"
-    NOT_SENT = "not_sent"
-    UNKNOWN = "unknown"
-
-
-class _Phase(enum.Enum):
-    SENT = "sent"
-    ACCEPTED = "accepted"
-    DOUBT = "doubt"
-    LATE = "late"
-
-
-class _Pending(NamedTuple):
-    order: model_orders.Order
-    expected: int
-    due_ms: int
-    phase: _Phase
-    repeated: bool
-
-
 class EngineOrders:
     """Orders to one engine, in one of its lives.
 
@@ -63,11 +37,10 @@
     """
 
     def __init__(self, models: dict[str, frozenset[str]]):
-        self._models = dict(models)
-        self._pending: _Pending | None = None
-        self._last_done: _Pending | None = None
+        self._held = held_models.HeldModels(models)
+        self._pending: progress.Pending | None = None
+        self._last_done: progress.Pending | None = None
         self._awaiting = False
-        self._dropping: set[tuple[str, str]] = set()
         self._blocked = True
         self._verify = True
         self._changed_ms = -1
@@ -90,24 +63,17 @@
     def loading(self) -> str:
         """Model under way, empty for none."""
         pending = self._pending
-        if pending is None or pending.order.verb is model_orders.Verb.UNLOAD:
+        if pending is None or not pending.loads:
             return ""
         return pending.order.model
 
-    def usable(self) -> dict[str, frozenset[str]]:
+    def usable(self) -> held_models.Models:
         """Returns the models that requests can be sent to."""
-        if not self._dropping:
-            return self._models
-        return {
-            model: frozenset(
-                name for name in names if (model, name) not in self._dropping
-            )
-            for model, names in self._models.items()
-        }
+        return self._held.usable()
 
-    def held(self) -> dict[str, frozenset[str]]:
+    def held(self) -> held_models.Models:
         """Returns all that may take memory."""
-        held = dict(self._models)
+        held = self._held.all()
         if self._pending is not None:
             held.setdefault(self._pending.order.model, frozenset())
         return held
@@ -130,7 +96,7 @@
     def changes_in_ms(self, now_ms: int) -> int | None:
         """Returns the time until it may take an order, if that is known."""
         pending = self._pending
-        if pending is not None and pending.phase is _Phase.ACCEPTED:
+        if pending is not None and pending.phase is progress.Phase.ACCEPTED:
             return max(0, pending.due_ms - now_ms)
         if now_ms < self._next_ms:
             return self._next_ms - now_ms
@@ -142,7 +108,7 @@
             return False
         pending = self._pending
         overdue = pending is not None and (
-            pending.phase in (_Phase.DOUBT, _Phase.LATE)
+            pending.phase in (progress.Phase.DOUBT, progress.Phase.LATE)
             or now_ms >= pending.due_ms
         )
         return self._blocked or self._verify or overdue
@@ -158,23 +124,13 @@
         self._awaiting = True
         self._before_ms = self._changed_ms
         self._changed_ms = now_ms
-        model = order.model
+        self._held.on_order(order)
         if order.adapter:
-            key = (model, order.adapter)
-            if order.verb is model_orders.Verb.LOAD:
-                adapters = self._models.get(model, frozenset())
-                self._models[model] = adapters | {order.adapter}
-            else:
-                self._dropping.add(key)
             return
-        if order.verb is model_orders.Verb.UNLOAD:
-            self._models.pop(model, None)
-        self._pending = _Pending(
-            order,
-            self._sequence,
-            now_ms + int(takes_ms) + (_MARGIN_MS if takes_ms else 0),
-            _Phase.SENT,
-            repeated=False,
+        margin_ms = _MARGIN_MS if takes_ms else 0
+        due_ms = now_ms + int(takes_ms) + margin_ms
+        self._pending = progress.Pending(
+            order, self._sequence, due_ms, progress.Phase.SENT, repeated=False
         )
 
     def count_before(self, order: model_orders.Order) -> int:
@@ -187,17 +143,22 @@
     def repeat(self, now_ms: int) -> model_orders.Order | None:
         """Returns an order to send again as it was."""
         pending = self._pending
-        if pending is None or pending.phase is not _Phase.DOUBT:
+        if pending is None or pending.phase is not progress.Phase.DOUBT:
             return None
         if now_ms < self._next_ms:
             return None
-        self._pending = pending._replace(phase=_Phase.SENT, repeated=True)
+        self._pending = pending._replace(
+            phase=progress.Phase.SENT, repeated=True
+        )
         self._awaiting = True
         self._changed_ms = now_ms
         return pending.order
 
     def on_answer(
-        self, order: model_orders.Order, result: Result, now_ms: int
+        self,
+        order: model_orders.Order,
+        result: progress.Result,
+        now_ms: int,
     ) -> None:
         """Takes in the answer to an order."""
         self._awaiting = False
@@ -208,13 +169,13 @@
         pending = self._pending
         if pending is None or pending.order != order:
             return
-        if result is Result.ACCEPTED:
+        if result is progress.Result.ACCEPTED:
             self._sequence = max(self._sequence, pending.expected + 1)
-            self._pending = pending._replace(phase=_Phase.ACCEPTED)
-        elif result is Result.HOLDS:
+            self._pending = pending._replace(phase=progress.Phase.ACCEPTED)
+        elif result is progress.Result.HOLDS:
             self._done(pending)
-        elif result is Result.UNKNOWN:
-            self._pending = pending._replace(phase=_Phase.DOUBT)
+        elif result is progress.Result.UNKNOWN:
+            self._pending = pending._replace(phase=progress.Phase.DOUBT)
             self._next_ms = now_ms + _REPEAT_MS
         else:
             self._refused(pending, result, now_ms)
@@ -229,7 +190,7 @@
             Whether what the engine holds has changed by that.
         """
         pending = self._pending
-        if pending is None or pending.phase is not _Phase.ACCEPTED:
+        if pending is None or pending.phase is not progress.Phase.ACCEPTED:
             return False
         if now_ms < pending.due_ms:
             return False
@@ -252,100 +213,88 @@
             return ""
         self._sequence = max(self._sequence, report.order_sequence)
         self.copies = model_orders.Copies(report.in_memory, report.on_disk)
-        self._dropping.clear()
         if report.busy:
             return self._on_busy(report, asked_ms)
         self._on_idle(report, seen_ms)
         return ""
 
     def _on_busy(self, report: types.TargetReport, asked_ms: int) -> str:
-        self._models = {**self._models, **report.models}
+        self._held.on_busy_report(report)
         if self._pending is not None:
             return ""
         last = self._last_done
-        if last is None or last.order.verb is model_orders.Verb.UNLOAD:
-            self._blocked = True
-            return ""
-        model = last.order.model
-        if model in report.models:
+        if last is None or not last.loads or last.order.model in report.models:
             self._blocked = True
             return ""
         # It was counted as done too early.
-        self._models.pop(model, None)
+        model = last.order.model
+        self._held.remove(model)
         due_ms = asked_ms + _LATE_MS
-        self._pending = last._replace(phase=_Phase.LATE, due_ms=due_ms)
+        self._pending = last._replace(phase=progress.Phase.LATE, due_ms=due_ms)
         return model
 
     def _on_idle(self, report: types.TargetReport, seen_ms: int) -> None:
         self._blocked = self._verify = False
-        self._models = dict(report.models)
-        for model, adapter in report.arriving:
-            # It takes its place already.
-            held = self._models.get(model, frozenset())
-            self._models[model] = held | {adapter}
+        self._held.on_idle_report(report)
         pending = self._pending
         if pending is None:
             return
-        shown = (pending.order.model in report.models) is (
-            pending.order.verb is model_orders.Verb.LOAD
-        )
+        shown = (pending.order.model in report.models) is pending.loads
         if shown:
             self._pending = None
-        elif pending.phase in (_Phase.ACCEPTED, _Phase.LATE):
+        elif pending.phase in (
+            progress.Phase.ACCEPTED,
+            progress.Phase.LATE,
+        ):
             if seen_ms > pending.due_ms + _GRACE_MS:
                 self._pending = None
         elif self._sequence > pending.expected:
             # Another order was accepted instead; this one never will be.
             self._pending = None
-        if pending.order.verb is model_orders.Verb.UNLOAD and self._pending:
-            self._models.pop(pending.order.model, None)
+        if not pending.loads and self._pending:
+            self._held.remove(pending.order.model)
 
-    def _done(self, pending: _Pending) -> None:
+    def _done(self, pending: progress.Pending) -> None:
         self._pending = None
         self._verify = True
         self._last_done = pending
-        if pending.order.verb is model_orders.Verb.LOAD:
+        if pending.loads:
             model = pending.order.model
-            self._models.setdefault(model, frozenset())
+            self._held.add(model)
             self.copies = self.copies._replace(
                 on_disk=self.copies.on_disk | {model}
             )
 
-    def _refused(self, pending: _Pending, result: Result, now_ms: int) -> None:
+    def _refused(
+        self, pending: progress.Pending, result: progress.Result, now_ms: int
+    ) -> None:
         self._pending = None
         self._verify = True
-        if pending.order.verb is model_orders.Verb.UNLOAD:
-            self._models.setdefault(pending.order.model, frozenset())
+        if not pending.loads:
+            self._held.add(pending.order.model)
         if pending.repeated:
             # The first one may have been accepted.
             self._blocked = True
             return
         # Nothing has changed: reports from before the order are as good.
         self._changed_ms = self._before_ms
-        if result is Result.NOT_SENT:
+        if result is progress.Result.NOT_SENT:
             self._next_ms = now_ms + _REPEAT_MS
-        elif self._was_unloading():
+        elif self._last_done is not None and not self._last_done.loads:
             self._next_ms = now_ms + _BUSY_MS
         else:
             self._blocked = True
 
-    def _was_unloading(self) -> bool:
-        last = self._last_done
-        return last is not None and last.order.verb is model_orders.Verb.UNLOAD
-
     def _on_adapter_answer(
-        self, order: model_orders.Order, result: Result
+        self, order: model_orders.Order, result: progress.Result
     ) -> None:
         self._verify = True
-        if result not in (Result.ACCEPTED, Result.HOLDS):
+        if result not in (progress.Result.ACCEPTED, progress.Result.HOLDS):
             # Until a report tells, it counts as held.
             self._blocked = True
             return
         drops = order.verb is model_orders.Verb.UNLOAD
-        if result is Result.ACCEPTED or drops:
+        if result is progress.Result.ACCEPTED or drops:
             self._sequence += 1
         if drops:
-            self._dropping.discard((order.model, order.adapter))
-            adapters = self._models.get(order.model, frozenset())
-            if order.model in self._models:
-                self._models[order.model] = adapters - {order.adapter}
+            self._held.end_drop(order.model, order.adapter)
--- /dev/null
+++ b/tanagerloft/decisions/engine_pool.py
@@ -0,0 +1,222 @@
+"""The engines of a service as a round of planning sees them.
+
+Answers which engine holds a model, has a copy of it, has room for it or could
+have it soonest. The round tells what it has decided, so that later answers take
+that into account.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from tanagerloft.decisions import model_orders
+from tanagerloft.fleet import types
+
+# Requests in the recent window that make a model one in steady use.
+STEADY_REQUESTS = 4.0
+# An idle model is dropped for a waiting one only after this time without
+# requests, so that two waiting models do not push each other out.
+_MIN_IDLE_MS = 200
+# An engine with copies of fewer models than this share is a bare one.
+_BARE_SHARE = 0.2
+# Time that an unload of an idle model takes, with the way of the order.
+_UNLOAD_MS = 50.0
+# Time that the runs of a model take until it can be dropped.
+_RUN_MS = 2_000.0
+
+
+class Option(NamedTuple):
+    """An engine that could load a model, compared by when it would have it."""
+
+    ready_ms: float
+    target_id: str
+    engine: model_orders.Engine
+
+
+class EnginePool:
+    """Engines that stay.
+
+    Args:
+        models: Models of the service.
+        engines: All engines of the service.
+        usage: Use of the models.
+        weight_store: What the weight store allows.
+        wanted: Models and adapters that somebody waits for.
+        now_ms: Reading of the clock.
+
+    Attributes:
+        engines: Engines that get new work.
+        loading: Engine that loads a model, by model.
+    """
+
+    def __init__(
+        self,
+        models: dict[str, types.Model],
+        engines: list[model_orders.Engine],
+        usage: model_orders.Usage,
+        weight_store: model_orders.WeightStore,
+        wanted: set[str],
+        now_ms: int,
+    ):
+        self._models = models
+        self._usage = usage
+        self._wanted = wanted
+        self._now_ms = now_ms
+        self.engines = [engine for engine in engines if not engine.leaving]
+        self.loading = {engine.loading: engine for engine in self.engines}
+        self._holders: dict[str, list[model_orders.Engine]] = {}
+        self._near: dict[str, list[model_orders.Engine]] = {}
+        for engine in self.engines:
+            for model in engine.models:
+                self._holders.setdefault(model, []).append(engine)
+            for model in engine.copies.in_memory | engine.copies.on_disk:
+                self._near.setdefault(model, []).append(engine)
+        self._free_in_ms = {
+            engine.target_id: float(engine.busy_ms) for engine in self.engines
+        }
+        self._held_mb = {
+            engine.target_id: model_orders.held_mb(engine.held(), models)
+            for engine in self.engines
+        }
+        self._victims: dict[str, str | None] = {}
+        self._taken: set[str] = set()
+        # When each of the loads that the store takes at once will be done.
+        under_way = [
+            float(engine.busy_ms)
+            for engine in self.engines
+            if engine.loading and self.from_store(engine, engine.loading)
+        ]
+        idle = max(1, weight_store.at_once - len(under_way))
+        self._lanes = under_way + [0.0] * idle
+
+    def holders(self, model: str) -> list[model_orders.Engine]:
+        """Returns the engines that have a model and stay."""
+        return self._holders.get(model, [])
+
+    def near(self, model: str) -> list[model_orders.Engine]:
+        """Returns the engines that have a copy of a model at hand."""
+        return self._near.get(model, [])
+
+    def missing(self) -> list[str]:
+        """Returns the models that no engine has, loads or has a copy of."""
+        present = {*self._near, *self._holders, *self.loading}
+        return [name for name in self._models if name not in present]
+
+    def from_store(self, engine: model_orders.Engine, model: str) -> bool:
+        """Returns whether an engine would load a model from the store."""
+        return model not in engine.copies
+
+    def is_bare(self, engine: model_orders.Engine) -> bool:
+        """Returns whether it has too few copies to load much from them."""
+        copies = len(engine.copies.in_memory | engine.copies.on_disk)
+        return copies < _BARE_SHARE * len(self._models)
+
+    def is_free(self, engine: model_orders.Engine) -> bool:
+        """Returns whether an engine can be given an order now."""
+        return not engine.busy and engine.target_id not in self._taken
+
+    def take(self, engine: model_orders.Engine) -> None:
+        """Keeps an engine for what has been decided for it."""
+        self._taken.add(engine.target_id)
+
+    def note_load(self, option: Option, model: str) -> None:
+        """Takes in that a model is to be loaded as an option says."""
+        self._free_in_ms[option.target_id] = option.ready_ms
+        if self.from_store(option.engine, model):
+            self._lanes.remove(min(self._lanes))
+            self._lanes.append(option.ready_ms)
+
+    def has_room(self, engine: model_orders.Engine, model: str) -> bool:
+        """Returns whether an engine has room for a model."""
+        used_mb = self._held_mb[engine.target_id]
+        return used_mb + self._models[model].size_mb <= engine.room_mb
+
+    def victim(self, engine: model_orders.Engine) -> str | None:
+        """Returns the idle model with the least use, None if all are used."""
+        if engine.target_id not in self._victims:
+            self._victims[engine.target_id] = self._find_victim(engine)
+        return self._victims[engine.target_id]
+
+    def idle_adapter(
+        self, engine: model_orders.Engine
+    ) -> tuple[str, str] | None:
+        """Returns the adapter that has been unused for the longest."""
+        choices = []
+        for model, adapters in engine.models.items():
+            for adapter in adapters:
+                subject = f"{model}/{adapter}"
+                last_ms = self._usage.last_used_ms.get(subject, 0)
+                if engine.running.get(subject) or subject in self._wanted:
+                    continue
+                if self._now_ms - last_ms >= _MIN_IDLE_MS:
+                    choices.append((last_ms, model, adapter))
+        return min(choices)[1:] if choices else None
+
+    def soonest(
+        self,
+        model: str,
+        accept: Callable[[model_orders.Engine], bool] = lambda _engine: True,
+    ) -> Option | None:
+        """Returns the engine that would have a model first.
+
+        Engines without a copy are looked at only if a load from the store
+        could be done before one from a copy.
+
+        Args:
+            model: The model.
+            accept: Tells which engines may be chosen.
+        """
+
+        def first(engines: Iterable[model_orders.Engine]) -> Option | None:
+            options = (
+                Option(
+                    self._ready_in_ms(engine, model), engine.target_id, engine
+                )
+                for engine in engines
+                if accept(engine)
+            )
+            return min(options, default=None)
+
+        near = first(self.near(model))
+        store_ms = min(self._lanes) + self._models[model].load_ms
+        if near is not None and near.ready_ms <= store_ms:
+            return near
+        return first(self.engines)
+
+    def _find_victim(self, engine: model_orders.Engine) -> str | None:
+        choices = []
+        for name in engine.models:
+            last_ms = self._usage.last_used_ms.get(name, 0)
+            if name in self._wanted or _running(engine, name):
+                continue
+            if self._now_ms - last_ms < _MIN_IDLE_MS:
+                continue
+            recent = self._usage.recent.get(name, 0.0)
+            steady = recent >= STEADY_REQUESTS
+            if steady and len(self.holders(name)) <= 1:
+                continue
+            choices.append((steady, last_ms, recent, name))
+        return min(choices)[3] if choices else None
+
+    def _ready_in_ms(self, engine: model_orders.Engine, model: str) -> float:
+        """Returns a guess of the time until ``engine`` would have it."""
+        starts_ms = self._free_in_ms[engine.target_id]
+        if self.from_store(engine, model):
+            starts_ms = max(starts_ms, min(self._lanes))
+        time_ms = starts_ms + engine.copies.load_ms(self._models[model])
+        if not self.has_room(engine, model):
+            time_ms += _UNLOAD_MS
+            if self.victim(engine) is None:
+                time_ms += _RUN_MS
+        return time_ms
+
+
+def _running(engine: model_orders.Engine, model: str) -> int:
+    total = engine.running.get(model, 0)
+    prefix = model + "/"
+    for name, count in engine.running.items():
+        if name.startswith(prefix):
+            total += count
+    return total
--- /dev/null
+++ b/tanagerloft/decisions/order_progress.py
@@ -0,0 +1,54 @@
+"""Progress of an order to an engine."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from tanagerloft.decisions import model_orders
+
+
+class Result(enum.Enum):
+    """What an engine answered to an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    REFUSED = "refused"
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+
+
+class Phase(enum.Enum):
+    """What is known of an order that takes time.
+
+    ``SENT``: no answer yet. ``ACCEPTED``: counted as done when it should be.
+    ``DOUBT``: no answer came. ``LATE``: takes longer than it should.
+    """
+
+    SENT = "sent"
+    ACCEPTED = "accepted"
+    DOUBT = "doubt"
+    LATE = "late"
+
+
+class Pending(NamedTuple):
+    """An order that takes time, on its way or being carried out.
+
+    Attributes:
+        order: The order.
+        expected: Number of orders that the engine had accepted before it.
+        due_ms: When it should be done.
+        phase: What is known of it.
+        repeated: Whether it has been sent twice.
+    """
+
+    order: model_orders.Order
+    expected: int
+    due_ms: int
+    phase: Phase
+    repeated: bool
+
+    @property
+    def loads(self) -> bool:
+        """Whether it is a load, and not an unload."""
+        return self.order.verb is model_orders.Verb.LOAD
--- /dev/null
+++ b/tanagerloft/decisions/send_history.py
@@ -0,0 +1,66 @@
+"""What has become of the sends of one request, and what may follow.
+
+Load answered: targets that refuse, break off or lose answers. A request that
+may run only once is never sent after a send that may have run it; any other one
+may run on so many targets as its route allows.
+"""
+
+from __future__ import annotations
+
+from tanagerloft.decisions import attempts
+
+# Sends of one request, those that did not run included.
+MAX_SENDS = 4
+
+
+class SendHistory:
+    """Sends of one request.
+
+    Args:
+        repeatable: Whether it may run more than once.
+        max_targets: Targets on which it may run.
+
+    Attributes:
+        sends: Sends so far.
+        tried: Targets that it was sent to.
+    """
+
+    def __init__(self, repeatable: bool, max_targets: int):
+        self._repeatable = repeatable
+        self._max_targets = max_targets
+        self._may_have_run: set[str] = set()
+        self.sends = 0
+        self.tried: set[str] = set()
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request."""
+        return bool(self._may_have_run)
+
+    def note_sent(self, target_id: str) -> None:
+        """Counts a send; until the target says otherwise, it may run."""
+        self.sends += 1
+        self.tried.add(target_id)
+        self._may_have_run.add(target_id)
+
+    def note_not_run(self, target_id: str) -> None:
+        """Takes in that a target did not run it."""
+        self._may_have_run.discard(target_id)
+
+    def may_repeat(self) -> bool:
+        """Returns whether it may run once more, though it may have run."""
+        return (
+            self._repeatable
+            and self.sends < MAX_SENDS
+            and len(self._may_have_run) < self._max_targets
+        )
+
+    def may_follow(self, evidence: attempts.Evidence) -> bool:
+        """Returns whether another send may follow one that failed."""
+        not_run = evidence in (
+            attempts.Evidence.NOT_SENT,
+            attempts.Evidence.REFUSED,
+        )
+        if self._may_have_run and not self._repeatable:
+            return False
+        return (not_run and self.sends < MAX_SENDS) or self.may_repeat()
--- a/tanagerloft/gateway/context.py
+++ b/tanagerloft/gateway/context.py
@@ -7,7 +7,33 @@
 from tanagerloft.coordination import targets
 from tanagerloft.fleet import types
 from tanagerloft.gateway import dialect
-from tanagerloft.net import caller_connection
+from tanagerloft.net import responder as responder_lib
+
+
+class RequestTimes:
+    """When a request reached each step.
+
+    Attributes:
+        began_ms: Its first byte arrived.
+        sent_ms: It was first sent to a target, None before.
+        answer_ms: The first part of the answer went out, None before.
+    """
+
+    def __init__(self, began_ms: int):
+        self.began_ms = began_ms
+        self.sent_ms: int | None = None
+        self.answer_ms: int | None = None
+
+    def told(self, now_ms: int) -> dict[str, int | None]:
+        """Returns what lines of the log say of the times."""
+        return {
+            "waited_ms": self._since(self.sent_ms),
+            "first_ms": self._since(self.answer_ms),
+            "took_ms": now_ms - self.began_ms,
+        }
+
+    def _since(self, at_ms: int | None) -> int | None:
+        return None if at_ms is None else at_ms - self.began_ms
 
 
 class RequestContext:
@@ -24,12 +50,13 @@
         cost_tokens: Tokens charged; set by ``identify``.
         ends_ms: When it needs its final answer; set by ``identify``.
         charged: Whether the tokens have been taken.
+        times: When it reached each step.
     """
 
     def __init__(
         self,
-        request: caller_connection.Request,
-        responder: caller_connection.Responder,
+        request: responder_lib.Request,
+        responder: responder_lib.Responder,
         ask: dialect.Ask,
         configuration: types.Configuration,
     ):
@@ -43,6 +70,7 @@
         self.cost_tokens = 0
         self.ends_ms = 0
         self.charged = False
+        self.times = RequestTimes(request.began_ms)
         self._digest: str | None = None
 
     @property
@@ -60,6 +88,16 @@
             self._digest = told.hexdigest()
         return self._digest
 
+    def told(self) -> dict[str, str | int | None]:
+        """Returns what lines of the log say of the request."""
+        return {
+            "request": self.ask.request_id,
+            "route": self.route.name,
+            "account": self.account_name,
+            "model": self.subject,
+            "configuration": self.configuration.version,
+        }
+
     @property
     def account_name(self) -> str | None:
         """Name of the client account."""
--- a/tanagerloft/gateway/deployment.py
+++ b/tanagerloft/gateway/deployment.py
@@ -7,6 +7,7 @@
 
 from tanagerloft.coordination import configuration as configuration_lib
 from tanagerloft.coordination import engine_keeper
+from tanagerloft.coordination import engine_states
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.gateway import dialect as dialect_lib
@@ -38,7 +39,7 @@
     decode_configuration: configuration_lib.Decode
     decode_entry: targets_lib.DecodeEntry
     send_order: engine_keeper.SendOrder
-    fetch_report: engine_keeper.FetchReport
+    fetch_report: engine_states.FetchReport
     ready_path: bytes
     metrics_path: bytes
 
--- a/tanagerloft/gateway/dialect.py
+++ b/tanagerloft/gateway/dialect.py
@@ -7,7 +7,7 @@
 
 from tanagerloft.fleet import types
 from tanagerloft.gateway import errors
-from tanagerloft.net import caller_connection
+from tanagerloft.net import responder as responder_lib
 from tanagerloft.net import target_connection
 
 
@@ -81,13 +81,11 @@
 class Dialect(Protocol):
     """Translates between the protocol and the gateway's types."""
 
-    def decode(
-        self, request: caller_connection.Request
-    ) -> Ask | errors.Refusal:
+    def decode(self, request: responder_lib.Request) -> Ask | errors.Refusal:
         """Returns what a request asks for."""
 
     def encode(
-        self, request: caller_connection.Request, ask: Ask, send: Send
+        self, request: responder_lib.Request, ask: Ask, send: Send
     ) -> bytes:
         """Returns the bytes of a request to a target."""
 
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -25,6 +25,12 @@
 NO_TARGET = Refusal(
     "no_target", 503, "No target can take the request.", retry_after_ms=500
 )
+NO_BUDGET = Refusal(
+    "no_budget",
+    503,
+    "Too many requests are sent again already.",
+    retry_after_ms=500,
+)
 CRASHES_TARGETS = Refusal(
     "crashes_targets",
     503,
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -7,25 +7,22 @@
 import logging
 
 from tanagerloft.decisions import attempts
+from tanagerloft.decisions import send_history
 from tanagerloft.fleet import types
+from tanagerloft.gateway import answer as answer_lib
 from tanagerloft.gateway import attempt as attempt_lib
 from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import dialect as dialect_lib
 from tanagerloft.gateway import errors
 from tanagerloft.gateway import parts as parts_lib
-from tanagerloft.gateway import prompt_hold
+from tanagerloft.gateway import placing as placing_lib
 from tanagerloft.gateway import stream_relay
-from tanagerloft.gateway import waiting as waiting_lib
 from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
 
-# Sends of one request, those that did not run included.
-_MAX_SENDS = 4
 # Pause before a request goes to the same target again.
 _SAME_TARGET_MS = 100
-# A request that has less time than this left is not sent any more.
-_MIN_SEND_MS = 20
 _SERVER_ERROR = 500
 
 
@@ -36,6 +33,13 @@
         parts: What exchanges share.
         context: The request.
         done: Told once, with the outcome, when the request has ended.
+
+    Attributes:
+        context: The request.
+        answer: What the caller gets.
+        history: What has become of its sends.
+        aim_ms: When it misses its aim.
+        patience_ms: When its caller leaves.
     """
 
     def __init__(
@@ -47,33 +51,19 @@
         self._parts = parts
         self._done = done
         self.context = context
-        self._subject = waiting_lib.Subject(
-            context.service, context.ask.model, context.ask.adapter
-        )
+        self._placing = placing_lib.Placing(parts, context)
+        self.aim_ms = self._placing.aim_ms
+        self.patience_ms = self._placing.patience_ms
+        self.answer = answer_lib.Answer(parts, context)
         self._attempt: attempt_lib.Attempt | None = None
         self._stream = stream_relay.StreamRelay(context.ask.last_event_id)
-        self._tried: set[str] = set()
-        self._may_have_run: set[str] = set()
+        self.history = send_history.SendHistory(
+            context.route.repeatable, context.route.max_targets
+        )
         self._waits = False
         self._ended = False
-        began_ms = context.request.began_ms
-        self.aim_ms = began_ms + context.route.aim_ms
-        self.patience_ms = min(
-            context.ends_ms, began_ms + context.route.patience_ms
-        )
-        self._hold = prompt_hold.PromptHold(
-            context.ask.prompt_tokens, self.aim_ms
-        )
         self._timer: asyncio.TimerHandle | None = None
         self._again: asyncio.TimerHandle | None = None
-        self.sends = 0
-        self.first_sent_ms: int | None = None
-        self.first_answer_ms: int | None = None
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether a target may have run the request."""
-        return bool(self._may_have_run)
 
     def start(self) -> None:
         """Begins; the responder must lead to this exchange."""
@@ -87,7 +77,7 @@
 
     def refuse_unsent(self, refusal: errors.Refusal) -> None:
         """Refuses the request if it has not been sent."""
-        if not self._ended and self.first_sent_ms is None:
+        if not self._ended and self.context.times.sent_ms is None:
             self._cancel_send()
             self._refuse(refusal)
 
@@ -104,43 +94,22 @@
         """
         if self._ended or self._attempt is not None or self._again is not None:
             return True
-        parts, context = self._parts, self.context
-        refusal = parts.recheck(context)
-        if refusal is not None:
-            self._give_up(refusal.detail, refusal)
-            return True
-        target = parts.directory.choose(*self._subject, frozenset(self._tried))
-        now_ms = parts.now_ms()
-        if target is None:
-            return self._wait(now_ms)
+        place = self._placing.place(self.history)
+        if place is placing_lib.NoTarget.NOW:
+            self._waits = True
+            self._parts.room.add(self._placing.subject, self)
+            return False
         if self._waits:
             self._waits = False
-            parts.room.remove(self._subject, self)
-        if context.ends_ms - now_ms < _MIN_SEND_MS:
-            self._refuse(errors.OUT_OF_TIME)
-        elif self._hold.wanted(
-            parts.directory.prefill_tokens(target.target_id), now_ms
-        ):
-            parts.report_soon()
-            self._later(prompt_hold.LOOK_AGAIN_MS)
-        elif self.sends and not parts.take_repeat(context.service):
-            self._give_up("no budget for a repeat")
+            self._parts.room.remove(self._placing.subject, self)
+        if isinstance(place, errors.Refusal):
+            self._give_up(place.detail, place)
+        elif isinstance(place, placing_lib.Later):
+            self._later(place.delay_ms)
         else:
-            self._send(target)
+            self._send(place)
         return True
 
-    def _wait(self, now_ms: int) -> bool:
-        """Lets the request wait, or refuses it if that cannot help."""
-        later_ms = self._parts.later_ms(self.context.ask.model)
-        if later_ms is not None and now_ms + later_ms > self.patience_ms:
-            self._refuse(
-                errors.MODEL_NOT_READY._replace(retry_after_ms=later_ms)
-            )
-            return True
-        self._waits = True
-        self._parts.room.add(self._subject, self)
-        return False
-
     def _send(self, target: types.TargetEntry) -> None:
         self._attempt = attempt_lib.Attempt(
             self._parts,
@@ -148,59 +117,48 @@
             target,
             self._stream,
             self,
-            repeats=self.sends > 0,
+            repeats=self.history.sends > 0,
         )
         self._attempt.start()
 
     def on_sent(self) -> None:
         """Counts a send; part of the attempt's owner."""
         assert self._attempt is not None
-        self.sends += 1
-        if self.first_sent_ms is None:
-            self.first_sent_ms = self._parts.now_ms()
+        times = self.context.times
+        if times.sent_ms is None:
+            times.sent_ms = self._parts.now_ms()
             self._parts.note_first(self.context.service)
-        target_id = self._attempt.target.target_id
-        self._tried.add(target_id)
-        self._may_have_run.add(target_id)
+        self.history.note_sent(self._attempt.target.target_id)
 
     def on_events(self, mark: dialect_lib.Mark, data: bytes) -> None:
         """Passes on events."""
-        self._begin_stream(mark)
-        self.context.responder.write(data)
+        self.answer.events(mark, data)
 
     def on_stream_end(self, mark: dialect_lib.Mark, rest: bytes) -> None:
         """Ends a stream as a whole one."""
-        responder = self.context.responder
-        self._begin_stream(mark)
-        responder.write(rest)
+        self.answer.events(mark, rest)
         self._finish_answered(200)
-        responder.finish()
+        self.answer.finish()
 
     def on_answer(
         self, mark: dialect_lib.Mark, status: int, body: bytes
     ) -> None:
         """Passes on a whole answer, unless a repeat may give a better one."""
-        responder = self.context.responder
-        if (
-            status >= _SERVER_ERROR
-            and self.context.route.repeatable
-            and self._may_send_again()
-        ):
+        if status >= _SERVER_ERROR and self.history.may_repeat():
             self.on_failed(attempts.Evidence.UNKNOWN, f"status {status}")
-        elif responder.started:
+        elif self.answer.started:
             # The head of another answer is out; this one cannot follow it.
-            self._finish("cut", status)
-            responder.abort()
+            self._cut("head of another answer is out")
         else:
-            self.first_answer_ms = self._parts.now_ms()
+            self.answer.begin()
             self._finish_answered(status)
-            responder.answer(status, mark.headers, body)
+            self.answer.whole(mark, status, body)
 
     def on_not_run(self, mark: dialect_lib.Mark, status: int) -> None:
         """Takes in that a target did not run the request."""
         assert self._attempt is not None
         target_id = self._attempt.target.target_id
-        self._may_have_run.discard(target_id)
+        self.history.note_not_run(target_id)
         if mark.lacks:
             self._parts.directory.note_lacks(target_id, self.context.subject)
         else:
@@ -233,41 +191,20 @@
                 "target": target_id,
                 "evidence": evidence.value,
                 "reason": reason,
-                "sends": self.sends,
+                "sends": self.history.sends,
                 "events": self._stream.events,
             },
         )
-        not_run = evidence in (
-            attempts.Evidence.NOT_SENT,
-            attempts.Evidence.REFUSED,
-        )
-        if (not_run and self.sends < _MAX_SENDS) or (
-            self.context.route.repeatable and self._may_send_again()
-        ):
+        if self.history.may_follow(evidence):
             self._send_again(target_id)
         else:
             self._give_up(reason)
 
-    def _begin_stream(self, mark: dialect_lib.Mark) -> None:
-        """Sends the head, unless that of an earlier target is out."""
-        responder = self.context.responder
-        if not responder.started:
-            self.first_answer_ms = self._parts.now_ms()
-            responder.start(200, mark.headers, None)
-
-    def _may_send_again(self) -> bool:
-        return (
-            self.sends < _MAX_SENDS
-            and len(self._may_have_run) < self.context.route.max_targets
-        )
-
     def _send_again(self, failed_id: str) -> None:
-        avoid = frozenset(self._tried | {failed_id})
-        other = self._parts.directory.choose(*self._subject, avoid)
-        if other is None or other.target_id in avoid:
-            self._later(_SAME_TARGET_MS)
-        else:
+        if self._placing.can_go_elsewhere(self.history, failed_id):
             self.try_send()
+        else:
+            self._later(_SAME_TARGET_MS)
 
     def _later(self, delay_ms: int) -> None:
         if self._again is None:
@@ -287,10 +224,9 @@
             reason: Text for logs.
             refusal: Answer if no target can have run it.
         """
-        if self.context.responder.started:
-            self._finish("cut", 0, reason)
-            self.context.responder.abort()
-        elif self._may_have_run:
+        if self.answer.started:
+            self._cut(reason)
+        elif self.history.may_have_run:
             self._refuse(errors.UNKNOWN_OUTCOME)
         else:
             self._refuse(refusal)
@@ -298,12 +234,11 @@
     def _time_over(self) -> None:
         self._timer = None
         self._cancel_send()
-        if self.context.responder.started:
-            self._finish("cut", 0, "time over")
-            self.context.responder.abort()
-        elif self._may_have_run:
+        if self.answer.started:
+            self._cut("time over")
+        elif self.history.may_have_run:
             self._refuse(errors.TIMEOUT)
-        elif self.sends:
+        elif self.history.sends:
             self._refuse(errors.OUT_OF_TIME)
         else:
             self._refuse(errors.MODEL_NOT_READY)
@@ -317,12 +252,12 @@
             self._attempt.set_reading(flowing)
 
     def _refuse(self, refusal: errors.Refusal) -> None:
-        context = self.context
-        headers, body = self._parts.dialect.refusal(
-            refusal, context.ask.request_id
-        )
         self._finish(refusal.code, refusal.status)
-        context.responder.answer(refusal.status, headers, body)
+        self.answer.refuse(refusal)
+
+    def _cut(self, reason: str) -> None:
+        self._finish("cut", 0, reason)
+        self.answer.cut()
 
     def _cancel_send(self) -> None:
         if self._attempt is not None:
@@ -348,36 +283,20 @@
         for timer in (self._timer, self._again):
             if timer is not None:
                 timer.cancel()
-        self._parts.room.remove(self._subject, self)
-        self._log_end(outcome, status, reason, target_id)
-        self._done(self, outcome)
-
-    def _log_end(
-        self, outcome: str, status: int, reason: str, target_id: str
-    ) -> None:
-        context, began_ms = self.context, self.context.request.began_ms
+        self._parts.room.remove(self._placing.subject, self)
+        later_ms = self._parts.later_ms(self.context.ask.model)
         logger.info(
             "request ended",
             extra={
-                "request": context.ask.request_id,
-                "route": context.route.name,
-                "account": context.account_name,
-                "model": context.subject,
                 "outcome": outcome,
                 "status": status,
                 "reason": reason,
-                "model_later_ms": self._parts.later_ms(context.ask.model),
                 "target": target_id,
-                "sends": self.sends,
-                "events": self._stream.events,
-                "longest_gap_ms": self._stream.longest_gap_ms,
-                "configuration": context.configuration.version,
-                "waited_ms": _since(began_ms, self.first_sent_ms),
-                "first_ms": _since(began_ms, self.first_answer_ms),
-                "took_ms": self._parts.now_ms() - began_ms,
+                "sends": self.history.sends,
+                "model_later_ms": later_ms,
+                **self._stream.told(),
+                **self.context.told(),
+                **self.context.times.told(self._parts.now_ms()),
             },
         )
-
-
-def _since(began_ms: int, at_ms: int | None) -> int | None:
-    return None if at_ms is None else at_ms - began_ms
+        self._done(self, outcome)
--- a/tanagerloft/gateway/gateway.py
+++ b/tanagerloft/gateway/gateway.py
@@ -16,7 +16,7 @@
 from tanagerloft.gateway import metrics as metrics_lib
 from tanagerloft.gateway import parts as parts_lib
 from tanagerloft.gateway import steps as steps_lib
-from tanagerloft.net import caller_connection
+from tanagerloft.net import responder as responder_lib
 
 logger = logging.getLogger(__name__)
 
@@ -99,7 +99,7 @@
         return self.stopping_since_ms is not None
 
     def refuse_unread(
-        self, responder: caller_connection.Responder, status: int
+        self, responder: responder_lib.Responder, status: int
     ) -> None:
         """Answers a request that could not be read."""
         refusal = _UNREAD.get(status, errors.MALFORMED)
@@ -108,8 +108,8 @@
 
     def handle(
         self,
-        request: caller_connection.Request,
-        responder: caller_connection.Responder,
+        request: responder_lib.Request,
+        responder: responder_lib.Responder,
     ) -> None:
         """Takes a request."""
         ask = self._dialect.decode(request)
@@ -185,14 +185,14 @@
     def _done(self, exchange: exchange_lib.Exchange, outcome: str) -> None:
         self._open.discard(exchange)
         context = exchange.context
-        if context.charged and not exchange.may_have_run:
+        if context.charged and not exchange.history.may_have_run:
             assert context.account is not None
             self._link.give_back(context.account, context.cost_tokens)
         self._metrics.observe(exchange, outcome, self._now_ms())
 
     def _refuse(
         self,
-        responder: caller_connection.Responder,
+        responder: responder_lib.Responder,
         refusal: errors.Refusal,
         request_id: str,
         detail: str,
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -34,6 +34,7 @@
 from tanagerloft.net import caller_connection
 from tanagerloft.net import datagrams
 from tanagerloft.net import plain_pages
+from tanagerloft.net import responder as responder_lib
 from tanagerloft.net import target_connection
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import ids
@@ -271,7 +272,7 @@
     async def _serve(
         self,
         key: str,
-        handler: caller_connection.Handler,
+        handler: responder_lib.Handler,
         connections: set[caller_connection.CallerConnection],
     ) -> None:
         address = self._settings.get("listen", key)
--- a/tanagerloft/gateway/metrics.py
+++ b/tanagerloft/gateway/metrics.py
@@ -65,14 +65,14 @@
             self._bounded(context.account_name or ""),
         )
         self._requests.labels(*labels, outcome).inc()
-        began_ms = context.request.began_ms
+        times = context.times
         for histogram, at_ms in (
-            (self._wait, exchange.first_sent_ms),
-            (self._first, exchange.first_answer_ms),
+            (self._wait, times.sent_ms),
+            (self._first, times.answer_ms),
             (self._whole, now_ms),
         ):
             if at_ms is not None:
-                seconds = (at_ms - began_ms) / _MS_PER_S
+                seconds = (at_ms - times.began_ms) / _MS_PER_S
                 histogram.labels(*labels).observe(seconds)
 
     def text(self) -> bytes:
--- /dev/null
+++ b/tanagerloft/gateway/placing.py
@@ -0,0 +1,95 @@
+"""Finds the target of a request's next send, or the reason for none."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from tanagerloft.decisions import send_history
+from tanagerloft.fleet import types
+from tanagerloft.gateway import context as context_lib
+from tanagerloft.gateway import errors
+from tanagerloft.gateway import parts as parts_lib
+from tanagerloft.gateway import prompt_hold
+from tanagerloft.gateway import waiting as waiting_lib
+
+# A request that has less time than this left is not sent any more.
+_MIN_SEND_MS = 20
+
+
+class Later(NamedTuple):
+    """The request should look again after a time."""
+
+    delay_ms: int
+
+
+class NoTarget(enum.Enum):
+    """The request waits until a target can take it."""
+
+    NOW = "now"
+
+
+Place = types.TargetEntry | Later | NoTarget | errors.Refusal
+
+
+class Placing:
+    """Places one request.
+
+    Args:
+        parts: What exchanges share.
+        context: The request.
+
+    Attributes:
+        subject: What it needs of a target.
+        aim_ms: When it misses its aim.
+        patience_ms: When its caller leaves.
+    """
+
+    def __init__(
+        self, parts: parts_lib.Parts, context: context_lib.RequestContext
+    ):
+        self._parts = parts
+        self._context = context
+        ask, route = context.ask, context.route
+        began_ms = context.request.began_ms
+        self.subject = waiting_lib.Subject(
+            context.service, ask.model, ask.adapter
+        )
+        self.aim_ms = began_ms + route.aim_ms
+        self.patience_ms = min(context.ends_ms, began_ms + route.patience_ms)
+        self._hold = prompt_hold.PromptHold(ask.prompt_tokens, self.aim_ms)
+
+    def place(self, history: send_history.SendHistory) -> Place:
+        """Returns where the request goes now."""
+        parts, context = self._parts, self._context
+        refusal = parts.recheck(context)
+        if refusal is not None:
+            return refusal
+        target = parts.directory.choose(*self.subject, frozenset(history.tried))
+        now_ms = parts.now_ms()
+        if target is None:
+            return self._without_target(now_ms)
+        if context.ends_ms - now_ms < _MIN_SEND_MS:
+            return errors.OUT_OF_TIME
+        queued_tokens = parts.directory.prefill_tokens(target.target_id)
+        if self._hold.wanted(queued_tokens, now_ms):
+            parts.report_soon()
+            return Later(prompt_hold.LOOK_AGAIN_MS)
+        if history.sends and not parts.take_repeat(context.service):
+            return errors.NO_BUDGET
+        return target
+
+    def can_go_elsewhere(
+        self, history: send_history.SendHistory, failed_id: str
+    ) -> bool:
+        """Returns whether a target that was not tried could take it now."""
+        avoid = frozenset(history.tried | {failed_id})
+        other = self._parts.directory.choose(*self.subject, avoid)
+        return other is not None and other.target_id not in avoid
+
+    def _without_target(self, now_ms: int) -> NoTarget | errors.Refusal:
+        """Refuses the request if waiting for its model cannot help."""
+        later_ms = self._parts.later_ms(self._context.ask.model)
+        if later_ms is not None and now_ms + later_ms > self.patience_ms:
+            return errors.MODEL_NOT_READY._replace(retry_after_ms=later_ms)
+        return NoTarget.NOW
--- a/tanagerloft/gateway/stream_relay.py
+++ b/tanagerloft/gateway/stream_relay.py
@@ -41,6 +41,10 @@
             self.events += len(fresh)
         return bool(completed), b"".join(event.data for event in fresh)
 
+    def told(self) -> dict[str, int]:
+        """Returns what lines of the log say of the stream."""
+        return {"events": self.events, "longest_gap_ms": self.longest_gap_ms}
+
     def rest(self) -> bytes:
         """Returns the bytes after the last whole event."""
         return self._splitter.rest()
--- a/tanagerloft/net/caller_connection.py
+++ b/tanagerloft/net/caller_connection.py
@@ -5,14 +5,11 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import http
 import logging
-from typing import NamedTuple
-from typing import Protocol
 
 import httptools
 
-from tanagerloft.fleet import types
+from tanagerloft.net import responder as responder_lib
 from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
@@ -23,127 +20,22 @@
 _MAX_READ_AHEAD = 4
 # Colon, space and line end around a header.
 _HEADER_EXTRA_BYTES = 4
-_CHUNK_END = b"0\r\n\r\n"
-_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
-
-
-class Request(NamedTuple):
-    """A request as a caller sent it.
-
-    Attributes:
-        method: HTTP method.
-        target: Path and query, byte for byte.
-        headers: Names and values in order, names as sent.
-        body: Whole body.
-        began_ms: When its first byte arrived.
-    """
-
-    method: str
-    target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    began_ms: int
-
-
-class Handler(Protocol):
-    """The request path, as a connection sees it."""
-
-    def handle(self, request: Request, responder: Responder) -> None:
-        """Takes a request; answers through ``responder``."""
-
-    def refuse_unread(self, responder: Responder, status: int) -> None:
-        """Answers a request that could not be read."""
-
-    def limits(self) -> types.CallerLimits:
-        """Returns the bounds in force."""
-
-    def now_ms(self) -> int:
-        """Returns the reading of the clock."""
-
-    def closing(self) -> bool:
-        """Returns whether connections are to end with their answer."""
-
-
-class Responder:
-    """Way back to the caller of one request."""
-
-    def __init__(self, connection: CallerConnection, keep_alive: bool):
-        self._connection = connection
-        self._keep_alive = keep_alive
-        self._chunked = False
-        self.started = False
-        self.ended = False
-        self.on_gone: Callable[[], None] | None = None
-        self.on_flow: Callable[[bool], None] | None = None
-
-    def start(
-        self,
-        status: int,
-        headers: list[tuple[bytes, bytes]],
-        length: int | None,
-    ) -> None:
-        """Sends the head; without a length the body goes in chunks."""
-        self.started = True
-        if self._connection.handler.closing():
-            self._keep_alive = False
-        lines = [b"HTTP/1.1 %d %s" % (status, _phrase(status))]
-        lines += [name + b": " + value for name, value in headers]
-        if length is None:
-            self._chunked = True
-            lines.append(b"Transfer-Encoding: chunked")
-        else:
-            lines.append(b"Content-Length: %d" % length)
-        if not self._keep_alive:
-            lines.append(b"Connection: close")
-        self._connection.send(b"\r\n".join(lines) + b"\r\n\r\n")
-
-    def write(self, data: bytes) -> None:
-        """Sends a piece of the body."""
-        if data and not self.ended:
-            if self._chunked:
-                data = b"%x\r\n%b\r\n" % (len(data), data)
-            self._connection.send(data)
-
-    def finish(self) -> None:
-        """Ends the answer as a whole one."""
-        if self.ended:
-            return
-        self.ended = True
-        if self._chunked:
-            self._connection.send(_CHUNK_END)
-        self._connection.answered(self._keep_alive)
-
-    def answer(
-        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> None:
-        """Sends a whole answer at once."""
-        self.start(status, headers, len(body))
-        self.write(body)
-        self.finish()
-
-    def close_after(self) -> None:
-        """Closes the connection after this answer."""
-        self._keep_alive = False
-
-    def abort(self) -> None:
-        """Ends the connection, so that the answer is visibly cut."""
-        if not self.ended:
-            self.ended = True
-            self._connection.abort()
 
 
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller; answers requests in order."""
 
-    def __init__(self, handler: Handler, registry: set[CallerConnection]):
+    def __init__(
+        self, handler: responder_lib.Handler, registry: set[CallerConnection]
+    ):
         self.handler = handler
         self._registry = registry
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport
-        self._waiting: collections.deque[tuple[Request, bool]] = (
+        self._waiting: collections.deque[tuple[responder_lib.Request, bool]] = (
             collections.deque()
         )
-        self._current: Responder | None = None
+        self._current: responder_lib.Responder | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._broken = False
         self._closed = False
@@ -230,7 +122,7 @@
     def on_message_complete(self) -> None:
         if self._broken:
             return
-        request = Request(
+        request = responder_lib.Request(
             method=self._parser.get_method().decode("latin-1"),
             target=self._target,
             headers=tuple(self._headers),
@@ -282,7 +174,7 @@
             return
         self._disarm()
         request, keep_alive = self._waiting.popleft()
-        self._current = Responder(self, keep_alive)
+        self._current = responder_lib.Responder(self, keep_alive)
         self.handler.handle(request, self._current)
 
     def _count_head(self, size_bytes: int) -> None:
@@ -298,7 +190,7 @@
         if self._current is not None:
             self._current.close_after()
             return
-        responder = Responder(self, keep_alive=False)
+        responder = responder_lib.Responder(self, keep_alive=False)
         self._current = responder
         self.handler.refuse_unread(responder, status)
 
@@ -317,7 +209,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-
-def _phrase(status: int) -> bytes:
-    return _PHRASES.get(status, "Unknown").encode()
--- a/tanagerloft/net/plain_pages.py
+++ b/tanagerloft/net/plain_pages.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from tanagerloft.fleet import types
-from tanagerloft.net import caller_connection
+from tanagerloft.net import responder as responder_lib
 
 _TEXT = [(b"Content-Type", b"text/plain; charset=utf-8")]
 
@@ -36,8 +36,8 @@
 
     def handle(
         self,
-        request: caller_connection.Request,
-        responder: caller_connection.Responder,
+        request: responder_lib.Request,
+        responder: responder_lib.Responder,
     ) -> None:
         """Answers a request."""
         make = self._pages.get(request.target.partition(b"?")[0])
@@ -45,7 +45,7 @@
         responder.answer(page.status, _TEXT, page.body)
 
     def refuse_unread(
-        self, responder: caller_connection.Responder, status: int
+        self, responder: responder_lib.Responder, status: int
     ) -> None:
         """Answers a request that could not be read."""
         responder.answer(status, _TEXT, b"refused\n")
--- a/tanagerloft/platform/orders.py
+++ b/tanagerloft/platform/orders.py
@@ -6,8 +6,8 @@
 
 from tanagerloft.coordination import engine_keeper
 from tanagerloft.coordination import errors
-from tanagerloft.decisions import engine_orders
 from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
 from tanagerloft.net import http_client
 from tanagerloft.net import target_connection
@@ -21,8 +21,8 @@
 # Bytes of an answer that go to the log.
 _DETAIL_BYTES = 100
 _RESULTS = {
-    200: engine_orders.Result.HOLDS,
-    202: engine_orders.Result.ACCEPTED,
+    200: order_progress.Result.HOLDS,
+    202: order_progress.Result.ACCEPTED,
 }
 
 
@@ -72,12 +72,12 @@
             self._pool, (entry.host, entry.port), request, _ORDER_TIMEOUT_MS
         )
         if isinstance(answer, http_client.NoAnswer):
-            result = engine_orders.Result.NOT_SENT
+            result = order_progress.Result.NOT_SENT
             if answer.sent:
-                result = engine_orders.Result.UNKNOWN
+                result = order_progress.Result.UNKNOWN
             return engine_keeper.OrderAnswer(result, answer.reason)
         status = answer.head.status
-        result = _RESULTS.get(status, engine_orders.Result.REFUSED)
+        result = _RESULTS.get(status, order_progress.Result.REFUSED)
         detail = f"{status} {answer.body[:_DETAIL_BYTES].decode('latin-1')}"
         return engine_keeper.OrderAnswer(result, detail)
 
--- a/tanagerloft/platform/requests.py
+++ b/tanagerloft/platform/requests.py
@@ -8,7 +8,7 @@
 
 from tanagerloft.gateway import dialect
 from tanagerloft.gateway import errors
-from tanagerloft.net import caller_connection
+from tanagerloft.net import responder as responder_lib
 from tanagerloft.net import target_connection
 from tanagerloft.platform import wire
 
@@ -43,7 +43,7 @@
     """The platform's protocol; a ``gateway.dialect.Dialect``."""
 
     def decode(
-        self, request: caller_connection.Request
+        self, request: responder_lib.Request
     ) -> dialect.Ask | errors.Refusal:
         """Returns what a request asks for."""
         single: dict[bytes, bytes] = {}
@@ -61,7 +61,7 @@
 
     def encode(
         self,
-        request: caller_connection.Request,
+        request: responder_lib.Request,
         ask: dialect.Ask,
         send: dialect.Send,
     ) -> bytes:
@@ -130,7 +130,7 @@
 
 
 def _decode(
-    request: caller_connection.Request,
+    request: responder_lib.Request,
     single: dict[bytes, bytes],
     passed: tuple[tuple[bytes, bytes], ...],
 ) -> dialect.Ask | errors.Refusal:
--- a/tests/coordination/test_holder.py
+++ b/tests/coordination/test_holder.py
@@ -7,8 +7,8 @@
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import targets
-from tanagerloft.decisions import engine_orders
 from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import order_progress
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 
@@ -44,7 +44,7 @@
 
     async def order(self, _entry, order, _token, _sequence):
         self.orders.append(order)
-        result = engine_orders.Result.ACCEPTED
+        result = order_progress.Result.ACCEPTED
         return engine_keeper.OrderAnswer(result, "")
 
     async def report(self, _entry):
--- a/tests/decisions/test_engine_orders.py
+++ b/tests/decisions/test_engine_orders.py
@@ -2,6 +2,7 @@
 
 from tanagerloft.decisions import engine_orders
 from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
 
 _LOAD = model_orders.Order(model_orders.Verb.LOAD, "e", "m")
@@ -40,7 +41,7 @@
     orders.give(_LOAD, 1_000, 2_000)
     assert "m" in orders.held()
     assert "m" not in orders.usable()
-    orders.on_answer(_LOAD, engine_orders.Result.ACCEPTED, 2_005)
+    orders.on_answer(_LOAD, order_progress.Result.ACCEPTED, 2_005)
     assert not orders.on_time(2_900)
     assert orders.on_time(3_100)
     assert "m" in orders.usable()
@@ -52,7 +53,7 @@
     # engine look empty, and the next load crashed it.
     orders = _known("a", "b")
     orders.give(_LOAD, 1_000, 2_000)
-    orders.on_answer(_LOAD, engine_orders.Result.ACCEPTED, 2_005)
+    orders.on_answer(_LOAD, order_progress.Result.ACCEPTED, 2_005)
     assert orders.on_time(3_100)
     orders.on_report(_report(("a", "b"), busy=True, sequence=1), 3_500)
     assert "m" in orders.held()
@@ -65,7 +66,7 @@
 def test_a_report_from_before_an_order_changes_nothing():
     orders = _known()
     orders.give(_LOAD, 1_000, 2_000)
-    orders.on_answer(_LOAD, engine_orders.Result.ACCEPTED, 2_005)
+    orders.on_answer(_LOAD, order_progress.Result.ACCEPTED, 2_005)
     orders.on_report(_report(), 2_100)
     assert "m" in orders.held()
 
@@ -80,7 +81,7 @@
 def test_a_refused_load_waits_for_a_report():
     orders = _known()
     orders.give(_LOAD, 1_000, 2_000)
-    orders.on_answer(_LOAD, engine_orders.Result.REFUSED, 2_005)
+    orders.on_answer(_LOAD, order_progress.Result.REFUSED, 2_005)
     assert orders.busy(2_500)
     assert orders.wants_report(2_500)
     orders.on_report(_report(sequence=4), 2_500)
@@ -92,10 +93,10 @@
     orders = _known("old")
     orders.give(_UNLOAD, 0, 2_000)
     assert "old" in orders.held()
-    orders.on_answer(_UNLOAD, engine_orders.Result.ACCEPTED, 2_005)
+    orders.on_answer(_UNLOAD, order_progress.Result.ACCEPTED, 2_005)
     assert orders.on_time(2_060)
     orders.give(_LOAD, 1_000, 2_070)
-    orders.on_answer(_LOAD, engine_orders.Result.REFUSED, 2_075)
+    orders.on_answer(_LOAD, order_progress.Result.REFUSED, 2_075)
     assert orders.busy(2_080)
     assert not orders.busy(2_200)
 
@@ -103,19 +104,19 @@
 def test_an_order_without_an_answer_is_repeated_as_it_was():
     orders = _known()
     orders.give(_LOAD, 1_000, 2_000)
-    orders.on_answer(_LOAD, engine_orders.Result.UNKNOWN, 2_800)
+    orders.on_answer(_LOAD, order_progress.Result.UNKNOWN, 2_800)
     assert orders.repeat(2_900) is None
     assert orders.repeat(3_200) == _LOAD
     assert orders.count_before(_LOAD) == 0
     assert "m" in orders.held()
-    orders.on_answer(_LOAD, engine_orders.Result.ACCEPTED, 3_205)
+    orders.on_answer(_LOAD, order_progress.Result.ACCEPTED, 3_205)
     assert orders.sequence == 1
 
 
 def test_an_order_without_an_answer_that_another_one_overtook_is_over():
     orders = _known()
     orders.give(_LOAD, 1_000, 2_000)
-    orders.on_answer(_LOAD, engine_orders.Result.UNKNOWN, 2_800)
+    orders.on_answer(_LOAD, order_progress.Result.UNKNOWN, 2_800)
     orders.on_report(_report(sequence=1), 3_200)
     assert "m" not in orders.held()
     assert not orders.busy(4_000)
@@ -124,7 +125,7 @@
 def test_a_load_that_the_engine_forgot_ends():
     orders = _known()
     orders.give(_LOAD, 1_000, 2_000)
-    orders.on_answer(_LOAD, engine_orders.Result.ACCEPTED, 2_005)
+    orders.on_answer(_LOAD, order_progress.Result.ACCEPTED, 2_005)
     orders.on_report(_report(sequence=1), 2_900)
     assert "m" in orders.held()
     orders.on_report(_report(sequence=1), 4_600)
@@ -138,10 +139,10 @@
     orders = _known("old")
     orders.give(adapter, 0, 2_000)
     assert orders.count_before(adapter) == 0
-    orders.on_answer(adapter, engine_orders.Result.ACCEPTED, 2_005)
+    orders.on_answer(adapter, order_progress.Result.ACCEPTED, 2_005)
     orders.give(_UNLOAD, 0, 2_006)
     assert orders.count_before(_UNLOAD) == 1
-    orders.on_answer(_UNLOAD, engine_orders.Result.ACCEPTED, 2_010)
+    orders.on_answer(_UNLOAD, order_progress.Result.ACCEPTED, 2_010)
     assert orders.sequence == 2
 
 
@@ -156,7 +157,7 @@
     orders.on_report(_report(("old",)), 2_700)
     assert orders.busy(2_701)
     assert orders.held() == {"old": frozenset(["a1"])}
-    orders.on_answer(adapter, engine_orders.Result.UNKNOWN, 2_800)
+    orders.on_answer(adapter, order_progress.Result.UNKNOWN, 2_800)
     assert orders.busy(2_801)
     orders.on_report(_report(("old",)), 3_200)
     assert not orders.busy(3_201)
@@ -167,7 +168,7 @@
     # pass, though what was loaded meanwhile is not known yet.
     orders = _known()
     orders.give(_LOAD, 1_000, 2_000)
-    orders.on_answer(_LOAD, engine_orders.Result.UNKNOWN, 2_800)
+    orders.on_answer(_LOAD, order_progress.Result.UNKNOWN, 2_800)
     orders.on_report(_report(sequence=3), 2_850)
     assert orders.sequence == 0
 
@@ -175,24 +176,24 @@
 def test_a_repeated_order_that_is_refused_waits_for_a_report():
     orders = _known("old")
     orders.give(_UNLOAD, 0, 2_000)
-    orders.on_answer(_UNLOAD, engine_orders.Result.ACCEPTED, 2_005)
+    orders.on_answer(_UNLOAD, order_progress.Result.ACCEPTED, 2_005)
     orders.on_time(2_060)
     orders.give(_LOAD, 1_000, 2_070)
-    orders.on_answer(_LOAD, engine_orders.Result.UNKNOWN, 2_870)
+    orders.on_answer(_LOAD, order_progress.Result.UNKNOWN, 2_870)
     assert orders.repeat(3_200) == _LOAD
     # The first one may have been accepted.
-    orders.on_answer(_LOAD, engine_orders.Result.REFUSED, 3_205)
+    orders.on_answer(_LOAD, order_progress.Result.REFUSED, 3_205)
     assert orders.busy(4_000)
 
 
 def test_refusals_do_not_put_off_reports():
     orders = _known("old")
     orders.give(_UNLOAD, 0, 2_000)
-    orders.on_answer(_UNLOAD, engine_orders.Result.ACCEPTED, 2_005)
+    orders.on_answer(_UNLOAD, order_progress.Result.ACCEPTED, 2_005)
     orders.on_time(2_060)
     for at_ms in range(2_070, 2_500, 100):
         orders.give(_LOAD, 1_000, at_ms)
-        orders.on_answer(_LOAD, engine_orders.Result.REFUSED, at_ms + 5)
+        orders.on_answer(_LOAD, order_progress.Result.REFUSED, at_ms + 5)
     assert orders.wants_report(2_500)
 
 
@@ -206,13 +207,13 @@
     orders.give(drop, 0, 2_000)
     assert orders.held() == {"m": frozenset(["a1"])}
     assert orders.usable() == {"m": frozenset()}
-    orders.on_answer(drop, engine_orders.Result.UNKNOWN, 2_800)
+    orders.on_answer(drop, order_progress.Result.UNKNOWN, 2_800)
     assert orders.held() == {"m": frozenset(["a1"])}
     assert orders.busy(2_900)
     orders.on_report(report, 3_500)
     assert not orders.busy(3_500)
     orders.give(drop, 0, 3_600)
-    orders.on_answer(drop, engine_orders.Result.HOLDS, 3_605)
+    orders.on_answer(drop, order_progress.Result.HOLDS, 3_605)
     assert orders.held() == {"m": frozenset()}
 
 
@@ -228,7 +229,7 @@
     # four were under way, and requests were sent to models not there yet.
     orders = _known()
     orders.give(_LOAD, 1_000, 2_000)
-    orders.on_answer(_LOAD, engine_orders.Result.ACCEPTED, 2_005)
+    orders.on_answer(_LOAD, order_progress.Result.ACCEPTED, 2_005)
     assert orders.on_time(3_100)
     assert _LOAD.model in orders.usable()
     late = orders.on_report(_report(busy=True, sequence=1), 3_500)
--- a/tests/fuzz/test_engine_orders.py
+++ b/tests/fuzz/test_engine_orders.py
@@ -15,6 +15,7 @@
 
 from tanagerloft.decisions import engine_orders
 from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
 from tests.fuzz import machines
 
@@ -27,7 +28,7 @@
     name: types.Model(name, 1_000, 6_000, 1_100, _LOAD_MS, 10.0, 4)
     for name in ("m1", "m2", "m3", "m4")
 }
-_Result = engine_orders.Result
+_Result = order_progress.Result
 _orders = strategies.builds(
     model_orders.Order,
     verb=strategies.sampled_from(model_orders.Verb),
@@ -68,7 +69,7 @@
 
     def order(
         self, order: model_orders.Order, expected: int, takes_ms: int, now_ms
-    ) -> engine_orders.Result:
+    ) -> order_progress.Result:
         """Carries an order out."""
         state = self.state
         busy = bool(state.loading or state.unloading)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -372,6 +372,38 @@
     _run(test)
 
 
+def test_a_stream_that_has_begun_gets_no_second_head():
+    # The only target breaks off, and the model cannot be there in time: the
+    # caller must see a cut answer, not a refusal in the middle of it.
+    async def test(platform):
+        async def cut_for_good(request, writer):
+            writer.write(platform_lib.stream_head(request))
+            writer.write(platform_lib.chunk(platform_lib.event(1)))
+            await writer.drain()
+            platform.store.remove("servers", "t1")
+            await platform.eventually(gone)
+            platform_lib.reset(writer)
+
+        async def gone() -> bool:
+            return "t1" not in platform.instance.directory.entries
+
+        await platform.add_target(cut_for_good, "engines", "t1")
+        reader, writer = await platform.connect()
+        gateway = platform.instance.gateway
+        gateway._parts = gateway._parts._replace(later_ms=lambda _: 10**6)
+        writer.write(
+            platform_lib.request_bytes("POST", "/resume/x", Model="m1")
+        )
+        data = b""
+        with contextlib.suppress(ConnectionResetError):
+            while piece := await reader.read(65_536):
+                data += piece
+        assert data.count(b"HTTP/1.1") == 1
+        assert not _is_whole(data)
+
+    _run(test)
+
+
 def test_the_work_stops_when_the_caller_leaves():
     async def test(platform):
         async def endless(request, writer):
--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -7,6 +7,7 @@
 
 from tanagerloft.fleet import types
 from tanagerloft.net import caller_connection
+from tanagerloft.net import responder as responder_lib
 from tanagerloft.net import target_connection
 
 _REQUEST = (
@@ -58,7 +59,7 @@
     """Handler that answers each request with its target."""
 
     def __init__(self):
-        self.requests: list[caller_connection.Request] = []
+        self.requests: list[responder_lib.Request] = []
 
     def handle(self, request, responder) -> None:
         self.requests.append(request)
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -9,7 +9,7 @@
 from tanagerloft.fleet import types
 from tanagerloft.gateway import dialect
 from tanagerloft.gateway import errors as gateway_errors
-from tanagerloft.net import caller_connection
+from tanagerloft.net import responder as responder_lib
 from tanagerloft.net import target_connection
 from tanagerloft.platform import configuration
 from tanagerloft.platform import entries
@@ -130,7 +130,7 @@
 
 def _ask(**headers) -> dialect.Ask | gateway_errors.Refusal:
     fields = {"Host": "H.example:80", "Attempt-Id": "a"} | headers
-    request = caller_connection.Request(
+    request = responder_lib.Request(
         "GET",
         b"/p/x?q",
         tuple((k.encode(), v.encode()) for k, v in fields.items()),
