Bound how long the holder's word spares a reading; fuzz what guarantees rest on

Cause, found by reading: an instance took the holder's word on the configuration up to an age of 2.5 s as a reason not to read the store itself, and waited up to 1.2 s after the last word; with a holder cut off from the store, a change could be in force 3.7 s late where 2 s are allowed. The list of targets could be 2.3 s old at a drain time of 2 s. Change: only a word as young as that of a holder that reaches the store spares the reading, for a time worked out from the users' bounds (now settings); the wait ends exactly then; the holder's own proof is at most 1 s old.

The control of an instance is a module of its own.

--- a/tanagerloft/config/fleet_settings.py
+++ b/tanagerloft/config/fleet_settings.py
@@ -31,6 +31,20 @@
     settings.Setting(
         "store", "address", settings.REQUIRED, "address", "Platform's store"
     ),
+    settings.Setting(
+        "store",
+        "apply_ms",
+        2_000,
+        "int",
+        "Time in which a change of configuration must be in force",
+    ),
+    settings.Setting(
+        "store",
+        "drain_ms",
+        2_000,
+        "int",
+        "Time after which a leaving target gets no more requests",
+    ),
     settings.Setting(
         "stop", "grace_s", 8.0, "decimal", "Time from SIGTERM to SIGKILL"
     ),
--- a/tanagerloft/coordination/configuration.py
+++ b/tanagerloft/coordination/configuration.py
@@ -15,16 +15,21 @@
 logger = logging.getLogger(__name__)
 
 # The store tells a change at once; this only bounds the age of the proof that
-# there was none.
-_WAIT_MS = 1_000
+# there was none: one wait when it is given, two just before the next.
+_WAIT_MS = 500
 # Pause after a failed call, longer with each up to a bound well below the age
 # at which keys are no longer accepted.
 _RETRY_MS = 100
 _MAX_RETRY_MS = 800
-# A proof that the holder passes on counts up to this age, and spares this
-# instance its own reading for so long.
+# A proof that the holder passes on counts for keys up to this age.
 _TOLD_MAX_AGE_MS = 2_500
-_TOLD_FRESH_MS = 600
+# It spares this instance its own reading only if it is as young as a proof of a
+# holder that reaches the store: two waits, and the way of the calls.
+_TOLD_CURRENT_MS = 2 * _WAIT_MS + 250
+# Left of the time in which a change must be in force, for the own reading.
+_READ_MARGIN_MS = 150
+# A told proof spares the own reading for no longer than this.
+_MAX_SPARED_MS = 1_000
 
 Decode = Callable[[bytes], types.Configuration | errors.MalformedEntry]
 
@@ -40,6 +45,7 @@
         now_ms: Clock.
         changed: Told when another version is in force.
         key_proof_ms: Age of the proof at which keys are no longer accepted.
+        apply_ms: Time in which a change must be in force.
     """
 
     def __init__(
@@ -51,6 +57,7 @@
         now_ms: Callable[[], int],
         changed: Callable[[types.Configuration], None],
         key_proof_ms: int,
+        apply_ms: int,
     ):
         self._reader = table_reader.TableReader(store, table)
         self._key = key
@@ -58,11 +65,19 @@
         self._now_ms = now_ms
         self._changed = changed
         self._key_proof_ms = key_proof_ms
+        self._spared_ms = min(
+            _MAX_SPARED_MS, apply_ms - _TOLD_CURRENT_MS - _READ_MARGIN_MS
+        )
         self._read_now = asyncio.Event()
         self._told_ms = 0
         self.current: types.Configuration | None = None
         self.proved_ms = 0
 
+    @property
+    def spared_until_ms(self) -> int:
+        """Until when the holder's word spares this instance its reading."""
+        return self._told_ms + self._spared_ms
+
     @property
     def version(self) -> int:
         """Version in force, 0 for none."""
@@ -78,7 +93,8 @@
         """
         if age_ms > _TOLD_MAX_AGE_MS:
             return
-        self._told_ms = asked_ms
+        if age_ms <= _TOLD_CURRENT_MS:
+            self._told_ms = asked_ms
         if version > self.version:
             self._read_now.set()
         elif version == self.version:
@@ -105,10 +121,11 @@
         """Waits while the holder tells whether there is anything new."""
         while (
             self.current is not None
-            and self._now_ms() - self._told_ms < _TOLD_FRESH_MS
+            and self._now_ms() < self.spared_until_ms
             and not self._read_now.is_set()
         ):
-            await loops.wait(self._read_now, _TOLD_FRESH_MS)
+            left_ms = self.spared_until_ms - self._now_ms()
+            await loops.wait(self._read_now, max(1, left_ms))
         if self._read_now.is_set():
             self._read_now.clear()
             self._reader.restart()
--- a/tanagerloft/coordination/target_list.py
+++ b/tanagerloft/coordination/target_list.py
@@ -14,10 +14,13 @@
 POLL_MS = 500
 # Pause after a failed call; the drain time of two seconds holds ten.
 _RETRY_MS = 200
-# What the holder tells counts up to this age, and spares this instance its own
-# polls for so long.
+# What the holder tells counts up to this age: a poll of a holder that reaches
+# the store, and one that is made again.
 _TOLD_MAX_AGE_MS = 1_200
-_TOLD_FRESH_MS = 600
+# Left of the drain time, for the own reading and requests on their way.
+_READ_MARGIN_MS = 200
+# What is told spares the own polls for no longer than this.
+_MAX_SPARED_MS = 1_000
 
 
 class TargetList:
@@ -29,6 +32,7 @@
         directory: What is known of the targets.
         now_ms: Clock.
         changed: Told when requests may find more targets.
+        drain_ms: Time after which a leaving target gets no more requests.
     """
 
     def __init__(
@@ -38,11 +42,15 @@
         directory: targets_lib.TargetDirectory,
         now_ms: Callable[[], int],
         changed: Callable[[], None],
+        drain_ms: int,
     ):
         self._reader = table_reader.TableReader(store, table)
         self._directory = directory
         self._now_ms = now_ms
         self._changed = changed
+        self._spared_ms = min(
+            _MAX_SPARED_MS, drain_ms - _TOLD_MAX_AGE_MS - _READ_MARGIN_MS
+        )
         self._told_ms = 0
         self._told_mark: tuple[int, int] | None = None
         self._read_now = asyncio.Event()
@@ -50,6 +58,11 @@
         self.mark = 0
         self.known = False
 
+    @property
+    def spared_until_ms(self) -> int:
+        """Until when the holder's word spares this instance its polls."""
+        return self._told_ms + self._spared_ms
+
     def on_proof(
         self, token: int, mark: int, age_ms: int, asked_ms: int
     ) -> None:
@@ -84,11 +97,12 @@
 
     async def _wait_for_need(self) -> None:
         """Waits for the next poll, or while the holder tells of no change."""
-        while True:
-            await loops.wait(self._read_now, POLL_MS)
-            told_ago_ms = self._now_ms() - self._told_ms
-            if self._read_now.is_set() or told_ago_ms > _TOLD_FRESH_MS:
+        await loops.wait(self._read_now, POLL_MS)
+        while not self._read_now.is_set():
+            left_ms = self.spared_until_ms - self._now_ms()
+            if left_ms <= 0:
                 return
+            await loops.wait(self._read_now, left_ms)
 
     def _take_rows(self, rows: tuple[store_lib.Row, ...], whole: bool) -> None:
         self.known = True
--- /dev/null
+++ b/tanagerloft/gateway/control.py
@@ -0,0 +1,209 @@
+"""The control of an instance: what it knows of the fleet, and who decides."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+import hashlib
+import logging
+
+from tanagerloft.config import settings as settings_lib
+from tanagerloft.coordination import configuration as configuration_lib
+from tanagerloft.coordination import engine_keeper
+from tanagerloft.coordination import fleet_link
+from tanagerloft.coordination import holder as holder_lib
+from tanagerloft.coordination import lease_keeper
+from tanagerloft.coordination import messages
+from tanagerloft.coordination import target_list
+from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import crash_quarantine
+from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import token_grants
+from tanagerloft.fleet import types
+from tanagerloft.gateway import deployment as deployment_lib
+from tanagerloft.gateway import waiting as waiting_lib
+from tanagerloft.net import datagrams
+from tanagerloft.util import ids
+
+logger = logging.getLogger(__name__)
+
+# Taken off the time within which a withdrawn key must stop working, for the
+# way of a request and for a store that answers from a second ago.
+_KEY_MARGIN_MS = 1_000
+# Spread of the instances' readings of the lease row, below one reading's pause.
+_JITTER_MS = 300
+
+
+class Control:
+    """Controllers of one instance and what leads from one to another.
+
+    Args:
+        settings: Settings of the process.
+        deployment: Drivers of the deployment.
+        room: Requests that wait for a model.
+        crashes: Crashes of targets that this instance has seen.
+        now_ms: Clock.
+
+    Attributes:
+        directory: What is known of the targets.
+        targets: Follower of their list.
+        configuration: Configuration in force.
+        lease: State of the order lease.
+        lease_keeper: Its follower.
+        link: Reports to the holder, and its views.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        deployment: deployment_lib.Deployment,
+        room: waiting_lib.WaitingRoom,
+        crashes: crash_quarantine.CrashCounts,
+        now_ms: Callable[[], int],
+    ):
+        self._now_ms = now_ms
+        self._datagrams = datagrams.Datagrams(self._receive)
+        name = settings.get("instance", "id")
+        self.directory = targets_lib.TargetDirectory(
+            deployment.decode_entry,
+            now_ms,
+            settings.get("instance", "data_centre"),
+        )
+        self.targets = target_list.TargetList(
+            deployment.store,
+            deployment.targets_table,
+            self.directory,
+            now_ms,
+            room.pump,
+            settings.get("store", "drain_ms"),
+        )
+        withdraw_ms = settings.get("keys", "withdraw_ms")
+        self.configuration = configuration_lib.ConfigurationKeeper(
+            deployment.store,
+            deployment.configuration_table,
+            deployment.configuration_key,
+            deployment.decode_configuration,
+            now_ms,
+            self._take_configuration,
+            withdraw_ms - _KEY_MARGIN_MS,
+            settings.get("store", "apply_ms"),
+        )
+        incarnation = ids.short_id()
+        self.lease = order_lease.OrderLease(
+            name,
+            incarnation,
+            str(settings.get("listen", "peers")),
+            settings.get("orders", "lease_valid_ms"),
+            settings.get("orders", "turn_ms"),
+        )
+        self.link = fleet_link.FleetLink(
+            name,
+            incarnation,
+            self.lease,
+            self.directory,
+            self._datagrams.send,
+            now_ms,
+            lambda: room.summary(now_ms()),
+            room.pump,
+            self._reads_store,
+            self._take_proof,
+            crashes,
+        )
+        engines = engine_keeper.EngineKeeper(
+            self.lease,
+            self.directory,
+            deployment.send_order,
+            deployment.fetch_report,
+            now_ms,
+        )
+        self._holder = holder_lib.Holder(
+            self.lease,
+            engines,
+            now_ms,
+            name,
+            self._tell_knowledge,
+            token_grants.Tolerance(
+                settings.get("limits", "tolerated_tokens"),
+                settings.get("limits", "tolerated_share"),
+            ),
+        )
+        self.link.loopback = self._hear_itself
+        digest = hashlib.sha256(name.encode()).digest()
+        self.lease_keeper = lease_keeper.LeaseKeeper(
+            deployment.store,
+            self.lease,
+            now_ms,
+            lambda: self.link.heard_ms,
+            lambda: self.link.struggling,
+            digest[0] * _JITTER_MS // 256,
+            lease_keeper.is_small(
+                settings.get("instance", "cores")
+                * settings.get("instance", "core_share"),
+                settings.get("instance", "link_mbps"),
+            ),
+        )
+
+    async def open(self, address: settings_lib.Address) -> None:
+        """Listens to other instances."""
+        await self._datagrams.open(address.host, address.port)
+
+    def close(self) -> None:
+        """Hears and tells no more."""
+        self._datagrams.close()
+
+    def works(self) -> list[Coroutine[None, None, None]]:
+        """Returns what must run for as long as the process does."""
+        return [
+            self.configuration.follow(),
+            self.targets.follow(),
+            self.lease_keeper.follow(),
+            self.link.follow(),
+            self._holder.follow(),
+        ]
+
+    def keys_are_current(self) -> bool:
+        """Returns whether the keys known here can still be accepted."""
+        return self.configuration.keys_are_current(self._now_ms())
+
+    def _take_configuration(self, configuration: types.Configuration) -> None:
+        self.link.configure(configuration)
+        self._holder.configure(configuration)
+
+    def _tell_knowledge(self) -> messages.Knowledge:
+        now_ms = self._now_ms()
+        return messages.Knowledge(
+            configuration=self.configuration.version,
+            configuration_age_ms=now_ms - self.configuration.proved_ms,
+            targets_mark=self.targets.mark,
+            targets_age_ms=now_ms - self.targets.read_ms,
+        )
+
+    def _reads_store(self) -> bool:
+        return self.lease_keeper.reads_store()
+
+    def _take_proof(self, proof: messages.Proof, asked_ms: int) -> None:
+        known = proof.knowledge
+        token = self.lease.term.token if self.lease.term else 0
+        self.configuration.on_proof(
+            known.configuration, known.configuration_age_ms, asked_ms
+        )
+        self.targets.on_proof(
+            token, known.targets_mark, known.targets_age_ms, asked_ms
+        )
+
+    def _receive(self, data: bytes, address: tuple[str, int]) -> None:
+        message = messages.decode(data)
+        if isinstance(message, messages.Report):
+            self._holder.on_report(
+                message,
+                lambda view: self._datagrams.send(
+                    messages.encode(view), address
+                ),
+            )
+        elif isinstance(message, messages.View):
+            self.link.on_view(message)
+        else:
+            logger.warning("datagram refused", extra={"peer": address[0]})
+
+    def _hear_itself(self, report: messages.Report) -> None:
+        self._holder.on_report(report, self.link.on_view)
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -3,26 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import logging
 import random
 import signal
 
 from tanagerloft.config import settings as settings_lib
-from tanagerloft.coordination import configuration as configuration_lib
-from tanagerloft.coordination import engine_keeper
-from tanagerloft.coordination import fleet_link
-from tanagerloft.coordination import holder as holder_lib
-from tanagerloft.coordination import lease_keeper
-from tanagerloft.coordination import messages
-from tanagerloft.coordination import target_list
-from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import crash_quarantine
-from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import retry_budget
-from tanagerloft.decisions import token_grants
-from tanagerloft.fleet import types
 from tanagerloft.gateway import context as context_lib
+from tanagerloft.gateway import control as control_lib
 from tanagerloft.gateway import crash_watch
 from tanagerloft.gateway import deployment as deployment_lib
 from tanagerloft.gateway import errors
@@ -32,12 +21,10 @@
 from tanagerloft.gateway import steps as steps_lib
 from tanagerloft.gateway import waiting as waiting_lib
 from tanagerloft.net import caller_connection
-from tanagerloft.net import datagrams
 from tanagerloft.net import plain_pages
 from tanagerloft.net import responder as responder_lib
 from tanagerloft.net import target_connection
 from tanagerloft.util import clock as clock_lib
-from tanagerloft.util import ids
 from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
@@ -45,17 +32,12 @@
 _MS_PER_S = 1_000
 # Connections that wait to be accepted: more than callers open in a second.
 _BACKLOG = 1_024
-# Taken off the time within which a withdrawn key must stop working, for the
-# way of a request and for a store that answers from a second ago.
-_KEY_MARGIN_MS = 1_000
 # From SIGTERM to closing idle connections: the platform asks for readiness
 # once a second and needs two answers to send new connections elsewhere.
 _LAME_DUCK_MS = 2_500
 # Left of the grace at the end, for the last bytes.
 _STOP_MARGIN_MS = 500
 _STOP_POLL_MS = 50
-# Spread of the instances' readings of the lease row, below one reading's pause.
-_JITTER_MS = 300
 
 
 class Instance:
@@ -88,89 +70,15 @@
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self.waiting_room = waiting_lib.WaitingRoom()
         self._metrics = metrics_lib.GatewayMetrics()
-        self._datagrams = datagrams.Datagrams(self._receive)
-        self._build_coordination()
-        self._build_gateway()
-
-    def _build_coordination(self) -> None:
-        settings, deployment = self._settings, self._deployment
-        now_ms = self._clock.now_ms
-        self.directory = targets_lib.TargetDirectory(
-            deployment.decode_entry,
-            now_ms,
-            settings.get("instance", "data_centre"),
-        )
-        self._targets = target_list.TargetList(
-            deployment.store,
-            deployment.targets_table,
-            self.directory,
-            now_ms,
-            self.waiting_room.pump,
-        )
-        withdraw_ms = settings.get("keys", "withdraw_ms")
-        self._configuration = configuration_lib.ConfigurationKeeper(
-            deployment.store,
-            deployment.configuration_table,
-            deployment.configuration_key,
-            deployment.decode_configuration,
-            now_ms,
-            self._configure,
-            withdraw_ms - _KEY_MARGIN_MS,
-        )
-        incarnation = ids.short_id()
-        self._lease = order_lease.OrderLease(
-            self._name,
-            incarnation,
-            str(settings.get("listen", "peers")),
-            settings.get("orders", "lease_valid_ms"),
-            settings.get("orders", "turn_ms"),
-        )
-        self._link = fleet_link.FleetLink(
-            self._name,
-            incarnation,
-            self._lease,
-            self.directory,
-            self._datagrams.send,
-            now_ms,
-            lambda: self.waiting_room.summary(now_ms()),
-            self.waiting_room.pump,
-            self._reads_store,
-            self._take_proof,
+        self._control = control_lib.Control(
+            settings,
+            self._deployment,
+            self.waiting_room,
             self._crashes,
+            clock.now_ms,
         )
-        engines = engine_keeper.EngineKeeper(
-            self._lease,
-            self.directory,
-            deployment.send_order,
-            deployment.fetch_report,
-            now_ms,
-        )
-        self._holder = holder_lib.Holder(
-            self._lease,
-            engines,
-            now_ms,
-            self._name,
-            self._tell_knowledge,
-            token_grants.Tolerance(
-                settings.get("limits", "tolerated_tokens"),
-                settings.get("limits", "tolerated_share"),
-            ),
-        )
-        self._link.loopback = self._hear_itself
-        digest = hashlib.sha256(self._name.encode()).digest()
-        self._lease_keeper = lease_keeper.LeaseKeeper(
-            deployment.store,
-            self._lease,
-            now_ms,
-            lambda: self._link.heard_ms,
-            lambda: self._link.struggling,
-            digest[0] * _JITTER_MS // 256,
-            lease_keeper.is_small(
-                settings.get("instance", "cores")
-                * settings.get("instance", "core_share"),
-                settings.get("instance", "link_mbps"),
-            ),
-        )
+        self.directory = self._control.directory
+        self._build_gateway()
 
     def _build_gateway(self) -> None:
         now_ms = self._clock.now_ms
@@ -185,18 +93,18 @@
             crash_watch=crash_watch.CrashWatch(
                 self._pool, self._crashes, now_ms
             ),
-            report_soon=self._link.report_soon,
-            later_ms=self._link.model_later_ms,
+            report_soon=self._control.link.report_soon,
+            later_ms=self._control.link.model_later_ms,
             now_ms=now_ms,
         )
         steps = [
             steps_lib.make_identify(random.SystemRandom()),
-            steps_lib.make_authenticate(self._keys_are_current),
+            steps_lib.make_authenticate(self._control.keys_are_current),
         ]
         self.gateway = gateway_lib.Gateway(
             self._deployment.dialect,
-            self._configuration,
-            self._link,
+            self._control.configuration,
+            self._control.link,
             steps,
             parts,
             now_ms,
@@ -216,13 +124,13 @@
         return self.gateway.open_count
 
     def _holds_lease(self) -> int:
-        return int(self._lease.may_order(self._clock.now_ms()))
+        return int(self._control.lease.may_order(self._clock.now_ms()))
 
     def _version(self) -> int:
-        return self._configuration.version
+        return self._control.configuration.version
 
     def _proof_ms(self) -> int:
-        return self._clock.now_ms() - self._configuration.proved_ms
+        return self._clock.now_ms() - self._control.configuration.proved_ms
 
     async def run(self) -> None:
         """Serves until SIGTERM, then stops gracefully."""
@@ -232,13 +140,7 @@
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._listen()
-        for work in (
-            self._configuration.follow(),
-            self._targets.follow(),
-            self._lease_keeper.follow(),
-            self._link.follow(),
-            self._holder.follow(),
-        ):
+        for work in self._control.works():
             task = loop.create_task(work)
             task.add_done_callback(_report_end)
             self._tasks.append(task)
@@ -254,7 +156,7 @@
 
     async def _listen(self) -> None:
         peers = self._settings.get("listen", "peers")
-        await self._datagrams.open(peers.host, peers.port)
+        await self._control.open(peers)
         pages = plain_pages.Pages(
             {
                 self._deployment.ready_path: self._ready_page,
@@ -290,10 +192,10 @@
         logger.info("stopping", extra={"open": self.gateway.open_count})
         self._stopping = True
         self.gateway.stop()
-        release = asyncio.create_task(self._lease_keeper.release())
+        release = asyncio.create_task(self._control.lease_keeper.release())
         await loops.sleep(_LAME_DUCK_MS)
         self.gateway.refuse_waiting()
-        self._link.report(leaving=True)
+        self._control.link.report(leaving=True)
         while self._clock.now_ms() < ends_ms:
             for connection in list(self._connections):
                 connection.close_if_idle()
@@ -306,69 +208,25 @@
         for task in self._tasks:
             task.remove_done_callback(_report_end)
             task.cancel()
-        self._datagrams.close()
+        self._control.close()
         logger.info("stopped", extra={"cut": cut})
 
     def _reload(self) -> None:
         """Answers SIGHUP: all that may change comes from the store."""
         logger.info("reload asked for; addresses change at a restart only")
 
-    def _configure(self, configuration: types.Configuration) -> None:
-        self._link.configure(configuration)
-        self._holder.configure(configuration)
-
-    def _keys_are_current(self) -> bool:
-        return self._configuration.keys_are_current(self._clock.now_ms())
-
-    def _tell_knowledge(self) -> messages.Knowledge:
-        now_ms = self._clock.now_ms()
-        return messages.Knowledge(
-            configuration=self._configuration.version,
-            configuration_age_ms=now_ms - self._configuration.proved_ms,
-            targets_mark=self._targets.mark,
-            targets_age_ms=now_ms - self._targets.read_ms,
-        )
-
-    def _reads_store(self) -> bool:
-        return self._lease_keeper.reads_store()
-
-    def _take_proof(self, proof: messages.Proof, asked_ms: int) -> None:
-        known = proof.knowledge
-        token = self._lease.term.token if self._lease.term else 0
-        self._configuration.on_proof(
-            known.configuration, known.configuration_age_ms, asked_ms
-        )
-        self._targets.on_proof(
-            token, known.targets_mark, known.targets_age_ms, asked_ms
-        )
-
     def _recheck(
         self, context: context_lib.RequestContext
     ) -> errors.Refusal | None:
-        if self._link.bars(lambda: context.digest):
+        if self._control.link.bars(lambda: context.digest):
             return errors.CRASHES_TARGETS
-        configuration = self._configuration.current or context.configuration
+        configuration = (
+            self._control.configuration.current or context.configuration
+        )
         return steps_lib.recheck_key(
-            context, configuration, self._keys_are_current()
+            context, configuration, self._control.keys_are_current()
         )
 
-    def _receive(self, data: bytes, address: tuple[str, int]) -> None:
-        message = messages.decode(data)
-        if isinstance(message, messages.Report):
-            self._holder.on_report(
-                message,
-                lambda view: self._datagrams.send(
-                    messages.encode(view), address
-                ),
-            )
-        elif isinstance(message, messages.View):
-            self._link.on_view(message)
-        else:
-            logger.warning("datagram refused", extra={"peer": address[0]})
-
-    def _hear_itself(self, report: messages.Report) -> None:
-        self._holder.on_report(report, self._link.on_view)
-
     def _budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -384,7 +242,7 @@
 
     def _take_repeat(self, service: str) -> bool:
         now_ms = self._clock.now_ms()
-        return self._budget(service).take(self._link.instances, now_ms)
+        return self._budget(service).take(self._control.link.instances, now_ms)
 
     def _note_first(self, service: str) -> None:
         self._budget(service).note_first(self._clock.now_ms())
@@ -392,7 +250,10 @@
     def _ready_page(self) -> plain_pages.Page:
         if self._stopping:
             return plain_pages.Page(503, b"stopping\n")
-        if self._configuration.current is None or not self._targets.known:
+        if (
+            self._control.configuration.current is None
+            or not self._control.targets.known
+        ):
             return plain_pages.Page(503, b"not configured\n")
         return plain_pages.Page(200, b"ready\n")
 
--- /dev/null
+++ b/tests/fuzz/test_fleet_configuration.py
@@ -0,0 +1,199 @@
+"""Fuzzing of the configuration in force on a virtual clock.
+
+Two instances follow one row: one is the holder, whose word spares the other
+its own reading. The store fails for either, changes come at any moment, the
+holder's word gets lost. The oracle: a version never falls; an instance that
+reaches the store has a change in force in time; no instance takes a key for
+current that has been withdrawn for too long.
+"""
+
+import asyncio
+import os
+import random
+
+import pytest
+
+from tanagerloft.coordination import configuration
+from tanagerloft.coordination import errors
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.fleet import types
+
+_RUNS = int(os.environ.get("EXAMPLES", "100")) // 5
+_STEPS = 60
+_APPLY_MS = 2_000
+_REVOKE_MS = 5_000
+_KEY_PROOF_MS = 4_000
+_CALL_MS = 5
+_REPORT_MS = 100
+_CONTACT_MS = 3_000
+
+
+class _VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time passes only by its timers."""
+
+    def __init__(self):
+        super().__init__()
+        self._virtual_s = 100.0
+
+    def time(self) -> float:
+        return self._virtual_s
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            due_s = self._scheduled[0].when()
+            self._virtual_s = max(self._virtual_s, due_s)
+        super()._run_once()
+
+
+class _Row:
+    """The operator's row."""
+
+    def __init__(self):
+        self.version = 1
+        self.changed = asyncio.Event()
+
+    def change(self) -> None:
+        self.version += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class _Store:
+    """One instance's way to the store."""
+
+    def __init__(self, row: _Row):
+        self._row = row
+        self.down = False
+
+    async def scan(self, _table):
+        await asyncio.sleep(_CALL_MS / 1_000)
+        return self._answer()
+
+    async def changes(self, _table, after, wait_ms):
+        await asyncio.sleep(_CALL_MS / 1_000)
+        if self._row.version <= after and wait_ms and not self.down:
+            try:
+                async with asyncio.timeout(wait_ms / 1_000):
+                    await self._row.changed.wait()
+            except TimeoutError:
+                pass
+        return self._answer()
+
+    def _answer(self):
+        if self.down:
+            return errors.StoreError(errors.StoreFailure.NOT_DONE, "down")
+        version = self._row.version
+        value = str(version).encode()
+        return store_lib.Snapshot(
+            (store_lib.Row("c", value, version),), version
+        )
+
+
+def _decode(value: bytes):
+    return types.Configuration(int(value), {}, {}, {}, {}, types.CallerLimits())
+
+
+class _Play:
+    """A holder, a follower, and what happens to them."""
+
+    def __init__(self, any_word_spares: bool):
+        loop = asyncio.get_running_loop()
+        self.now_ms = lambda: int(loop.time() * 1_000)
+        self.row = _Row()
+        self.stores = [_Store(self.row), _Store(self.row)]
+        self.keepers = [
+            configuration.ConfigurationKeeper(
+                store,
+                "t",
+                "c",
+                _decode,
+                self.now_ms,
+                lambda _: None,
+                _KEY_PROOF_MS,
+                _APPLY_MS,
+            )
+            for store in self.stores
+        ]
+        self._any_word_spares = any_word_spares
+        self.reachable_since_ms = [self.now_ms()] * 2
+        # When each version came to be.
+        self.born_ms = {1: self.now_ms()}
+        self.versions = [0, 0]
+        self.tells = True
+
+    async def tell(self) -> None:
+        """Passes the holder's word on, as views do."""
+        holder, follower = self.keepers
+        while True:
+            await asyncio.sleep(_REPORT_MS / 1_000)
+            if self.tells and holder.current is not None:
+                age_ms = self.now_ms() - holder.proved_ms
+                if self._any_word_spares:
+                    age_ms = 0
+                follower.on_proof(holder.version, age_ms, self.now_ms() - 2)
+
+    def check(self) -> None:
+        now_ms = self.now_ms()
+        for index, keeper in enumerate(self.keepers):
+            assert keeper.version >= self.versions[index]
+            self.versions[index] = keeper.version
+            next_ms = self.born_ms.get(keeper.version + 1)
+            if next_ms is None:
+                continue
+            lag_ms = now_ms - next_ms
+            if keeper.current and keeper.keys_are_current(now_ms):
+                assert lag_ms < _REVOKE_MS
+            # Bound for an instance that has reached the store for a while.
+            since_ms = self.reachable_since_ms[index] + _CONTACT_MS
+            assert lag_ms <= _APPLY_MS or next_ms < since_ms
+
+    def step(self, choose: random.Random) -> None:
+        what = choose.choice(
+            ("change", "down", "up", "silent", "tells", "pass", "pass")
+        )
+        if what == "change":
+            self.row.change()
+            self.born_ms[self.row.version] = self.now_ms()
+        elif what in ("down", "up"):
+            index = choose.randrange(2)
+            down = what == "down"
+            if not down and self.stores[index].down:
+                self.reachable_since_ms[index] = self.now_ms()
+            if down:
+                self.reachable_since_ms[index] = 10**12
+            self.stores[index].down = down
+        elif what in ("silent", "tells"):
+            self.tells = what == "tells"
+
+
+async def _play(seed: int, any_word_spares: bool = False) -> None:
+    choose = random.Random(seed)
+    play = _Play(any_word_spares)
+    loop = asyncio.get_running_loop()
+    works = [keeper.follow() for keeper in play.keepers]
+    tasks = [loop.create_task(work) for work in (*works, play.tell())]
+    try:
+        for _ in range(_STEPS):
+            await asyncio.sleep(choose.choice((0.02, 0.3, 1.1, 3.0)))
+            play.check()
+            play.step(choose)
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+def _run(seed: int, any_word_spares: bool = False) -> None:
+    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
+        runner.run(_play(seed, any_word_spares))
+
+
+def test_a_holder_without_bound_on_its_word_is_found():
+    # Flaw: the holder's word counts as new, however old its own proof is.
+    with pytest.raises(AssertionError):
+        for seed in range(200):
+            _run(seed, any_word_spares=True)
+
+
+@pytest.mark.parametrize("seed", range(_RUNS))
+def test_versions_and_keys_are_current(seed):
+    _run(seed)
--- /dev/null
+++ b/tests/fuzz/test_retry_budget.py
@@ -0,0 +1,106 @@
+"""Stateful fuzzing of the budget of repeats over a fleet.
+
+Instances send, repeat, restart, and are told how many they are with a delay.
+The oracle sums the repeats of all over each window.
+"""
+
+import os
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from tanagerloft.decisions import retry_budget
+from tests.fuzz import machines
+
+_EXAMPLES = int(os.environ.get("EXAMPLES", "100"))
+_NAMES = ("a", "b", "c")
+_RATIO = 0.2
+_SLACK = 6.0
+_WINDOW_MS = 10_000
+_names = strategies.sampled_from(_NAMES)
+
+
+class BudgetMachine(stateful.RuleBasedStateMachine):
+    """Three instances at one service."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 0
+        self.firsts: list[int] = []
+        self.repeats: list[int] = []
+        self.budgets = {name: self._new() for name in _NAMES}
+
+    def _new(self) -> retry_budget.RetryBudget:
+        return retry_budget.RetryBudget(_RATIO, _SLACK, _WINDOW_MS, self.now_ms)
+
+    def _count(self, times: list[int], back: int) -> int:
+        """Counts times of the window, or of an earlier one."""
+        until_ms = self.now_ms - back
+        return sum(until_ms - _WINDOW_MS < at <= until_ms for at in times)
+
+    @stateful.rule(delta_ms=strategies.sampled_from((1, 300, 4_000, 11_000)))
+    def time_passes(self, delta_ms):
+        self.now_ms += delta_ms
+
+    @stateful.rule(name=_names, times=strategies.integers(1, 12))
+    def sends(self, name, times):
+        for _ in range(times):
+            self.budgets[name].note_first(self.now_ms)
+            self.firsts.append(self.now_ms)
+
+    @stateful.rule(name=_names, times=strategies.integers(1, 6))
+    def repeats_some(self, name, times):
+        for _ in range(times):
+            if self.budgets[name].take(len(_NAMES), self.now_ms):
+                self.repeats.append(self.now_ms)
+        self._check()
+
+    @stateful.rule(name=_names)
+    def restarts(self, name):
+        # It was there for a window, else its slack has been used twice.
+        self.now_ms += _WINDOW_MS
+        self.budgets[name] = self._new()
+
+    def _check(self) -> None:
+        # Requests of the window itself, the one before, or between the two.
+        firsts = max(
+            self._count(self.firsts, back)
+            for back in (0, _WINDOW_MS // 2, _WINDOW_MS)
+        )
+        assert self._count(self.repeats, 0) <= _RATIO * firsts + _SLACK
+
+
+class _WholeSlack(retry_budget.RetryBudget):
+    """Flaw: each instance takes the whole fleet's slack."""
+
+    def take(self, instance_count, now_ms):
+        return super().take(1, now_ms)
+
+
+def _play_repeats(machine: BudgetMachine) -> None:
+    machine.time_passes(11_000)
+    for name in _NAMES:
+        machine.sends(name, 5)
+    for name in _NAMES:
+        machine.repeats_some(name, 6)
+
+
+def test_the_oracle_sees_a_planted_flaw():
+    _play_repeats(BudgetMachine())
+    flawed = BudgetMachine()
+    flawed.budgets = {
+        name: _WholeSlack(_RATIO, _SLACK, _WINDOW_MS, 0) for name in _NAMES
+    }
+    with pytest.raises(AssertionError):
+        _play_repeats(flawed)
+
+
+def test_the_fleet_keeps_to_its_budget():
+    stateful.run_state_machine_as_test(
+        BudgetMachine,
+        settings=settings(
+            machines.SETTINGS, max_examples=_EXAMPLES, stateful_step_count=40
+        ),
+    )
