--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -108,6 +108,8 @@
         self._version = 0
         self._changed = asyncio.Event()
         self.down = False
+        self._muted: set[asyncio.StreamWriter] = set()
+        self._open: set[asyncio.StreamWriter] = set()
         self.calls: list[str] = []
 
     def put(self, table: str, key: str, value: Any) -> None:
@@ -129,8 +131,13 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def mute(self) -> None:
+        """Lets open connections go silent for good; new ones work."""
+        self._muted |= self._open
+
     async def serve(self, reader, writer) -> None:
         """Serves a connection."""
+        self._open.add(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
                 request = await read_request(reader)
@@ -139,6 +146,8 @@
                     writer.transport.abort()
                     return
                 status, body = await self._answer(request)
+                if writer in self._muted:
+                    continue
                 data = json.dumps(body).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b"
@@ -307,7 +316,7 @@
     async def __aenter__(self) -> Platform:
         """Starts the store and the instance."""
         self.store.put("op", "config", self._config)
-        store_port = await self._listen(self.store.serve)
+        self.store_port = store_port = await self._listen(self.store.serve)
         names = ("callers", "ready", "metrics", "peers")
         self.ports = {name: free_port() for name in names}
         lines = ["[instance]", "id = i-1", "data_centre = dc", "[listen]"]
