--- a/tanagerloft/decisions/send_history.py
+++ b/tanagerloft/decisions/send_history.py
@@ -29,6 +29,7 @@
         self._repeatable = repeatable
         self._max_targets = max_targets
         self._may_have_run: set[str] = set()
+        self._before_last: set[str] = set()
         self.sends = 0
         self.tried: set[str] = set()
 
@@ -41,11 +42,12 @@
         """Counts a send; until the target says otherwise, it may run."""
         self.sends += 1
         self.tried.add(target_id)
+        self._before_last = set(self._may_have_run)
         self._may_have_run.add(target_id)
 
-    def note_not_run(self, target_id: str) -> None:
-        """Takes in that a target did not run it."""
-        self._may_have_run.discard(target_id)
+    def note_not_run(self) -> None:
+        """Takes in that the last send did not run; earlier ones may have."""
+        self._may_have_run = self._before_last
 
     def may_repeat(self) -> bool:
         """Returns whether it may run once more, though it may have run."""
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -158,7 +158,7 @@
         """Takes in that a target did not run the request."""
         assert self._attempt is not None
         target_id = self._attempt.target.target_id
-        self.history.note_not_run(target_id)
+        self.history.note_not_run()
         if mark.lacks:
             self._parts.directory.note_lacks(target_id, self.context.subject)
         else:
--- a/tests/fuzz/test_send_history.py
+++ b/tests/fuzz/test_send_history.py
@@ -56,7 +56,7 @@
             assert history.sends <= send_history.MAX_SENDS
             evidence = attempts.Evidence.UNKNOWN
         if fate == "refused":
-            history.note_not_run(place)
+            history.note_not_run()
             evidence = attempts.Evidence.REFUSED
         elif fate == "lost, ran":
             self.ran.append(place)
