Learn the weight store's speed from what was under way during a late load

Cause, found by a new test: loads that are late together are noticed one after another, and those noticed first counted as done; so four loads at once that were late taught the holder to have one, where three is what is known. An engine now remembers how many loads were under way during its own.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -244,6 +244,7 @@
             takes_ms = orders.copies.load_ms(shapes[order.model])
             if order.model not in orders.copies:
                 self._store_loads.append(now_ms)
+                self.states.note_store_load(state)
         orders.give(order, takes_ms, now_ms)
         self._start(self._carry_out(entry, state, order))
 
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -29,13 +29,20 @@
 
 
 class EngineState:
-    """What the holder knows of one life of an engine."""
+    """What the holder knows of one life of an engine.
+
+    Attributes:
+        orders: Account of the orders to it.
+        store_loads: Most loads from the weight store that have been under way
+            at once during its last one, itself included.
+    """
 
     def __init__(self, entry: types.TargetEntry):
         self.born_ms = entry.born_ms
         self.orders = engine_orders.EngineOrders(entry.models)
         self.report_due_ms = 0
         self.polling = False
+        self.store_loads = 0
 
     def told(self) -> model_marks.Models | None:
         """Returns what instances are told that it holds."""
@@ -108,6 +115,13 @@
         """Returns the number of loads from the weight store under way."""
         return sum(s.loads_from_store() for s in self.by_target.values())
 
+    def note_store_load(self, begins: EngineState) -> None:
+        """Takes in that an engine begins to load from the weight store."""
+        loading = [s for s in self.by_target.values() if s.loads_from_store()]
+        begins.store_loads = len(loading) + 1
+        for state in loading:
+            state.store_loads = max(state.store_loads, begins.store_loads)
+
     def store_at_once(self, now_ms: int) -> int:
         """Returns how many of these are worth having."""
         return self._lanes.at_once(now_ms)
@@ -158,16 +172,15 @@
     def _note_late(
         self, entry: types.TargetEntry, state: EngineState, model: str
     ) -> None:
-        under_way = self.store_loads()
         now_ms = self._now_ms()
         if model not in state.orders.copies:
-            self._lanes.note_late(under_way, now_ms)
+            self._lanes.note_late(state.store_loads, now_ms)
         logger.info(
             "load is late",
             extra={
                 "target": entry.target_id,
                 "model": model,
-                "store_loads": under_way,
+                "store_loads": state.store_loads,
                 "store_at_once": self._lanes.at_once(now_ms),
             },
         )
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -164,7 +164,7 @@
         arrived, self._arrived = self._arrived, set()
         if not arrived:
             return
-        for heard in self._heard.values():
+        for heard in list(self._heard.values()):
             waited = heard.report.waited
             if any((item.model, item.adapter) in arrived for item in waited):
                 heard.reply(self._view(heard.report, now_ms))
--- /dev/null
+++ b/tests/coordination/test_engine_states.py
@@ -0,0 +1,110 @@
+"""What the holder learns from reports of engines."""
+
+import asyncio
+
+from tanagerloft.coordination import engine_states
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.coordination import targets
+from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import order_progress
+from tanagerloft.fleet import types
+
+_NAMES = ("e1", "e2", "e3", "e4")
+
+
+def _entry(target_id: str) -> types.TargetEntry:
+    return types.TargetEntry(
+        target_id=target_id,
+        service="s",
+        host="10.0.0.1",
+        port=1,
+        data_centre="dc",
+        leaving=False,
+        leaves_in_ms=None,
+        born_ms=1,
+        models={},
+        in_memory=frozenset(),
+        on_disk=frozenset(),
+    )
+
+
+def _report(busy: bool, sequence: int) -> types.TargetReport:
+    return types.TargetReport(
+        models={},
+        arriving=frozenset(),
+        busy=busy,
+        order_sequence=sequence,
+        waiting=0,
+        running=0,
+        in_memory=frozenset(),
+        on_disk=frozenset(),
+    )
+
+
+class _Play:
+    """Engines whose reports and clock a test sets."""
+
+    def __init__(self):
+        self.now_ms = 10_000
+        self.report = _report(busy=False, sequence=0)
+        directory = targets.TargetDirectory(
+            lambda key, _value: _entry(key), lambda: self.now_ms, "dc"
+        )
+        rows = tuple(store_lib.Row(name, b"", 1) for name in _NAMES)
+        directory.on_rows(rows, whole=True)
+        self.states = engine_states.EngineStates(
+            directory, self._fetch, lambda: self.now_ms, lambda _entry: None
+        )
+
+    async def _fetch(self, _entry):
+        return self.report
+
+    async def poll(self) -> None:
+        self.states.refresh({"s"})
+        self.states.poll_reports(self.now_ms)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+
+def test_loads_that_are_late_together_lower_what_is_under_way_at_once():
+    # Seen on the grown site: the store takes two loads, four were under way.
+    async def run():
+        play = _Play()
+        await play.poll()
+        states = play.states.by_target
+        for state in states.values():
+            order = model_orders.Order(model_orders.Verb.LOAD, "e", "m")
+            play.states.note_store_load(state)
+            state.orders.give(order, 6_000, play.now_ms)
+            accepted = order_progress.Result.ACCEPTED
+            state.orders.on_answer(order, accepted, play.now_ms)
+        assert play.states.store_loads() == len(_NAMES)
+        assert play.states.store_at_once(play.now_ms) == 4
+        play.now_ms += 6_100
+        for state in states.values():
+            assert state.orders.on_time(play.now_ms)
+            assert state.told() == {"m": []}
+        play.now_ms += 600
+        play.report = _report(busy=True, sequence=1)
+        await play.poll()
+        # One less than the four that were under way, not than those of which
+        # it is known already.
+        assert play.states.store_at_once(play.now_ms) == 3
+        assert all(state.told() == {} for state in states.values())
+
+    asyncio.run(run())
+
+
+def test_an_engine_that_has_been_restarted_is_a_new_one():
+    async def run():
+        play = _Play()
+        await play.poll()
+        before = dict(play.states.by_target)
+        assert before["e1"].orders.known
+        play.states.by_target["e1"].born_ms = 0
+        play.states.refresh({"s"})
+        assert play.states.by_target["e1"] is not before["e1"]
+        assert play.states.by_target["e2"] is before["e2"]
+        assert not play.states.by_target["e1"].orders.known
+
+    asyncio.run(run())
