--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -161,14 +161,23 @@
         assert len(matching) == wanted, answers
 
     def _do_expect_at_most(self, step: Step) -> None:
-        """At most a given number of answers have the given fields."""
+        """At most a given number of answers of all names have the fields."""
         fields = dict(step.fields)
         most = int(fields.pop("count"))
         self._do_await(step)
-        answers = self._answers[step.names[0]]
+        answers = [a for name in step.names for a in self._answers[name]]
         matching = [a for a in answers if _matches(a, fields)]
         assert len(matching) <= most, len(matching)
 
+    def _do_expect_refused(self, step: Step) -> None:
+        """Answers that are not whole have the fields; there is one at least."""
+        self._do_await(step)
+        answers = self._answers[step.names[0]]
+        refused = [answer for answer in answers if not answer.whole]
+        assert refused, "none was refused"
+        for answer in refused:
+            self._check(answer, step.fields)
+
     def _do_same(self, step: Step) -> None:
         """All answers have one and the same body."""
         bodies = {
--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -432,6 +432,11 @@
     first = _FIRST_PORT + os.getpid() % _PORT_PARTS * _PORTS_A_PART
     while True:
         port = first + next(_port_numbers) % _PORTS_A_PART
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind((_HOST, port))
+        with (
+            socket.socket(type=socket.SOCK_STREAM) as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+            contextlib.suppress(OSError),
+        ):
+            stream.bind((_HOST, port))
+            datagrams.bind((_HOST, port))
             return port
