Count one crash of a target once for each kind of request that it took

Found by reading: three callers with the same request at a target that crashed by itself counted as three crashes, and the request was barred everywhere for a minute. Open: an answer clears the counts of the instance that got it, not those of others.

--- a/tanagerloft/decisions/crash_quarantine.py
+++ b/tanagerloft/decisions/crash_quarantine.py
@@ -48,10 +48,14 @@
         losses.append(_Loss(digest, now_ms))
 
     def note_down(self, target_id: str, now_ms: int) -> None:
-        """Takes in that a target is down."""
-        for loss in self._losses.pop(target_id, ()):
-            if now_ms - loss.at_ms <= _DOWN_WITHIN_MS:
-                self._count(loss.digest, now_ms)
+        """Takes in that a target is down: one crash for each request."""
+        lost = {
+            loss.digest
+            for loss in self._losses.pop(target_id, ())
+            if now_ms - loss.at_ms <= _DOWN_WITHIN_MS
+        }
+        for digest in sorted(lost):
+            self._count(digest, now_ms)
 
     def note_up(self, target_id: str) -> None:
         """Takes in that a target takes connections."""
