Share what two followers do with the holder's word; drop state that derives

HoldersWord: how long the holder's word spares an instance its own reading was written twice, for the configuration and for the list of targets. A waiting request's flag beside the waiting room, the second cap on the pause between plans, a wrapper around the engines' states, and a set given to a round after it was made are gone. Needs of tokens are computed once a report; whether a request is barred is looked up, not listed; arrivals are told only to instances that still report.

Behaviour as before, but for the last: no datagrams to instances that are gone.

--- a/tanagerloft/coordination/configuration.py
+++ b/tanagerloft/coordination/configuration.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 import logging
 
 from tanagerloft.coordination import errors
+from tanagerloft.coordination import holders_word
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import table_reader
 from tanagerloft.fleet import types
@@ -28,8 +28,6 @@
 _TOLD_CURRENT_MS = 2 * _WAIT_MS + 250
 # Left of the time in which a change must be in force, for the own reading.
 _READ_MARGIN_MS = 150
-# A told proof spares the own reading for no longer than this.
-_MAX_SPARED_MS = 1_000
 
 Decode = Callable[[bytes], types.Configuration | errors.MalformedEntry]
 
@@ -46,6 +44,11 @@
         changed: Told when another version is in force.
         key_proof_ms: Age of the proof at which keys are no longer accepted.
         apply_ms: Time in which a change must be in force.
+
+    Attributes:
+        current: Configuration in force, None before there is one.
+        proved_ms: When the last proof began that there is no newer one.
+        word: What the holder tells of it.
     """
 
     def __init__(
@@ -65,19 +68,12 @@
         self._now_ms = now_ms
         self._changed = changed
         self._key_proof_ms = key_proof_ms
-        self._spared_ms = min(
-            _MAX_SPARED_MS, apply_ms - _TOLD_CURRENT_MS - _READ_MARGIN_MS
+        self.word = holders_word.HoldersWord(
+            apply_ms, _TOLD_CURRENT_MS, _READ_MARGIN_MS, now_ms
         )
-        self._read_now = asyncio.Event()
-        self._told_ms = 0
         self.current: types.Configuration | None = None
         self.proved_ms = 0
 
-    @property
-    def spared_until_ms(self) -> int:
-        """Until when the holder's word spares this instance its reading."""
-        return self._told_ms + self._spared_ms
-
     @property
     def version(self) -> int:
         """Version in force, 0 for none."""
@@ -93,10 +89,9 @@
         """
         if age_ms > _TOLD_MAX_AGE_MS:
             return
-        if age_ms <= _TOLD_CURRENT_MS:
-            self._told_ms = asked_ms
+        self.word.hear(age_ms, asked_ms)
         if version > self.version:
-            self._read_now.set()
+            self.word.read_now.set()
         elif version == self.version:
             self.proved_ms = max(self.proved_ms, asked_ms - age_ms)
 
@@ -119,15 +114,10 @@
 
     async def _wait_for_need(self) -> None:
         """Waits while the holder tells whether there is anything new."""
-        while (
-            self.current is not None
-            and self._now_ms() < self.spared_until_ms
-            and not self._read_now.is_set()
-        ):
-            left_ms = self.spared_until_ms - self._now_ms()
-            await loops.wait(self._read_now, max(1, left_ms))
-        if self._read_now.is_set():
-            self._read_now.clear()
+        if self.current is not None:
+            await self.word.wait()
+        if self.word.read_now.is_set():
+            self.word.read_now.clear()
             self._reader.restart()
 
     def _take_rows(self, rows: tuple[store_lib.Row, ...]) -> None:
--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -102,10 +102,6 @@
             if service.has_engines
         }
 
-    def forget(self) -> None:
-        """Forgets all engines: another holder may give them orders."""
-        self.states.forget()
-
     def follow(self, now_ms: int) -> None:
         """Follows the list of targets, reports and orders under way."""
         self.states.refresh(set(self._plans))
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -103,13 +103,13 @@
 
         Args:
             now_ms: Reading of the clock.
-            most_ms: What is returned if no engine is known to change sooner.
+            most_ms: Bound on what is returned.
         """
         times = (
             state.orders.changes_in_ms(now_ms)
             for state in self.by_target.values()
         )
-        return min((ms for ms in times if ms is not None), default=most_ms)
+        return min((most_ms, *(ms for ms in times if ms is not None)))
 
     def store_loads(self) -> int:
         """Returns the number of loads from the weight store under way."""
--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -203,9 +203,9 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             needs={
-                name: account.need()
+                name: need
                 for name, account in self._accounts.items()
-                if account.need().needed_tokens > 0
+                if (need := account.need()).needed_tokens > 0
             },
             in_flight={
                 target_id: dict(counts)
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -144,16 +144,17 @@
             pause_ms = self._engines.states.changes_in_ms(
                 self._now_ms(), _PLAN_MS
             )
-            await loops.wait(self._wake, min(pause_ms, _PLAN_MS))
+            await loops.wait(self._wake, pause_ms)
             self._wake.clear()
             now_ms = self._now_ms()
             if self._configuration is None or not self._lease.leads(now_ms):
-                self._engines.forget()
+                self._engines.states.forget()
                 continue
             self._drop_silent(now_ms)
             self._engines.follow(now_ms)
             self._tell_arrivals(now_ms)
-            self._engines.plan(self._live(now_ms), self._loads, now_ms)
+            reports = [heard.report for heard in self._live(now_ms)]
+            self._engines.plan(reports, self._loads, now_ms)
 
     def _tell_arrivals(self, now_ms: int) -> None:
         """Tells instances at once of models that they wait for.
@@ -164,7 +165,7 @@
         arrived, self._arrived = self._arrived, set()
         if not arrived:
             return
-        for heard in list(self._heard.values()):
+        for heard in self._live(now_ms):
             waited = heard.report.waited
             if any((item.model, item.adapter) in arrived for item in waited):
                 heard.reply(self._view(heard.report, now_ms))
@@ -251,12 +252,10 @@
             self._count = len(self._live(now_ms))
         return max(1, self._count)
 
-    def _live(self, now_ms: int) -> list[messages.Report]:
+    def _live(self, now_ms: int) -> list[_Heard]:
         oldest_ms = now_ms - _REPORT_MAX_AGE_MS
         return [
-            heard.report
-            for heard in self._heard.values()
-            if heard.at_ms >= oldest_ms
+            heard for heard in self._heard.values() if heard.at_ms >= oldest_ms
         ]
 
     def _update_marks(self, now_ms: int) -> None:
--- a/tanagerloft/coordination/target_list.py
+++ b/tanagerloft/coordination/target_list.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
+from tanagerloft.coordination import holders_word
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import table_reader
 from tanagerloft.coordination import targets as targets_lib
@@ -19,8 +19,6 @@
 _TOLD_MAX_AGE_MS = 1_200
 # Left of the drain time, for the own reading and requests on their way.
 _READ_MARGIN_MS = 200
-# What is told spares the own polls for no longer than this.
-_MAX_SPARED_MS = 1_000
 
 
 class TargetList:
@@ -33,6 +31,9 @@
         now_ms: Clock.
         changed: Told when requests may find more targets.
         drain_ms: Time after which a leaving target gets no more requests.
+
+    Attributes:
+        word: What the holder tells of the list.
     """
 
     def __init__(
@@ -48,21 +49,14 @@
         self._directory = directory
         self._now_ms = now_ms
         self._changed = changed
-        self._spared_ms = min(
-            _MAX_SPARED_MS, drain_ms - _TOLD_MAX_AGE_MS - _READ_MARGIN_MS
-        )
-        self._told_ms = 0
         self._told_mark: tuple[int, int] | None = None
-        self._read_now = asyncio.Event()
+        self.word = holders_word.HoldersWord(
+            drain_ms, _TOLD_MAX_AGE_MS, _READ_MARGIN_MS, now_ms
+        )
         self.read_ms = 0
         self.mark = 0
         self.known = False
 
-    @property
-    def spared_until_ms(self) -> int:
-        """Until when the holder's word spares this instance its polls."""
-        return self._told_ms + self._spared_ms
-
     def on_proof(
         self, token: int, mark: int, age_ms: int, asked_ms: int
     ) -> None:
@@ -74,36 +68,27 @@
             age_ms: Age of its list.
             asked_ms: When this instance asked.
         """
-        if age_ms > _TOLD_MAX_AGE_MS:
+        if not self.word.hear(age_ms, asked_ms):
             return
-        self._told_ms = asked_ms
         if (token, mark) != self._told_mark:
             self._told_mark = (token, mark)
-            self._read_now.set()
+            self.word.read_now.set()
 
     async def follow(self) -> None:
         """Follows the list for as long as the process runs."""
         while True:
-            self._read_now.clear()
+            self.word.read_now.clear()
             started_ms = self._now_ms()
             whole = self._reader.whole
             found = await self._reader.read(wait_ms=0)
             if found is not None:
                 self._take_rows(found.rows, whole)
                 self.read_ms = started_ms
-                await self._wait_for_need()
+                await loops.wait(self.word.read_now, POLL_MS)
+                await self.word.wait()
             elif self._reader.failures:
                 await loops.sleep(_RETRY_MS)
 
-    async def _wait_for_need(self) -> None:
-        """Waits for the next poll, or while the holder tells of no change."""
-        await loops.wait(self._read_now, POLL_MS)
-        while not self._read_now.is_set():
-            left_ms = self.spared_until_ms - self._now_ms()
-            if left_ms <= 0:
-                return
-            await loops.wait(self._read_now, left_ms)
-
     def _take_rows(self, rows: tuple[store_lib.Row, ...], whole: bool) -> None:
         self.known = True
         changes = self._directory.on_rows(rows, whole)
--- a/tanagerloft/decisions/crash_quarantine.py
+++ b/tanagerloft/decisions/crash_quarantine.py
@@ -74,7 +74,12 @@
 
     def bars(self, digest: str, now_ms: int) -> bool:
         """Returns whether this instance alone has seen enough crashes."""
-        return self.told(now_ms).get(digest, 0) >= MAX_CRASHES
+        known = self._crashes.get(digest)
+        return (
+            known is not None
+            and known.number >= MAX_CRASHES
+            and known.last_ms >= now_ms - _KEEP_MS
+        )
 
     def _count(self, digest: str, now_ms: int) -> None:
         self._forget(now_ms)
--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -65,13 +65,15 @@
         self._wanted = wanted
         self._now_ms = now_ms
         self.engines = [engine for engine in engines if not engine.leaving]
-        self.loading = {engine.loading: engine for engine in self.engines}
+        self.loading = {
+            engine.loading: engine for engine in self.engines if engine.loading
+        }
         self._holders: dict[str, list[model_orders.Engine]] = {}
         self._near: dict[str, list[model_orders.Engine]] = {}
         for engine in self.engines:
             for model in engine.models:
                 self._holders.setdefault(model, []).append(engine)
-            for model in engine.copies.in_memory | engine.copies.on_disk:
+            for model in engine.copies.all():
                 self._near.setdefault(model, []).append(engine)
         self._free_in_ms = {
             engine.target_id: float(engine.busy_ms) for engine in self.engines
@@ -110,8 +112,7 @@
 
     def is_bare(self, engine: model_orders.Engine) -> bool:
         """Returns whether it has too few copies to load much from them."""
-        copies = len(engine.copies.in_memory | engine.copies.on_disk)
-        return copies < _BARE_SHARE * len(self._models)
+        return len(engine.copies.all()) < _BARE_SHARE * len(self._models)
 
     def is_free(self, engine: model_orders.Engine) -> bool:
         """Returns whether an engine can be given an order now."""
--- a/tanagerloft/decisions/model_orders.py
+++ b/tanagerloft/decisions/model_orders.py
@@ -63,6 +63,10 @@
         """Returns whether there is a copy of a model."""
         return model in self.in_memory or model in self.on_disk
 
+    def all(self) -> frozenset[str]:
+        """Returns the models of which there is a copy."""
+        return self.in_memory | self.on_disk
+
     def load_ms(self, model: types.Model) -> float:
         """Returns the time that a load takes, from the nearest copy."""
         if model.name in self.in_memory:
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -70,8 +70,7 @@
         pool = engine_pool.EnginePool(
             self._models, engines, usage, weight_store, wanted, now_ms
         )
-        round_ = _Round(self._models, pool, usage, weight_store)
-        round_.wanted = wanted
+        round_ = _Round(self._models, pool, usage, weight_store, wanted)
         model_demands: dict[str, model_orders.Demand] = {}
         for demand in demands:
             if demand.model not in self._models:
@@ -103,9 +102,11 @@
         pool: engine_pool.EnginePool,
         usage: model_orders.Usage,
         weight_store: model_orders.WeightStore,
+        wanted: set[str],
     ):
         self._models = models
         self._pool = pool
+        self._wanted = wanted
         self._usage = usage
         self._store_left = weight_store.loads_left
         self._store_under_way = weight_store.under_way
@@ -115,7 +116,6 @@
             default=0.0,
         )
         self._replica_requests = min(self._replica_requests, _REPLICA_REQUESTS)
-        self.wanted: set[str] = set()
         self.orders: list[model_orders.Order] = []
         self.later_ms: dict[str, int] = {}
 
@@ -166,7 +166,7 @@
     def add_replica(self, model: str) -> None:
         """Adds a replica of a model that is in steady use or crowded."""
         pool = self._pool
-        if model in self.wanted or model in pool.loading:
+        if model in self._wanted or model in pool.loading:
             return
         holders = pool.holders(model)
         in_flight = self._usage.in_flight.get(model, 0)
@@ -199,7 +199,7 @@
         meanwhile. So once there is traffic, only engines do so that have few
         copies themselves, and only while nobody waits.
         """
-        if self.wanted:
+        if self._wanted:
             return
         pool = self._pool
         missing = pool.missing()
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -60,7 +60,6 @@
         self.history = send_history.SendHistory(
             context.route.repeatable, context.route.max_targets
         )
-        self._waits = False
         self._ended = False
         self._timer: asyncio.TimerHandle | None = None
         self._again: asyncio.TimerHandle | None = None
@@ -96,12 +95,9 @@
             return True
         place = self._placing.place(self.history)
         if place is placing_lib.NoTarget.NOW:
-            self._waits = True
             self._parts.room.add(self._placing.subject, self)
             return False
-        if self._waits:
-            self._waits = False
-            self._parts.room.remove(self._placing.subject, self)
+        self._parts.room.remove(self._placing.subject, self)
         if isinstance(place, errors.Refusal):
             self._give_up(place.detail, place)
         elif isinstance(place, placing_lib.Later):
--- a/tests/coordination/test_told_proofs.py
+++ b/tests/coordination/test_told_proofs.py
@@ -33,10 +33,10 @@
         bound_ms,
     )
     keeper.on_proof(0, age_ms, asked_ms=10_000)
-    assert keeper.spared_until_ms + age_ms < 10_000 + bound_ms
+    assert keeper.word.spares_until_ms + age_ms < 10_000 + bound_ms
     # A holder that reaches the store spares the reading.
     if age_ms <= 1_000:
-        assert keeper.spared_until_ms >= 10_500
+        assert keeper.word.spares_until_ms >= 10_500
 
 
 @pytest.mark.parametrize("bound_ms", _BOUNDS_MS)
@@ -47,6 +47,6 @@
         _NoStore(), "t", directory, lambda: 10_000, lambda: None, bound_ms
     )
     listing.on_proof(1, 0, age_ms, asked_ms=10_000)
-    assert listing.spared_until_ms + age_ms < 10_000 + bound_ms
+    assert listing.word.spares_until_ms + age_ms < 10_000 + bound_ms
     if age_ms <= 500:
-        assert listing.spared_until_ms >= 10_500
+        assert listing.word.spares_until_ms >= 10_500
