--- a/tests/coordination/test_engine_states.py
+++ b/tests/coordination/test_engine_states.py
@@ -7,48 +7,19 @@
 from tanagerloft.coordination import targets
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import order_progress
-from tanagerloft.fleet import types
+from tests.support import engines
 
 _NAMES = ("e1", "e2", "e3", "e4")
 
 
-def _entry(target_id: str) -> types.TargetEntry:
-    return types.TargetEntry(
-        target_id=target_id,
-        service="s",
-        host="10.0.0.1",
-        port=1,
-        data_centre="dc",
-        leaving=False,
-        leaves_in_ms=None,
-        born_ms=1,
-        models={},
-        in_memory=frozenset(),
-        on_disk=frozenset(),
-    )
-
-
-def _report(busy: bool, sequence: int) -> types.TargetReport:
-    return types.TargetReport(
-        models={},
-        arriving=frozenset(),
-        busy=busy,
-        order_sequence=sequence,
-        waiting=0,
-        running=0,
-        in_memory=frozenset(),
-        on_disk=frozenset(),
-    )
-
-
 class _Play:
     """Engines whose reports and clock a test sets."""
 
     def __init__(self):
         self.now_ms = 10_000
-        self.report = _report(busy=False, sequence=0)
+        self.report = engines.report()
         directory = targets.TargetDirectory(
-            lambda key, _value: _entry(key), lambda: self.now_ms, "dc"
+            lambda key, _value: engines.entry(key), lambda: self.now_ms, "dc"
         )
         rows = tuple(store_lib.Row(name, b"", 1) for name in _NAMES)
         directory.on_rows(rows, whole=True)
@@ -85,7 +56,7 @@
             assert state.orders.on_time(play.now_ms)
             assert state.told() == {"m": []}
         play.now_ms += 600
-        play.report = _report(busy=True, sequence=1)
+        play.report = engines.report(busy=True, order_sequence=1)
         await play.poll()
         # One less than the four that were under way, not than those of which
         # it is known already.
--- a/tests/coordination/test_fleet_loads.py
+++ b/tests/coordination/test_fleet_loads.py
@@ -5,22 +5,12 @@
 from tanagerloft.coordination import fleet_loads
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import model_marks
+from tests.support import engines
 
 
 def _report(instance, in_flight=None, prefilling=None) -> messages.Report:
-    return messages.Report(
-        instance=instance,
-        incarnation="1",
-        sequence=1,
-        needs={},
-        in_flight=in_flight or {},
-        prefilling=prefilling or {},
-        waited=[],
-        used={},
-        leaving=False,
-        reads_store=False,
-        models_seen=(0, 0),
-        crashes={},
+    return engines.instance_report(
+        instance, in_flight=in_flight or {}, prefilling=prefilling or {}
     )
 
 
--- a/tests/coordination/test_holder.py
+++ b/tests/coordination/test_holder.py
@@ -11,21 +11,10 @@
 from tanagerloft.decisions import order_progress
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
+from tests.support import engines
 
 _MODEL = types.Model("m", 70_000.0, 6_000, 1_100, 30, 66.0, 0)
-_ENGINE = types.TargetEntry(
-    target_id="e",
-    service="s",
-    host="10.0.0.1",
-    port=1,
-    data_centre="dc",
-    leaving=False,
-    leaves_in_ms=None,
-    born_ms=1,
-    models={},
-    in_memory=frozenset(),
-    on_disk=frozenset(["m"]),
-)
+_ENGINE = engines.entry("e", on_disk=frozenset(["m"]))
 _CONFIGURATION = types.Configuration(
     version=1,
     routes={},
@@ -48,33 +37,7 @@
         return engine_keeper.OrderAnswer(result, "")
 
     async def report(self, _entry):
-        return types.TargetReport(
-            models={},
-            arriving=frozenset(),
-            busy=False,
-            order_sequence=0,
-            waiting=0,
-            running=0,
-            in_memory=frozenset(),
-            on_disk=frozenset(["m"]),
-        )
-
-
-def _report(instance: str, waited=()) -> messages.Report:
-    return messages.Report(
-        instance=instance,
-        incarnation="1",
-        sequence=1,
-        needs={},
-        in_flight={},
-        prefilling={},
-        waited=list(waited),
-        used={},
-        leaving=False,
-        reads_store=False,
-        models_seen=(0, 0),
-        crashes={},
-    )
+        return engines.report(on_disk=frozenset(["m"]))
 
 
 def _lease() -> order_lease.OrderLease:
@@ -116,8 +79,11 @@
         told: dict[str, list[messages.View]] = {"waits": [], "idle": []}
         waited = messages.Waited("s", "m", "", [600], [2_400])
         following = loop.create_task(holder.follow())
-        holder.on_report(_report("waits", [waited]), told["waits"].append)
-        holder.on_report(_report("idle"), told["idle"].append)
+        holder.on_report(
+            engines.instance_report("waits", waited=[waited]),
+            told["waits"].append,
+        )
+        holder.on_report(engines.instance_report("idle"), told["idle"].append)
         while not any(view.models.get("e") for view in told["waits"]):
             await asyncio.sleep(0.01)
         following.cancel()
--- a/tests/decisions/test_engine_orders.py
+++ b/tests/decisions/test_engine_orders.py
@@ -4,6 +4,7 @@
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
+from tests.support import engines
 
 _LOAD = model_orders.Order(model_orders.Verb.LOAD, "e", "m")
 _UNLOAD = model_orders.Order(model_orders.Verb.UNLOAD, "e", "old")
@@ -11,16 +12,7 @@
 
 
 def _report(models=(), busy=False, sequence=0) -> types.TargetReport:
-    return types.TargetReport(
-        models=dict.fromkeys(models, _NONE),
-        arriving=frozenset(),
-        busy=busy,
-        order_sequence=sequence,
-        waiting=0,
-        running=0,
-        in_memory=_NONE,
-        on_disk=_NONE,
-    )
+    return engines.report(models, busy=busy, order_sequence=sequence)
 
 
 def _known(*models: str) -> engine_orders.EngineOrders:
--- a/tests/fuzz/machines.py
+++ b/tests/fuzz/machines.py
@@ -11,6 +11,22 @@
 _EXAMPLES_TO_FIND = 2_000
 
 
+def run(machine, examples: int, steps: int) -> None:
+    """Runs a machine.
+
+    Args:
+        machine: The machine.
+        examples: Number of runs.
+        steps: Steps in each, at most.
+    """
+    stateful.run_state_machine_as_test(
+        machine,
+        settings=settings(
+            SETTINGS, max_examples=examples, stateful_step_count=steps
+        ),
+    )
+
+
 def expect_failure(machine) -> None:
     """Runs a machine over flawed code and fails if it finds nothing."""
     try:
--- a/tests/fuzz/test_crash_quarantine.py
+++ b/tests/fuzz/test_crash_quarantine.py
@@ -8,7 +8,6 @@
 
 import os
 
-from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
 import pytest
@@ -142,9 +141,4 @@
 
 
 def test_bad_requests_are_barred_and_good_ones_are_not():
-    stateful.run_state_machine_as_test(
-        QuarantineMachine,
-        settings=settings(
-            machines.SETTINGS, max_examples=_EXAMPLES, stateful_step_count=40
-        ),
-    )
+    machines.run(QuarantineMachine, _EXAMPLES, steps=40)
--- a/tests/fuzz/test_engine_orders.py
+++ b/tests/fuzz/test_engine_orders.py
@@ -8,7 +8,6 @@
 import os
 from typing import NamedTuple
 
-from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
 import pytest
@@ -18,6 +17,7 @@
 from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
 from tests.fuzz import machines
+from tests.support import engines
 
 _EXAMPLES = int(os.environ.get("EXAMPLES", "300"))
 _LAG_MS = 200
@@ -107,14 +107,10 @@
     def report(self, now_ms: int) -> types.TargetReport:
         """Tells how things were a while ago."""
         seen = [s for at, s in self.history if at <= now_ms - _LAG_MS][-1]
-        return types.TargetReport(
-            models=dict(seen.held),
-            arriving=frozenset(),
+        return engines.report(
+            seen.held,
             busy=bool(seen.loading or seen.unloading),
             order_sequence=seen.sequence,
-            waiting=0,
-            running=0,
-            in_memory=frozenset(),
             on_disk=frozenset(_MODELS),
         )
 
@@ -245,9 +241,4 @@
 
 
 def test_an_engine_is_never_ordered_beyond_its_room():
-    stateful.run_state_machine_as_test(
-        OrdersMachine,
-        settings=settings(
-            machines.SETTINGS, max_examples=_EXAMPLES, stateful_step_count=60
-        ),
-    )
+    machines.run(OrdersMachine, _EXAMPLES, steps=60)
--- a/tests/fuzz/test_order_lease.py
+++ b/tests/fuzz/test_order_lease.py
@@ -8,7 +8,6 @@
 import collections
 import os
 
-from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
 import pytest
@@ -135,12 +134,7 @@
 
 
 def test_orders_of_two_holders_are_apart():
-    stateful.run_state_machine_as_test(
-        LeaseMachine,
-        settings=settings(
-            machines.SETTINGS, max_examples=_EXAMPLES, stateful_step_count=40
-        ),
-    )
+    machines.run(LeaseMachine, _EXAMPLES, steps=40)
 
 
 def _play_takeover(machine: LeaseMachine) -> None:
--- a/tests/fuzz/test_retry_budget.py
+++ b/tests/fuzz/test_retry_budget.py
@@ -6,7 +6,6 @@
 
 import os
 
-from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
 import pytest
@@ -98,9 +97,4 @@
 
 
 def test_the_fleet_keeps_to_its_budget():
-    stateful.run_state_machine_as_test(
-        BudgetMachine,
-        settings=settings(
-            machines.SETTINGS, max_examples=_EXAMPLES, stateful_step_count=40
-        ),
-    )
+    machines.run(BudgetMachine, _EXAMPLES, steps=40)
--- a/tests/fuzz/test_send_history.py
+++ b/tests/fuzz/test_send_history.py
@@ -7,7 +7,6 @@
 
 import os
 
-from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
 import pytest
@@ -103,9 +102,4 @@
 
 
 def test_a_request_runs_no_more_often_than_it_may():
-    stateful.run_state_machine_as_test(
-        SendMachine,
-        settings=settings(
-            machines.SETTINGS, max_examples=_EXAMPLES, stateful_step_count=30
-        ),
-    )
+    machines.run(SendMachine, _EXAMPLES, steps=30)
--- a/tests/fuzz/test_token_grants.py
+++ b/tests/fuzz/test_token_grants.py
@@ -6,7 +6,6 @@
 
 import os
 
-from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
 import pytest
@@ -119,16 +118,8 @@
     empty_after_takeover = False
 
 
-def _settings(max_examples: int) -> settings:
-    return settings(
-        machines.SETTINGS, max_examples=max_examples, stateful_step_count=50
-    )
-
-
 def test_no_window_exceeds_what_is_tolerated():
-    stateful.run_state_machine_as_test(
-        GrantMachine, settings=_settings(_EXAMPLES)
-    )
+    machines.run(GrantMachine, _EXAMPLES, steps=50)
 
 
 def _play_takeovers(machine: GrantMachine) -> None:
--- /dev/null
+++ b/tests/support/engines.py
@@ -0,0 +1,64 @@
+"""Entries, reports and messages that many tests need in like form."""
+
+from tanagerloft.coordination import messages
+from tanagerloft.fleet import types
+
+_NONE: frozenset[str] = frozenset()
+
+
+def entry(target_id: str, **changes) -> types.TargetEntry:
+    """Returns the entry of an empty engine of the service ``s``."""
+    plain = types.TargetEntry(
+        target_id=target_id,
+        service="s",
+        host="10.0.0.1",
+        port=1,
+        data_centre="dc",
+        leaving=False,
+        leaves_in_ms=None,
+        born_ms=1,
+        models={},
+        in_memory=_NONE,
+        on_disk=_NONE,
+    )
+    return plain._replace(**changes)
+
+
+def report(models=(), **changes) -> types.TargetReport:
+    """Returns the report of an idle engine.
+
+    Args:
+        models: Names of the models that it holds, or these with adapters.
+        **changes: Fields that differ.
+    """
+    held = models if isinstance(models, dict) else dict.fromkeys(models, _NONE)
+    plain = types.TargetReport(
+        models=held,
+        arriving=frozenset(),
+        busy=False,
+        order_sequence=0,
+        waiting=0,
+        running=0,
+        in_memory=_NONE,
+        on_disk=_NONE,
+    )
+    return plain._replace(**changes)
+
+
+def instance_report(instance: str, **changes) -> messages.Report:
+    """Returns the first report of an instance without requests."""
+    plain = messages.Report(
+        instance=instance,
+        incarnation="1",
+        sequence=1,
+        needs={},
+        in_flight={},
+        prefilling={},
+        waited=[],
+        used={},
+        leaving=False,
+        reads_store=False,
+        models_seen=(0, 0),
+        crashes={},
+    )
+    return plain._replace(**changes)
