--- a/tanagerloft/bench/limit_designs.py
+++ b/tanagerloft/bench/limit_designs.py
@@ -1,25 +1,16 @@
-"""Designs of a fleet-wide limit, compared side by side on one workload.
-
-Each design is driven by the same arrivals as a single ideal bucket. What the
-ideal bucket admits and a design refuses counts as wrongly refused.
-"""
+"""Designs of a fleet-wide limit, to be compared side by side."""
 
 from collections.abc import Callable
-import random
-from typing import NamedTuple
 from typing import Protocol
 
 from tanagerloft.bench import local
 from tanagerloft.config import inventory as inventory_lib
-from tanagerloft.controllers import limits as limits_lib
+from tanagerloft.controllers import grants as grants_lib
 from tanagerloft.decisions import bucket as bucket_lib
 
 RATE_TOKENS_PER_S = 10_000
 BURST_TOKENS = 40_000
-_MIN_COST_TOKENS = 200
-_MAX_COST_TOKENS = 1_800
-_MEAN_COST_TOKENS = (_MIN_COST_TOKENS + _MAX_COST_TOKENS) / 2
-_STEP_MS = 500
+STEP_MS = 500
 _MOVE_EVERY_MS = 10_000
 _DEMAND_DECAY = 0.5
 _TAKEOVER_MS = 5_000
@@ -48,7 +39,8 @@
         """Returns table reads, table writes and bytes between instances."""
 
 
-def _make_bucket(share: float, grant_ms: int, now_ms: int):
+def make_bucket(share: float, grant_ms: int, now_ms: int):
+    """Returns a full bucket over a share of the limit."""
     bucket = bucket_lib.TokenBucket(now_ms)
     reserve = RATE_TOKENS_PER_S * grant_ms * 1_000
     cap = int((BURST_TOKENS * _MICRO - reserve) * share)
@@ -64,7 +56,7 @@
         self.clock = local.clock_lib.ManualClock()
         now_ms = self.clock.now_ms()
         self._buckets = [
-            _make_bucket(1 / count, 0, now_ms) for _ in range(count)
+            make_bucket(1 / count, 0, now_ms) for _ in range(count)
         ]
 
     def charge(self, instance: int, cost_tokens: int) -> bool:
@@ -100,7 +92,7 @@
     def __init__(self, count: int):
         self.clock = local.clock_lib.ManualClock()
         self._count = count
-        self._bucket = _make_bucket(1, local.GRANT_MS, self.clock.now_ms())
+        self._bucket = make_bucket(1, local.GRANT_MS, self.clock.now_ms())
         self._home = 0
         self._dead_until_ms = 0
         self._writes = 0
@@ -151,7 +143,7 @@
         self._count = count
         now_ms = self.clock.now_ms()
         self._buckets = [
-            _make_bucket(1 / count, 0, now_ms) for _ in range(count)
+            make_bucket(1 / count, 0, now_ms) for _ in range(count)
         ]
         self._demand = [1.0] * count
         self._recent = [0.0] * count
@@ -244,7 +236,7 @@
         """Charges the instance's shares, and asks other holders."""
         node = self._fleet.nodes[f"instance-{instance}"]
         result = node.limits.charge(_ACCOUNT, cost_tokens)
-        return isinstance(result, limits_lib.Charge)
+        return isinstance(result, grants_lib.Charge)
 
     def pass_time(self, duration_ms: int) -> None:
         """Lets time pass, with all instances' control paths."""
@@ -271,8 +263,8 @@
 
     def _wait_for_shares(self) -> None:
         while self._held() < 8:
-            self._fleet.run(_STEP_MS, _STEP_MS)
-        self._fleet.run(60_000, _STEP_MS)
+            self._fleet.run(STEP_MS, STEP_MS)
+        self._fleet.run(60_000, STEP_MS)
 
     def _held(self) -> int:
         return sum(
@@ -287,124 +279,3 @@
     "moved shares": MovedShares,
     "shares with grants": SharesWithGrants,
 }
-
-
-class Outcome(NamedTuple):
-    """What one design did on one workload.
-
-    Attributes:
-        wrongly_refused: Part of what the ideal bucket admits.
-        admitted_tokens: Tokens admitted.
-        above_bound_tokens: Most by which a window exceeded the bound.
-        reads_per_s: Table reads of the fleet.
-        writes_per_s: Table writes of the fleet.
-        bytes_per_s: Bytes sent between instances, each instance's average.
-    """
-
-    wrongly_refused: float
-    admitted_tokens: int
-    above_bound_tokens: int
-    reads_per_s: float
-    writes_per_s: float
-    bytes_per_s: float
-
-
-class _Bound:
-    """Checks every window by a leaky bucket of the limit's size."""
-
-    def __init__(self):
-        self._level = 0.0
-        self._at_ms = 0
-        self.above = 0
-
-    def add(self, tokens: int, now_ms: int) -> None:
-        leaked = (now_ms - self._at_ms) * RATE_TOKENS_PER_S / 1_000
-        self._at_ms = now_ms
-        self._level = max(0.0, self._level - leaked) + tokens
-        self.above = max(self.above, round(self._level - BURST_TOKENS))
-
-
-class Workload(NamedTuple):
-    """Arrivals of one account's requests.
-
-    Attributes:
-        instances: Number of instances.
-        load: Offered tokens as a part of the account's rate.
-        skew: Part of the load at the first instance; the rest is even.
-        duration_ms: How long it lasts.
-        kill_first: Whether the first instance dies at the start.
-        table_down: Whether the table is down all the time.
-        seed: Seed of the random numbers.
-    """
-
-    instances: int
-    load: float
-    skew: float
-    duration_ms: int
-    kill_first: bool = False
-    table_down: bool = False
-    seed: int = 1
-
-
-def run(design: Design, workload: Workload) -> Outcome:
-    """Drives one design with a workload."""
-    rng = random.Random(workload.seed)
-    ideal = _make_bucket(1, 0, design.clock.now_ms())
-    bound = _Bound()
-    if workload.kill_first:
-        design.kill(0)
-    design.set_table_down(workload.table_down)
-    before = design.usage()
-    ideal_count = wrong = admitted = 0
-    steps = workload.duration_ms // _STEP_MS
-    arrivals_per_step = (
-        workload.load * RATE_TOKENS_PER_S / _MEAN_COST_TOKENS * _STEP_MS / 1_000
-    )
-    for _ in range(steps):
-        design.pass_time(_STEP_MS)
-        now_ms = design.clock.now_ms()
-        for _ in range(_poisson(rng, arrivals_per_step)):
-            cost = rng.randint(_MIN_COST_TOKENS, _MAX_COST_TOKENS)
-            good = design.charge(_pick(rng, workload), cost)
-            ideally = ideal.take(bucket_lib.to_micro(cost), now_ms) is not None
-            ideal_count += ideally
-            wrong += ideally and not good
-            if good:
-                admitted += cost
-                bound.add(cost, now_ms)
-    design.set_table_down(False)
-    used = [b - a for a, b in zip(before, design.usage(), strict=True)]
-    seconds = workload.duration_ms / 1_000
-    return Outcome(
-        wrong / max(1, ideal_count),
-        admitted,
-        max(0, bound.above),
-        used[0] / seconds,
-        used[1] / seconds,
-        used[2] / seconds / workload.instances,
-    )
-
-
-def run_burst(design: Design) -> float:
-    """Spends the whole burst at one instance; returns the part admitted."""
-    cost = round(_MEAN_COST_TOKENS)
-    count = BURST_TOKENS // cost
-    good = sum(design.charge(1, cost) for _ in range(count))
-    return good / count
-
-
-def _pick(rng: random.Random, workload: Workload) -> int:
-    first = 1 if workload.kill_first else 0
-    if not workload.kill_first and rng.random() < workload.skew:
-        return 0
-    return rng.randrange(first, workload.instances)
-
-
-def _poisson(rng: random.Random, mean: float) -> int:
-    """Returns a Poisson number by counting exponential gaps."""
-    count = 0
-    total = rng.expovariate(1.0)
-    while total < mean:
-        count += 1
-        total += rng.expovariate(1.0)
-    return count
--- a/tanagerloft/cmd/bench.py
+++ b/tanagerloft/cmd/bench.py
@@ -4,6 +4,7 @@
 
 from tanagerloft.bench import capacity as capacity_lib
 from tanagerloft.bench import limit_designs
+from tanagerloft.bench import limit_workload
 
 _LOAD = 0.95
 _STEADY_MS = 300_000
@@ -92,18 +93,18 @@
 
 
 def _row(count: int, name: str, make, seed: int) -> str:
-    workload = limit_designs.Workload(
+    workload = limit_workload.Workload(
         count, _LOAD, 0.5, min(_STEADY_MS, _STEADY_MS * 32 // count), seed=seed
     )
     design = make(count)
-    steady = limit_designs.run(design, workload)
-    killed = limit_designs.run(
+    steady = limit_workload.run(design, workload)
+    killed = limit_workload.run(
         design,
         workload._replace(duration_ms=_AFTER_KILL_MS, kill_first=True),
     )
-    burst = limit_designs.run_burst(make(count))
+    burst = limit_workload.run_burst(make(count))
     outage_ms = min(_OUTAGE_MS, _OUTAGE_MS * 32 // count)
-    outage = limit_designs.run(
+    outage = limit_workload.run(
         make(count),
         workload._replace(load=1.5, duration_ms=outage_ms, table_down=True),
     )
--- a/tanagerloft/cmd/inventory.py
+++ b/tanagerloft/cmd/inventory.py
@@ -5,7 +5,7 @@
 from tanagerloft.cmd import exits
 from tanagerloft.cmd import options
 from tanagerloft.config import errors
-from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import inventory_text
 from tanagerloft.config import store
 from tanagerloft.tables import errors as table_errors
 
@@ -57,7 +57,7 @@
     table = options.open_table(table_url, table_name)
     version = options.read_current(table)
     click.echo(f"version {version.number}", err=True)
-    click.echo(inventory_lib.dump(version.inventory), nl=False)
+    click.echo(inventory_text.dump(version.inventory), nl=False)
 
 
 def _explain(error: errors.ApplyError) -> str:
--- a/tanagerloft/cmd/options.py
+++ b/tanagerloft/cmd/options.py
@@ -7,6 +7,7 @@
 from tanagerloft.cmd import exits
 from tanagerloft.config import errors
 from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import inventory_text
 from tanagerloft.config import store
 from tanagerloft.tables import dynamo_table
 from tanagerloft.tables import errors as table_errors
@@ -55,7 +56,7 @@
 def read_inventory(path: str) -> inventory_lib.Inventory:
     """Returns the inventory in a file, or ends the process."""
     with open(path, encoding="utf-8") as file:
-        inventory = inventory_lib.parse(file.read())
+        inventory = inventory_text.parse(file.read())
     if isinstance(inventory, errors.InventoryError):
         exits.fail(f"{path}: {inventory}", exits.INVALID)
     return inventory
--- a/tanagerloft/config/store.py
+++ b/tanagerloft/config/store.py
@@ -6,6 +6,7 @@
 
 from tanagerloft.config import errors
 from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import inventory_text
 from tanagerloft.tables import errors as table_errors
 from tanagerloft.tables import rows
 from tanagerloft.tables import table as table_lib
@@ -48,7 +49,7 @@
     text = _unpack(row.body)
     if text is None:
         return table_errors.unavailable(f"version {number} is not there")
-    inventory = inventory_lib.parse(text)
+    inventory = inventory_text.parse(text)
     if isinstance(inventory, errors.InventoryError):
         return table_errors.unavailable(f"version {number}: {inventory}")
     return Version(number, inventory)
@@ -64,7 +65,7 @@
     The change is accepted once its conditional write has committed.
     """
     number = expected_number + 1
-    body = _pack(inventory_lib.dump(inventory))
+    body = _pack(inventory_text.dump(inventory))
     transaction = table_lib.Transaction(
         ids.new_id(),
         (
--- a/tanagerloft/controllers/configuration.py
+++ b/tanagerloft/controllers/configuration.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import inventory_text
 from tanagerloft.config import store
 from tanagerloft.decisions import freshness
 from tanagerloft.filters import context as context_lib
@@ -97,7 +98,7 @@
     def answer_peer(self, _payload: Any) -> list[Any]:
         """Returns the version in force in the form that peers exchange."""
         version = self._version
-        return [version.number, inventory_lib.dump(version.inventory)]
+        return [version.number, inventory_text.dump(version.inventory)]
 
     def fetch_from_peer(self, bus: bus_lib.Peers, address: str) -> None:
         """Takes over a peer's version if it is later than the one in force."""
@@ -105,7 +106,7 @@
         if isinstance(answer, peer_errors.CallFailed):
             return
         number, text = answer
-        inventory = inventory_lib.parse(text)
+        inventory = inventory_text.parse(text)
         if isinstance(inventory, inventory_lib.Inventory):
             self.adopt(store.Version(number, inventory))
 
--- a/tanagerloft/controllers/grants.py
+++ b/tanagerloft/controllers/grants.py
@@ -28,6 +28,22 @@
     reservation: bucket_lib.Reservation
 
 
+class Charge(NamedTuple):
+    """Tokens taken for one request.
+
+    Attributes:
+        account: Name of the client account.
+        cost_tokens: Amount taken.
+        local: Part taken from this instance's bucket.
+        grants: Parts taken from others' buckets.
+    """
+
+    account: str
+    cost_tokens: int
+    local: bucket_lib.Reservation
+    grants: tuple[Grant, ...] = ()
+
+
 class _Level(NamedTuple):
     """What a holder had left after its latest grant."""
 
--- /dev/null
+++ b/tanagerloft/controllers/limit_rows.py
@@ -0,0 +1,43 @@
+"""Rows of limits in the table, as the shares of an account see them."""
+
+from tanagerloft.decisions import account_shares
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
+from tanagerloft.util import ids
+
+
+def write(
+    table: table_lib.Table, name: str, change: account_shares.Write
+) -> account_shares.Outcome:
+    """Commits a change of an account's row.
+
+    Args:
+        table: The platform's table.
+        name: Name of the account.
+        change: The change, with the rows of instances that it relies on.
+    """
+    put = table_lib.Put(rows.limit(name), change.expected_revision, change.body)
+    checks = tuple(
+        table_lib.Check(rows.instance(instance), revision)
+        for instance, revision in change.checks.items()
+    )
+    result = table_lib.commit_resolved(
+        table, table_lib.Transaction(ids.new_id(), (put,), checks)
+    )
+    return _outcome(result)
+
+
+def view(row: table_lib.Row, lease_until_ms: int) -> account_shares.RowView:
+    """Returns a row as the shares of an account see it."""
+    return account_shares.RowView(row.revision, row.body, lease_until_ms)
+
+
+def _outcome(
+    result: table_lib.Committed | table_errors.TableError,
+) -> account_shares.Outcome:
+    if isinstance(result, table_lib.Committed):
+        return account_shares.Outcome.COMMITTED
+    if result.code == table_errors.UNKNOWN:
+        return account_shares.Outcome.UNKNOWN
+    return account_shares.Outcome.NOT_WRITTEN
--- a/tanagerloft/controllers/limits.py
+++ b/tanagerloft/controllers/limits.py
@@ -3,11 +3,11 @@
 import logging
 import threading
 from typing import Any
-from typing import NamedTuple
 
 from tanagerloft.config import inventory as inventory_lib
 from tanagerloft.controllers import configuration as configuration_lib
 from tanagerloft.controllers import grants as grants_lib
+from tanagerloft.controllers import limit_rows
 from tanagerloft.controllers import membership as membership_lib
 from tanagerloft.decisions import account_shares
 from tanagerloft.decisions import bucket as bucket_lib
@@ -19,7 +19,6 @@
 from tanagerloft.tables import rows
 from tanagerloft.tables import table as table_lib
 from tanagerloft.util import clock as clock_lib
-from tanagerloft.util import ids
 
 logger = logging.getLogger(__name__)
 
@@ -29,22 +28,6 @@
 _READ_PER_INSTANCE_MS = 100
 
 
-class Charge(NamedTuple):
-    """Tokens taken for one request.
-
-    Attributes:
-        account: Name of the client account.
-        cost_tokens: Amount taken.
-        local: Part taken from this instance's bucket.
-        grants: Parts taken from others' buckets.
-    """
-
-    account: str
-    cost_tokens: int
-    local: bucket_lib.Reservation
-    grants: tuple[grants_lib.Grant, ...] = ()
-
-
 class LimitController:
     """Token buckets over this instance's shares of each account's limit.
 
@@ -85,7 +68,7 @@
 
     def charge(
         self, account: inventory_lib.Account, cost_tokens: int
-    ) -> Charge | decision_errors.LimitExceeded:
+    ) -> grants_lib.Charge | decision_errors.LimitExceeded:
         """Takes the tokens for a request, or nothing."""
         cost_micro = bucket_lib.to_micro(cost_tokens)
         if cost_micro > self._size(account, shares.SLOTS).cap_micro_tokens:
@@ -96,7 +79,7 @@
             self._open_tokens += cost_tokens
         missing = cost_micro - local.micro_tokens
         if missing == 0:
-            return Charge(account.name, cost_tokens, local)
+            return grants_lib.Charge(account.name, cost_tokens, local)
         grants = self._asker.gather(
             account.name,
             missing,
@@ -104,7 +87,9 @@
             self._membership.peer_addresses(),
             self._size(account, 1),
         )
-        charge = Charge(account.name, cost_tokens, local, tuple(grants))
+        charge = grants_lib.Charge(
+            account.name, cost_tokens, local, tuple(grants)
+        )
         granted = sum(grant.reservation.micro_tokens for grant in grants)
         in_time = self._clock.now_ms() - asked_ms <= self._grant_ms
         if granted == missing and in_time:
@@ -112,7 +97,7 @@
         self.settle(charge, 0)
         return decision_errors.LimitExceeded(_retry_ms(account, cost_micro))
 
-    def settle(self, charge: Charge, used_tokens: int) -> None:
+    def settle(self, charge: grants_lib.Charge, used_tokens: int) -> None:
         """Gives back what a request did not use."""
         left = bucket_lib.to_micro(min(used_tokens, charge.cost_tokens))
         for grant in charge.grants:
@@ -186,7 +171,7 @@
             if isinstance(row, table_errors.TableError):
                 continue
             now_ms = self._clock.now_ms()
-            view = _row_view(row, self._membership.lease_until_ms())
+            view = limit_rows.view(row, self._membership.lease_until_ms())
             nobody = account_shares.Fleet((self._me.instance_id,), {})
             with self._lock:
                 write = state.on_row(view, nobody, now_ms)
@@ -262,7 +247,7 @@
                 account.rate_tokens_per_s, account.burst_tokens, now_ms
             )
             write = state.on_row(
-                _row_view(row, lease_until_ms), self._fleet, now_ms
+                limit_rows.view(row, lease_until_ms), self._fleet, now_ms
             )
         if write is not None:
             self._carry_out(account.name, state, write)
@@ -273,17 +258,7 @@
         state: account_shares.AccountShares,
         write: account_shares.Write,
     ) -> None:
-        put = table_lib.Put(
-            rows.limit(name), write.expected_revision, write.body
-        )
-        checks = tuple(
-            table_lib.Check(rows.instance(instance), revision)
-            for instance, revision in write.checks.items()
-        )
-        result = table_lib.commit_resolved(
-            self._table, table_lib.Transaction(ids.new_id(), (put,), checks)
-        )
-        outcome = _outcome(result)
+        outcome = limit_rows.write(self._table, name, write)
         with self._lock:
             state.on_written(write, outcome, self._clock.now_ms())
         if outcome is account_shares.Outcome.COMMITTED:
@@ -315,22 +290,6 @@
             self._state(name).settle(reservation, used, now_ms)
 
 
-def _row_view(
-    row: table_lib.Row, lease_until_ms: int
-) -> account_shares.RowView:
-    return account_shares.RowView(row.revision, row.body, lease_until_ms)
-
-
-def _outcome(
-    result: table_lib.Committed | table_errors.TableError,
-) -> account_shares.Outcome:
-    if isinstance(result, table_lib.Committed):
-        return account_shares.Outcome.COMMITTED
-    if result.code == table_errors.UNKNOWN:
-        return account_shares.Outcome.UNKNOWN
-    return account_shares.Outcome.NOT_WRITTEN
-
-
 def _retry_ms(account: inventory_lib.Account, cost_micro: int) -> int:
     rate_milli_per_s = max(1, account.rate_tokens_per_s * 1_000)
     return max(_MIN_RETRY_MS, cost_micro // rate_milli_per_s // 2)
--- a/tanagerloft/controllers/placement.py
+++ b/tanagerloft/controllers/placement.py
@@ -1,14 +1,14 @@
 """Controller of replicas: decides loads and unloads, and sends the orders."""
 
-from collections.abc import Iterable
 import logging
-from typing import NamedTuple
 
 from tanagerloft.controllers import catalogue
 from tanagerloft.controllers import configuration as configuration_lib
 from tanagerloft.controllers import dispatch as dispatch_lib
 from tanagerloft.controllers import health as health_lib
 from tanagerloft.controllers import membership as membership_lib
+from tanagerloft.controllers import replica_demand
+from tanagerloft.controllers import replica_rows
 from tanagerloft.decisions import errors as decision_errors
 from tanagerloft.decisions import homes
 from tanagerloft.decisions import reconcile
@@ -20,7 +20,6 @@
 from tanagerloft.targets import engine
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import http
-from tanagerloft.util import ids
 
 logger = logging.getLogger(__name__)
 
@@ -32,13 +31,6 @@
 _MIN_IDLE_FOR_EVICTION_MS = 1_000
 
 
-class _Observed(NamedTuple):
-    """A model's row, and since when it has been seen like this."""
-
-    row: table_lib.Row
-    since_ms: int
-
-
 class PlacementController:
     """Loads what requests wait for and unloads what has been idle long.
 
@@ -65,7 +57,9 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._keep_warm_ms = keep_warm_ms
-        self._observed: dict[str, _Observed] = {}
+        self._rows = replica_rows.ReplicaRows(
+            table, configuration, health, clock
+        )
         self._wanted_since_ms: dict[str, int] = {}
         self._read_due_ms: dict[str, int] = {}
         self._tend_due_ms = 0
@@ -75,7 +69,10 @@
         """Acts on all models that requests wait for, then on idle ones."""
         now_ms = self._clock.now_ms()
         self._dispatcher.pump_all(now_ms)
-        wanted = self._wanted_items()
+        inventory = self._configuration.version.inventory
+        wanted = replica_demand.wanted(
+            inventory, self._dispatcher, self._health
+        )
         self._wanted_since_ms = {
             name: self._wanted_since_ms.get(name, now_ms) for name in wanted
         }
@@ -83,7 +80,9 @@
             if now_ms >= self._read_due_ms.get(name, 0):
                 self._read_due_ms[name] = now_ms + _READ_INTERVAL_MS
                 self._serve_demand(name)
-        self._watch(wanted)
+        replica_demand.watch(
+            inventory, wanted, self._rows, self._dispatcher, self._health
+        )
         if now_ms >= self._tend_due_ms:
             count = len(self._membership.live())
             grown_ms = count * _TEND_PER_INSTANCE_MS
@@ -91,55 +90,19 @@
             self._tend()
         self._unload_idle()
 
-    def _wanted_items(self) -> list[str]:
-        """Returns waited-for models and adapters that no target has ready."""
-        inventory = self._configuration.version.inventory
-        wanted = []
-        for subject in self._dispatcher.waiting():
-            if subject.startswith("route:"):
-                continue
-            if catalogue.find_item(inventory, subject) is None:
-                refusal = filter_errors.UNKNOWN_MODEL
-                self._dispatcher.refuse(subject, refusal)
-            elif not self._health.candidates(subject):
-                wanted.append(subject)
-        return wanted
-
-    def _watch(self, wanted: list[str]) -> None:
-        """Tells which targets' reports are needed soon."""
-        inventory = self._configuration.version.inventory
-        urgent: set[str] = set()
-        for name in wanted:
-            for row_name in (name, catalogue.parent_name(inventory, name)):
-                observed = self._observed.get(row_name)
-                if observed is not None:
-                    urgent |= set(replicas.replicas_of(observed.row.body))
-        used = {
-            name
-            for name in inventory.targets
-            if self._dispatcher.in_flight(name)
-        }
-        self._health.watch(frozenset(used | urgent), frozenset(urgent))
-        if urgent:
-            self._health.tick()
-
     def _serve_demand(self, name: str) -> None:
         """Takes the next step towards a ready replica of one item."""
         inventory = self._configuration.version.inventory
         item = catalogue.find_item(inventory, name)
-        row = self._read(name)
+        row = self._rows.read(name)
         if item is None or row is None:
             return
         decided = replicas.replicas_of(row.body)
         for target_name in decided:
             self._reconcile(item, row, target_name, wanted=True)
-        if self._is_none_left(decided) and self._may_decide(name):
+        if self._rows.is_none_left(decided) and self._may_decide(name):
             self._decide_load(item, row)
 
-    def _is_none_left(self, decided: Iterable[str]) -> bool:
-        """Returns whether no decided replica is on a target that stays."""
-        return all(self._health.is_lost(name) for name in decided)
-
     def _may_decide(self, name: str) -> bool:
         """Lets the home decide first; others only after a while."""
         home = homes.home(name, self._membership.live())
@@ -148,20 +111,11 @@
         waited_ms = self._clock.now_ms() - self._wanted_since_ms[name]
         return waited_ms >= _NOT_HOME_DELAY_MS
 
-    def _read(self, name: str) -> table_lib.Row | None:
-        row = self._table.read(rows.model(name))
-        if isinstance(row, table_errors.TableError):
-            return None
-        before = self._observed.get(name)
-        if before is None or before.row.revision != row.revision:
-            self._observed[name] = _Observed(row, self._clock.now_ms())
-        return row
-
     def _decide_load(self, item: replicas.Item, row: table_lib.Row) -> None:
         inventory = self._configuration.version.inventory
-        targets = self._target_states()
+        targets = self._rows.targets()
         if item.parent:
-            parent_row = self._read(item.parent)
+            parent_row = self._rows.read(item.parent)
             parent = catalogue.find_item(inventory, item.parent)
             if parent_row is None or parent is None:
                 return
@@ -188,7 +142,7 @@
     ) -> dict[str, catalogue.Target]:
         """Returns the targets with a ready parent, after a step to have one."""
         decided = replicas.replicas_of(parent_row.body)
-        if self._is_none_left(decided):
+        if self._rows.is_none_left(decided):
             self._decide_load(parent, parent_row)
             return {}
         for target_name in decided:
@@ -196,15 +150,9 @@
         return {
             name: target
             for name, target in targets.items()
-            if name in decided and self._reports_ready(name, parent.name)
+            if name in decided and self._rows.reports_ready(name, parent.name)
         }
 
-    def _reports_ready(self, target_name: str, item_name: str) -> bool:
-        known = self._health.known(target_name)
-        return known is not None and (
-            known.report.items.get(item_name) == "ready"
-        )
-
     def _no_room(
         self,
         item: replicas.Item,
@@ -225,8 +173,8 @@
 
     def _unload(self, name: str, target_name: str) -> None:
         item = catalogue.find_item(self._configuration.version.inventory, name)
-        row = self._read(name)
-        target = self._read_target(target_name)
+        row = self._rows.read(name)
+        target = self._rows.read_target(target_name)
         if item is None or row is None or target is None:
             return
         plan = replicas.plan_unload(item, row.body, target.state)
@@ -242,9 +190,9 @@
     ) -> None:
         """Compares a decided replica with its target's report."""
         known = self._health.known(target_name)
-        observed = self._observed[item.name]
+        observed = self._rows.observed(item.name)
         entry = self._configuration.target(target_name)
-        if known is None or entry is None:
+        if known is None or entry is None or observed is None:
             return
         if known.asked_ms < observed.since_ms:
             return
@@ -258,7 +206,7 @@
         )
         if action is reconcile.Action.WAIT:
             return
-        target = self._read_target(target_name)
+        target = self._rows.read_target(target_name)
         if target is not None:
             self._act(action, item, row, target)
 
@@ -273,7 +221,7 @@
             bodies = replicas.release(
                 item.name, row.body, target.state.name, target.row.body
             )
-            self._commit(row, target.row, *bodies)
+            self._rows.commit(row, target.row, *bodies)
             return
         if action is reconcile.Action.CONFIRM_READY:
             plan = replicas.confirm_ready(item, row.body, target.state)
@@ -290,7 +238,9 @@
         plan: replicas.Plan,
     ) -> None:
         """Commits a plan and, once it has committed, sends its order."""
-        if not self._commit(row, target.row, plan.model_body, plan.target_body):
+        if not self._rows.commit(
+            row, target.row, plan.model_body, plan.target_body
+        ):
             return
         if plan.order.verb == "none":
             return
@@ -311,54 +261,6 @@
                 failed.reason,
             )
 
-    def _commit(
-        self,
-        model_row: table_lib.Row,
-        target_row: table_lib.Row,
-        model_body: dict,
-        target_body: dict,
-    ) -> bool:
-        puts = (
-            table_lib.Put(model_row.key, model_row.revision, model_body),
-            table_lib.Put(target_row.key, target_row.revision, target_body),
-        )
-        result = table_lib.commit_resolved(
-            self._table, table_lib.Transaction(ids.new_id(), puts)
-        )
-        committed = isinstance(result, table_lib.Committed)
-        if committed:
-            self._read(model_row.key.name)
-        return committed
-
-    def _target_states(self) -> dict[str, catalogue.Target]:
-        """Returns the engines that report now, with their rows."""
-        found = self._table.scan(rows.TARGET)
-        if isinstance(found, table_errors.TableError):
-            return {}
-        by_name = {row.key.name: row for row in found}
-        inventory = self._configuration.version.inventory
-        states = {}
-        for name, entry in inventory.targets.items():
-            known = self._health.known(name)
-            if entry.type != "engine" or known is None or known.report.leaving:
-                continue
-            row = by_name.get(name) or table_lib.absent(rows.target(name))
-            states[name] = catalogue.make_target(
-                inventory, entry, row, known.report
-            )
-        return states
-
-    def _read_target(self, name: str) -> catalogue.Target | None:
-        row = self._table.read(rows.target(name))
-        known = self._health.known(name)
-        inventory = self._configuration.version.inventory
-        entry = inventory.targets.get(name)
-        if isinstance(row, table_errors.TableError):
-            return None
-        if known is None or entry is None:
-            return None
-        return catalogue.make_target(inventory, entry, row, known.report)
-
     def _tend(self) -> None:
         """As home, reconciles decided replicas that nobody waits for."""
         found = self._table.scan(rows.MODEL)
@@ -372,7 +274,7 @@
             item = catalogue.find_item(inventory, name)
             if item is None or homes.home(name, live) != me:
                 continue
-            current = self._read(name)
+            current = self._rows.read(name)
             if current is None:
                 return
             for target_name in replicas.replicas_of(current.body):
--- /dev/null
+++ b/tanagerloft/controllers/replica_rows.py
@@ -0,0 +1,112 @@
+"""Rows of models and of targets, read and written together."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from tanagerloft.controllers import catalogue
+from tanagerloft.controllers import configuration as configuration_lib
+from tanagerloft.controllers import health as health_lib
+from tanagerloft.tables import errors as table_errors
+from tanagerloft.tables import rows
+from tanagerloft.tables import table as table_lib
+from tanagerloft.util import clock as clock_lib
+from tanagerloft.util import ids
+
+
+class Observed(NamedTuple):
+    """A model's row, and since when it has been seen like this."""
+
+    row: table_lib.Row
+    since_ms: int
+
+
+class ReplicaRows:
+    """Rows that decide on replicas, as one instance has read them."""
+
+    def __init__(
+        self,
+        table: table_lib.Table,
+        configuration: configuration_lib.ConfigurationController,
+        health: health_lib.HealthController,
+        clock: clock_lib.Clock,
+    ):
+        self._table = table
+        self._configuration = configuration
+        self._health = health
+        self._clock = clock
+        self._observed: dict[str, Observed] = {}
+
+    def observed(self, name: str) -> Observed | None:
+        """Returns what was last read of a model, None if nothing was."""
+        return self._observed.get(name)
+
+    def read(self, name: str) -> table_lib.Row | None:
+        """Returns the row of a model, None if the table cannot be reached."""
+        row = self._table.read(rows.model(name))
+        if isinstance(row, table_errors.TableError):
+            return None
+        before = self._observed.get(name)
+        if before is None or before.row.revision != row.revision:
+            self._observed[name] = Observed(row, self._clock.now_ms())
+        return row
+
+    def is_none_left(self, decided: Iterable[str]) -> bool:
+        """Returns whether no decided replica is on a target that stays."""
+        return all(self._health.is_lost(name) for name in decided)
+
+    def reports_ready(self, target_name: str, item_name: str) -> bool:
+        """Returns whether a target reports a model as ready."""
+        known = self._health.known(target_name)
+        return known is not None and (
+            known.report.items.get(item_name) == "ready"
+        )
+
+    def commit(
+        self,
+        model_row: table_lib.Row,
+        target_row: table_lib.Row,
+        model_body: dict,
+        target_body: dict,
+    ) -> bool:
+        """Writes the rows of a model and of a target together."""
+        puts = (
+            table_lib.Put(model_row.key, model_row.revision, model_body),
+            table_lib.Put(target_row.key, target_row.revision, target_body),
+        )
+        result = table_lib.commit_resolved(
+            self._table, table_lib.Transaction(ids.new_id(), puts)
+        )
+        committed = isinstance(result, table_lib.Committed)
+        if committed:
+            self.read(model_row.key.name)
+        return committed
+
+    def targets(self) -> dict[str, catalogue.Target]:
+        """Returns the engines that report now, with their rows."""
+        found = self._table.scan(rows.TARGET)
+        if isinstance(found, table_errors.TableError):
+            return {}
+        by_name = {row.key.name: row for row in found}
+        inventory = self._configuration.version.inventory
+        states = {}
+        for name, entry in inventory.targets.items():
+            known = self._health.known(name)
+            if entry.type != "engine" or known is None or known.report.leaving:
+                continue
+            row = by_name.get(name) or table_lib.absent(rows.target(name))
+            states[name] = catalogue.make_target(
+                inventory, entry, row, known.report
+            )
+        return states
+
+    def read_target(self, name: str) -> catalogue.Target | None:
+        """Returns an engine that reports now, with its row."""
+        row = self._table.read(rows.target(name))
+        known = self._health.known(name)
+        inventory = self._configuration.version.inventory
+        entry = inventory.targets.get(name)
+        if isinstance(row, table_errors.TableError):
+            return None
+        if known is None or entry is None:
+            return None
+        return catalogue.make_target(inventory, entry, row, known.report)
--- a/tanagerloft/filters/admit.py
+++ b/tanagerloft/filters/admit.py
@@ -10,6 +10,7 @@
 from tanagerloft.filters import errors
 
 if TYPE_CHECKING:
+    from tanagerloft.controllers import grants as grants_lib
     from tanagerloft.controllers import limits as limits_lib
     from tanagerloft.server import services as services_lib
 
@@ -40,7 +41,7 @@
 
 def _settle(
     limits: limits_lib.LimitController,
-    charge: limits_lib.Charge,
+    charge: grants_lib.Charge,
     context: context_lib.RequestContext,
 ) -> None:
     used_tokens = context.used_tokens
--- a/tanagerloft/server/application.py
+++ b/tanagerloft/server/application.py
@@ -13,13 +13,12 @@
 from tanagerloft.filters import errors
 from tanagerloft.server import http_server
 from tanagerloft.server import problems
+from tanagerloft.server import request_body
 from tanagerloft.server import services as services_lib
-from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import ids
 
 logger = logging.getLogger(__name__)
 
-_READ_PIECE_BYTES = 65_536
 # What the server refuses by itself, by its status.
 _UNREAD = {
     408: errors.SLOW_SENDER,
@@ -168,7 +167,7 @@
         self, environ: dict, connection: _Connection, request_id: str
     ) -> Iterable[bytes]:
         arrived_ms = self._services.clock.now_ms()
-        body = _read_body(
+        body = request_body.read(
             environ,
             self._max_body_bytes,
             self._read_timeout_ms,
@@ -234,41 +233,6 @@
         return [self._status()]
 
 
-def _read_body(
-    environ: dict, max_bytes: int, timeout_ms: int, clock: clock_lib.Clock
-) -> bytes | errors.Refusal:
-    """Reads the whole body within bounds on its size and on time."""
-    if environ.get("HTTP_TRANSFER_ENCODING"):
-        return errors.LENGTH_REQUIRED
-    wanted = int(environ.get("CONTENT_LENGTH") or 0)
-    if wanted > max_bytes:
-        return errors.BODY_TOO_LARGE
-    deadline_ms = clock.now_ms() + timeout_ms
-    pieces: list[bytes] = []
-    received = 0
-    while received < wanted:
-        if clock.now_ms() > deadline_ms:
-            return errors.SLOW_SENDER
-        piece = _read_piece(environ, min(_READ_PIECE_BYTES, wanted - received))
-        if isinstance(piece, errors.Refusal):
-            return piece
-        if not piece:
-            return errors.CLIENT_GONE
-        pieces.append(piece)
-        received += len(piece)
-    return b"".join(pieces)
-
-
-def _read_piece(environ: dict, size: int) -> bytes | errors.Refusal:
-    stream = environ["wsgi.input"]
-    try:
-        return stream.read(size)
-    except TimeoutError:
-        return errors.SLOW_SENDER
-    except OSError:
-        return errors.CLIENT_GONE
-
-
 def _finish(
     context: context_lib.RequestContext,
     connection: _Connection,
--- a/tanagerloft/standins/engine.py
+++ b/tanagerloft/standins/engine.py
@@ -20,6 +20,7 @@
 
 from tanagerloft import registry as registry_lib
 from tanagerloft.server import http_server
+from tanagerloft.standins import completions
 from tanagerloft.standins import faults as faults_lib
 from tanagerloft.util import ids
 
@@ -279,15 +280,7 @@
     ) -> wrappers.Response:
         time.sleep(count * self._token_ms / _MS_PER_S)
         self._leave(payload["model"], item)
-        text = " ".join(f"token{index}" for index in range(count))
-        return faults_lib.json_response(
-            {
-                "object": "chat.completion" if chat else "text_completion",
-                "model": payload["model"],
-                "choices": [_choice("message", text, chat)],
-                "usage": _usage(payload, count),
-            }
-        )
+        return faults_lib.json_response(completions.whole(payload, count, chat))
 
     def _stream(
         self,
@@ -296,35 +289,11 @@
         count: int,
         chat: bool,
     ) -> Iterator[bytes]:
-        kind = "chat.completion.chunk" if chat else "text_completion"
         cut = self.faults.take("cut")
         for index in range(count):
             if cut and index * 2 >= count:
                 connection.abort()
                 return
             time.sleep(self._token_ms / _MS_PER_S)
-            event = {
-                "object": kind,
-                "model": payload["model"],
-                "choices": [_choice("delta", f"token{index} ", chat)],
-            }
-            yield b"data: " + json.dumps(event).encode() + b"\n\n"
-        last = {"choices": [], "usage": _usage(payload, count)}
-        yield b"data: " + json.dumps(last).encode() + b"\n\n"
-        yield b"data: [DONE]\n\n"
-
-
-def _choice(member: str, text: str, chat: bool) -> dict[str, Any]:
-    if chat:
-        return {"index": 0, member: {"role": "assistant", "content": text}}
-    return {"index": 0, "text": text}
-
-
-def _usage(payload: dict[str, Any], count: int) -> dict[str, int]:
-    prompt = payload.get("prompt") or json.dumps(payload.get("messages", ""))
-    prompt_tokens = len(str(prompt).split())
-    return {
-        "prompt_tokens": prompt_tokens,
-        "completion_tokens": count,
-        "total_tokens": prompt_tokens + count,
-    }
+            yield completions.event(payload, index, chat)
+        yield completions.last_events(payload, count)
--- a/tests/bench/test_limit_designs.py
+++ b/tests/bench/test_limit_designs.py
@@ -8,17 +8,18 @@
 import pytest
 
 from tanagerloft.bench import limit_designs
+from tanagerloft.bench import limit_workload
 
-_STEADY = limit_designs.Workload(8, 0.95, 0.5, 300_000)
+_STEADY = limit_workload.Workload(8, 0.95, 0.5, 300_000)
 _KILLED = _STEADY._replace(duration_ms=30_000, kill_first=True)
 _OUTAGE = _STEADY._replace(load=1.5, duration_ms=600_000, table_down=True)
 _RATE_IN_OUTAGE = limit_designs.RATE_TOKENS_PER_S * 600
 
 
 def _meets(make):
-    steady = limit_designs.run(make(8), _STEADY)
-    killed = limit_designs.run(make(8), _KILLED)
-    outage = limit_designs.run(make(8), _OUTAGE)
+    steady = limit_workload.run(make(8), _STEADY)
+    killed = limit_workload.run(make(8), _KILLED)
+    outage = limit_workload.run(make(8), _OUTAGE)
     above = max(o.above_bound_tokens for o in (steady, killed, outage))
     return (
         steady.wrongly_refused <= 0.01,
--- a/tests/cmd/test_main.py
+++ b/tests/cmd/test_main.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tanagerloft.cmd import main
-from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import inventory_text
 from tanagerloft.server import http_server
 from tanagerloft.standins import platform
 from tanagerloft.standins import trial
@@ -34,7 +34,7 @@
 @pytest.fixture
 def inventory_file(tmp_path):
     path = tmp_path / "inventory.jsonl"
-    path.write_text(inventory_lib.dump(trial.make_inventory(1, 2)))
+    path.write_text(inventory_text.dump(trial.make_inventory(1, 2)))
     return str(path)
 
 
@@ -51,7 +51,7 @@
     assert late.exit_code == 3
     assert "version 1 is in force" in late.stderr
     shown = run("inventory", "show")
-    assert inventory_lib.parse(shown.stdout) == trial.make_inventory(1, 2)
+    assert inventory_text.parse(shown.stdout) == trial.make_inventory(1, 2)
 
 
 def test_invalid_inventory_is_refused_whole(run, inventory_file, tmp_path):
@@ -102,7 +102,7 @@
         thread.start()
     for thread in threads:
         thread.join()
-    inventory = inventory_lib.parse(run("inventory", "show").stdout)
+    inventory = inventory_text.parse(run("inventory", "show").stdout)
     assert set(names) <= set(inventory.keys)
 
 
--- a/tests/config/test_inventory.py
+++ b/tests/config/test_inventory.py
@@ -6,6 +6,7 @@
 
 from tanagerloft.config import errors
 from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import inventory_text
 
 _DIGEST = "0" * 64
 _LINES = [
@@ -30,9 +31,9 @@
 
 
 def test_dump_and_parse_agree():
-    inventory = inventory_lib.parse(_text(_LINES))
+    inventory = inventory_text.parse(_text(_LINES))
     assert isinstance(inventory, inventory_lib.Inventory)
-    assert inventory_lib.parse(inventory_lib.dump(inventory)) == inventory
+    assert inventory_text.parse(inventory_text.dump(inventory)) == inventory
 
 
 @pytest.mark.parametrize(
@@ -62,12 +63,12 @@
 def test_fault_names_the_line(line, change, reason):
     lines = [dict(entry) for entry in _LINES]
     lines[line - 1].update(change)
-    result = inventory_lib.parse(_text(lines))
+    result = inventory_text.parse(_text(lines))
     assert isinstance(result, errors.InventoryError)
     assert result.line == line
     assert reason in result.reason
 
 
 def test_missing_field_and_broken_json_name_the_line():
-    assert inventory_lib.parse('{"kind": "class"}').line == 1
-    assert inventory_lib.parse(_text(_LINES) + "\n{").line == 9
+    assert inventory_text.parse('{"kind": "class"}').line == 1
+    assert inventory_text.parse(_text(_LINES) + "\n{").line == 9
--- a/tests/fuzz/test_limits.py
+++ b/tests/fuzz/test_limits.py
@@ -15,7 +15,7 @@
 
 from tanagerloft.bench import local
 from tanagerloft.config import inventory as inventory_lib
-from tanagerloft.controllers import limits as limits_lib
+from tanagerloft.controllers import grants as grants_lib
 from tanagerloft.decisions import account_shares
 from tanagerloft.decisions import bucket as bucket_lib
 from tanagerloft.decisions import membership
@@ -58,7 +58,7 @@
 
     def _charge(self, node, tokens):
         charge = node.limits.charge(_ACCOUNT, tokens)
-        if not isinstance(charge, limits_lib.Charge):
+        if not isinstance(charge, grants_lib.Charge):
             return False
         self.open.append((node, charge, self.fleet.clock.now_ms()))
         return True
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from tanagerloft.config import inventory as inventory_lib
+from tanagerloft.config import inventory_text
 from tanagerloft.config import store
 from tanagerloft.tables import dynamo_table
 from tanagerloft.util import http
@@ -164,7 +165,7 @@
         self._start("service-1", ["stand-in", "service"])
         draft = self._make_inventory({})
         path = pathlib.Path(self._directory, "sizes.jsonl")
-        path.write_text(inventory_lib.dump(draft))
+        path.write_text(inventory_text.dump(draft))
         names = self.engine_names()
         for name in names:
             self._launch_engine(name, str(path))
