Take room of engines and the rate of the weight store from the configuration

Cause: the keeper held memory, places and load rate of one deployment as constants, so engines with 83 GB were ordered to load 230 GB. Change: Service carries its room and rate; a pace of loads over all holders (a holder that follows another begins without a burst) replaces the count in a window; how many loads the store takes at once is learnt upwards too. Engines whose room is not told get no loads, with a line in the log. Ruled out: sending the constants as settings; the configuration changes at run time. Tests: three made-up deployments; red on the constants.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -18,21 +18,17 @@
 from tanagerloft.decisions import model_usage
 from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import order_progress
+from tanagerloft.decisions import weight_store
 from tanagerloft.fleet import types
 
 logger = logging.getLogger(__name__)
 
 # Time between lines of the log on what is waited for.
 _TELL_PLAN_MS = 1_000
-# Window over which the weight store's rate holds: the bound on loads in five
-# seconds. The users' pages give the rate.
-_LOAD_WINDOW_MS = 5_000
-_LOADS_IN_WINDOW = 10
-# Memory for weights and places for adapters of an engine, by the same pages.
-_ROOM_MB = 230_000.0
-_MAX_ADAPTERS = 8
 # Time in which a model that has been loaded gets its first request.
 _FIRST_USE_MS = 500
+# Engines whose room is not told get no loads.
+_NO_ROOM = types.EngineRoom(memory_mb=0.0, max_adapters=0)
 
 
 class OrderAnswer(NamedTuple):
@@ -86,7 +82,8 @@
         )
         self._plans: dict[str, model_plan.ModelPlan] = {}
         self._services: dict[str, types.Service] = {}
-        self._store_loads: list[int] = []
+        self._paces: dict[str, weight_store.LoadPace] = {}
+        self._paced_token = 0
         self._tell_plan_ms = 0
         self._tasks: set[asyncio.Task] = set()
         self.usage = model_usage.ModelUsage()
@@ -101,6 +98,15 @@
             for service in configuration.services.values()
             if service.has_engines
         }
+        for service in configuration.services.values():
+            if service.has_engines and service.room is None:
+                logger.warning(
+                    "room of engines not told, nothing will be loaded",
+                    extra={
+                        "service": service.name,
+                        "configuration": configuration.version,
+                    },
+                )
 
     def follow(self, now_ms: int) -> None:
         """Follows the list of targets, reports and orders under way."""
@@ -145,6 +151,8 @@
                 continue
             again = state.orders.repeat(now_ms)
             if again is not None:
+                if state.store_model == again.model:
+                    self._pace(entry.service, now_ms).take(now_ms)
                 self._start(self._carry_out(entry, state, again))
 
     def _plan_service(
@@ -161,13 +169,8 @@
             if entry.service == service
             and entry.target_id in self.states.by_target
         ]
-        self._store_loads = [
-            at_ms
-            for at_ms in self._store_loads
-            if now_ms - at_ms < _LOAD_WINDOW_MS
-        ]
         store = model_orders.WeightStore(
-            loads_left=_LOADS_IN_WINDOW - len(self._store_loads),
+            loads_left=self._pace(service, now_ms).left(now_ms),
             under_way=self.states.store_loads(),
             at_once=self.states.store_at_once(now_ms),
         )
@@ -209,6 +212,8 @@
         orders = self.states.by_target[entry.target_id].orders
         models = dict(orders.usable())
         models.pop(orders.loading, None)
+        service = self._services[entry.service]
+        room = service.room or _NO_ROOM
         return model_orders.Engine(
             target_id=entry.target_id,
             service=entry.service,
@@ -216,14 +221,30 @@
             loading=orders.loading,
             busy=orders.busy(now_ms),
             busy_ms=orders.busy_ms(now_ms),
-            leaving=entry.leaving,
+            leaving=self._directory.leaves(entry),
             copies=orders.copies,
             running=running.get(entry.target_id, {}),
-            slots=self._services[entry.service].slots,
-            room_mb=_ROOM_MB,
-            max_adapters=_MAX_ADAPTERS,
+            slots=service.slots,
+            room_mb=room.memory_mb,
+            max_adapters=room.max_adapters,
         )
 
+    def _pace(self, service: str, now_ms: int) -> weight_store.LoadPace:
+        """Returns the pace of the present term; each term has its own."""
+        assert self._lease.term is not None
+        token = self._lease.term.token
+        if token != self._paced_token:
+            self._paced_token = token
+            self._paces.clear()
+        loads_per_s = self._services[service].store_loads_per_s or 0.0
+        pace = self._paces.get(service)
+        if pace is None:
+            first = token == 1
+            pace = weight_store.LoadPace(loads_per_s, first, now_ms)
+            self._paces[service] = pace
+        pace.set_rate(loads_per_s, now_ms)
+        return pace
+
     def _give(self, order: model_orders.Order, now_ms: int) -> None:
         entry = self._directory.entries.get(order.target_id)
         state = self.states.by_target.get(order.target_id)
@@ -231,16 +252,17 @@
             return
         orders = state.orders
         shapes = self._models(entry.service)
+        room = self._services[entry.service].room or _NO_ROOM
         if orders.busy(now_ms) or not model_orders.fits(
-            orders.held(), order, shapes, _ROOM_MB, _MAX_ADAPTERS
+            orders.held(), order, shapes, room.memory_mb, room.max_adapters
         ):
             return
         takes_ms = 0.0
         if order.verb is model_orders.Verb.LOAD and not order.adapter:
             takes_ms = orders.copies.load_ms(shapes[order.model])
             if order.model not in orders.copies:
-                self._store_loads.append(now_ms)
-                self.states.note_store_load(state)
+                self._pace(entry.service, now_ms).take(now_ms)
+                self.states.note_store_load(state, order.model)
         orders.give(order, takes_ms, now_ms)
         self._start(self._carry_out(entry, state, order))
 
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -18,9 +18,6 @@
 
 # Least time between two reports of one engine.
 _REPORT_POLL_MS = 300
-# Loads from the weight store at full speed, until late ones tell otherwise;
-# the users' pages give it.
-_LOADS_AT_ONCE = 4
 
 FetchReport = Callable[
     [types.TargetEntry],
@@ -33,8 +30,10 @@
 
     Attributes:
         orders: Account of the orders to it.
+        store_model: Model that it was last ordered to load from the weight
+            store, until it is known whether that took long; empty for none.
         store_loads: Most loads from the weight store that have been under way
-            at once during its last one, itself included.
+            at once during that one, itself included.
     """
 
     def __init__(self, entry: types.TargetEntry):
@@ -42,6 +41,7 @@
         self.orders = engine_orders.EngineOrders(entry.models)
         self.report_due_ms = 0
         self.polling = False
+        self.store_model = ""
         self.store_loads = 0
 
     def told(self) -> model_marks.Models | None:
@@ -83,7 +83,7 @@
         self._fetch_report = fetch_report
         self._now_ms = now_ms
         self._placed = placed
-        self._lanes = weight_store.StoreLanes(_LOADS_AT_ONCE)
+        self._lanes = weight_store.StoreLanes()
         self._polls: set[asyncio.Task] = set()
         self.by_target: dict[str, EngineState] = {}
 
@@ -115,8 +115,9 @@
         """Returns the number of loads from the weight store under way."""
         return sum(s.loads_from_store() for s in self.by_target.values())
 
-    def note_store_load(self, begins: EngineState) -> None:
+    def note_store_load(self, begins: EngineState, model: str) -> None:
         """Takes in that an engine begins to load from the weight store."""
+        begins.store_model = model
         loading = [s for s in self.by_target.values() if s.loads_from_store()]
         begins.store_loads = len(loading) + 1
         for state in loading:
@@ -168,12 +169,16 @@
         late = state.orders.on_report(report, asked_ms)
         if late:
             self._note_late(entry, state, late)
+        elif state.store_model in report.models and not report.busy:
+            self._lanes.note_on_time(state.store_loads)
+            state.store_model = ""
 
     def _note_late(
         self, entry: types.TargetEntry, state: EngineState, model: str
     ) -> None:
         now_ms = self._now_ms()
-        if model not in state.orders.copies:
+        if model == state.store_model:
+            state.store_model = ""
             self._lanes.note_late(state.store_loads, now_ms)
         logger.info(
             "load is late",
--- a/tanagerloft/fleet/types.py
+++ b/tanagerloft/fleet/types.py
@@ -101,6 +101,18 @@
     adapter_count: int
 
 
+class EngineRoom(NamedTuple):
+    """What one engine has room for.
+
+    Attributes:
+        memory_mb: Memory for weights and adapters together.
+        max_adapters: Adapters that it can hold.
+    """
+
+    memory_mb: float
+    max_adapters: int
+
+
 class Service(NamedTuple):
     """Targets that do the same work.
 
@@ -109,12 +121,17 @@
         max_connections: Connections that a target accepts from all callers.
         models: Models by name; empty for a plain service.
         slots: Requests that an engine runs at once; 0 for a plain service.
+        room: Room of each engine, None if the configuration does not tell.
+        store_loads_per_s: Loads from the weight store that may begin in a
+            second, over all engines; None if the configuration does not tell.
     """
 
     name: str
     max_connections: int
     models: dict[str, Model]
     slots: int
+    room: EngineRoom | None = None
+    store_loads_per_s: float | None = None
 
     @property
     def has_engines(self) -> bool:
--- a/tanagerloft/platform/configuration.py
+++ b/tanagerloft/platform/configuration.py
@@ -112,9 +112,23 @@
             for model in engine.get("models") or ()
         },
         slots=int(engine.get("slots") or 0),
+        room=_decode_room(engine),
+        store_loads_per_s=_optional_number(engine.get("loads_per_s")),
     )
 
 
+def _decode_room(engine: dict[str, Any]) -> types.EngineRoom | None:
+    # The same name holds the size of one model's weights inside ``models``.
+    memory_mb = _optional_number(engine.get("weights_mb"))
+    if memory_mb is None:
+        return None
+    return types.EngineRoom(memory_mb, int(engine.get("adapter_slots") or 0))
+
+
+def _optional_number(value: Any) -> float | None:
+    return None if value is None else float(value)
+
+
 def _decode_account(item: dict[str, Any]) -> types.Account:
     priority = item.get("priority")
     return types.Account(
--- /dev/null
+++ b/tests/coordination/test_engine_keeper.py
@@ -0,0 +1,109 @@
+"""Orders of the keeper on deployments that differ in room and rate."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from tanagerloft.fleet import types
+from tests.support import engine_fleet
+
+_WINDOW_MS = 5_000
+# What the platform tolerates beyond the rate: a share, and loads besides.
+_OVER = 1.1
+_MORE_LOADS = 3
+
+
+def _service(
+    count: int, size_mb: float, room: types.EngineRoom | None, loads_per_s
+) -> types.Service:
+    models = {
+        f"m{n}": types.Model(f"m{n}", size_mb, 6_000, 270, 350, 14.0, 12)
+        for n in range(count)
+    }
+    return types.Service("s", 100, models, 32, room, loads_per_s)
+
+
+_ONE_ENGINE = _service(6, 70_000, types.EngineRoom(150_000, 8), 4.0)
+_SMALL_MODELS = _service(40, 16_100, types.EngineRoom(83_000, 3), 10.0)
+_SLOW_STORE = _service(30, 34_300, types.EngineRoom(83_000, 8), 0.5)
+
+
+def _most_in_window(begun_ms: list[int]) -> int:
+    return max(
+        sum(at_ms <= one < at_ms + _WINDOW_MS for one in begun_ms)
+        for at_ms in begun_ms
+    )
+
+
+@pytest.mark.parametrize(
+    ("service", "held", "at_once"),
+    [
+        pytest.param(_ONE_ENGINE, [["m0"]], 4, id="one engine"),
+        pytest.param(
+            _SMALL_MODELS,
+            [[f"m{n}" for n in range(k, k + 5)] for k in (0, 5, 10)],
+            4,
+            id="small models",
+        ),
+        pytest.param(
+            _SLOW_STORE,
+            [[f"m{n}", f"m{n + 1}"] for n in range(0, 16, 2)],
+            2,
+            id="slow store",
+        ),
+    ],
+)
+def test_orders_keep_to_room_places_and_rate(service, held, at_once):
+    async def run():
+        fleet = engine_fleet.EngineFleet(service, held, at_once)
+        names = list(service.models)
+        await fleet.run(1_000, {})
+        for name in itertools.islice(itertools.cycle(names), 0, 60, 7):
+            waited = {name: 2, f"{name}/a1": 1, f"{names[0]}/a2": 1}
+            await fleet.run(4_000, waited)
+        assert fleet.arrived
+        assert not fleet.over_room
+        assert service.store_loads_per_s is not None
+        allowed = service.store_loads_per_s * _WINDOW_MS / 1_000 * _OVER
+        assert _most_in_window(fleet.begun_ms) <= allowed + _MORE_LOADS
+
+    asyncio.run(run())
+
+
+def test_models_that_fit_only_in_more_room_are_all_held():
+    # Five models of 16 GB fit in 83 GB, three of them in half of it.
+    async def run():
+        fleet = engine_fleet.EngineFleet(_SMALL_MODELS, [["m0"]], 4)
+        await fleet.run(1_000, {})
+        await fleet.run(30_000, {f"m{n}": 1 for n in range(5)})
+        assert all(fleet.holds(f"m{n}") for n in range(5))
+
+    asyncio.run(run())
+
+
+def test_less_room_by_a_new_configuration_is_kept_to():
+    async def run():
+        fleet = engine_fleet.EngineFleet(
+            _SMALL_MODELS, [["m0", "m1", "m2", "m3", "m4"]], 4
+        )
+        await fleet.run(1_000, {})
+        fleet.configure(
+            _SMALL_MODELS._replace(room=types.EngineRoom(50_000, 1))
+        )
+        await fleet.run(20_000, {"m9": 1, "m9/a1": 1})
+        assert fleet.holds("m9/a1")
+        assert not fleet.over_room
+
+    asyncio.run(run())
+
+
+def test_engines_whose_room_is_not_told_get_no_loads():
+    async def run():
+        service = _SMALL_MODELS._replace(room=None)
+        fleet = engine_fleet.EngineFleet(service, [["m0"]], 4)
+        await fleet.run(10_000, {"m9": 1, "m0/a1": 1})
+        assert not fleet.arrived
+        assert fleet.holds("m0")
+
+    asyncio.run(run())
--- a/tests/coordination/test_engine_states.py
+++ b/tests/coordination/test_engine_states.py
@@ -45,7 +45,7 @@
         states = play.states.by_target
         for state in states.values():
             order = model_orders.Order(model_orders.Verb.LOAD, "e", "m")
-            play.states.note_store_load(state)
+            play.states.note_store_load(state, "m")
             state.orders.give(order, 6_000, play.now_ms)
             accepted = order_progress.Result.ACCEPTED
             state.orders.on_answer(order, accepted, play.now_ms)
--- a/tests/coordination/test_holder.py
+++ b/tests/coordination/test_holder.py
@@ -18,7 +18,11 @@
 _CONFIGURATION = types.Configuration(
     version=1,
     routes={},
-    services={"s": types.Service("s", 100, {"m": _MODEL}, 16)},
+    services={
+        "s": types.Service(
+            "s", 100, {"m": _MODEL}, 16, types.EngineRoom(230_000.0, 8), 4.0
+        )
+    },
     accounts={},
     account_by_key={},
     limits=types.CallerLimits(),
