Heed targets that say they leave or back off; bound answers without end

Cause: answers carry what the list of targets tells seconds later or never: Server-Leaving, and Retry-After with 503. Neither was read. A head, trailer, event or foreign body without end was read until the caller's deadline. Change: decisions/target_notices keeps both by life of a target; requests go to other targets, are refused at once with the true time if that is past their aim, and wait otherwise; a connection that opens after the notice is not used. What one instance was told goes on to the others as a hint, so the holder plans around it. Bytes beside the body, whole answers and single events are bounded. Tests on raw sockets; red without the change (five requests instead of one; 504 after ten seconds instead of 502 at once).

--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -10,6 +10,7 @@
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import target_notices
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 from tanagerloft.util import loops
@@ -218,6 +219,7 @@
             reads_store=self._reads_store(),
             models_seen=self._models_seen,
             crashes=self._crashes.told(now_ms),
+            leaving_targets=dict(self._directory.notices.told()),
         )
         if self._lease.mine:
             if self.loopback is not None:
@@ -249,6 +251,12 @@
             self._share_rates()
         self._later_ms = view.later_ms
         self._barred = frozenset(view.barred)
+        self._directory.notices.on_hints(
+            frozenset(
+                target_notices.Life(*item)
+                for item in view.leaving_targets.items()
+            )
+        )
         self._take_proof(view, now_ms)
         changed = self._directory.on_view(
             view.in_flight, view.prefilling, view.models, fresh_term
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -30,7 +30,9 @@
 # what engines hold.
 _COUNT_MS = 100
 _MARK_MS = 5
-
+# Leaving targets that are told on, the newest; the list tells of them within
+# seconds.
+_MAX_LEAVING = 32
 
 Reply = Callable[[messages.View], None]
 
@@ -74,6 +76,7 @@
         self._marks = model_marks.ModelMarks()
         self._marked_ms = 0
         self._arrived: set[tuple[str, str]] = set()
+        self._leaving_targets: dict[str, int] = {}
         self._count = 0
         self._counted_ms = 0
         self._ledger: token_grants.GrantLedger | None = None
@@ -130,6 +133,9 @@
         self._heard[report.instance] = _Heard(report, now_ms, reply)
         self._loads.put(report)
         self._crashes.put(_process(report), report.crashes, now_ms)
+        self._leaving_targets |= report.leaving_targets
+        while len(self._leaving_targets) > _MAX_LEAVING:
+            del self._leaving_targets[next(iter(self._leaving_targets))]
         if report.leaving:
             del self._heard[report.instance]
             self._loads.remove(report.instance)
@@ -199,6 +205,7 @@
             later_ms={},
             barred=self._crashes.barred(now_ms),
             proof=self._proof(now_ms),
+            leaving_targets=self._leaving_targets,
         )
 
     def _struggles(self, now_ms: int) -> bool:
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -52,6 +52,8 @@
         reads_store: Whether it has just read the store.
         models_seen: Term and mark of the models that it knows of.
         crashes: Crashes of targets by digest of the request.
+        leaving_targets: Targets that have told it that they leave, by the
+            start of their life.
     """
 
     instance: str
@@ -66,6 +68,7 @@
     reads_store: bool
     models_seen: tuple[int, int]
     crashes: dict[str, int]
+    leaving_targets: dict[str, int]
 
 
 class Knowledge(NamedTuple):
@@ -120,6 +123,8 @@
         later_ms: Time until a waited-for model can be had, by model.
         barred: Digests of requests that crash targets.
         proof: How current the holder's knowledge is.
+        leaving_targets: Targets that have told an instance that they leave,
+            by the start of their life.
     """
 
     holder: str
@@ -134,6 +139,7 @@
     later_ms: dict[str, int]
     barred: list[str]
     proof: Proof
+    leaving_targets: dict[str, int]
 
 
 def encode(message: Report | View) -> bytes:
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -8,6 +8,7 @@
 
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import store as store_lib
+from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
 
 logger = logging.getLogger(__name__)
@@ -51,6 +52,13 @@
         decode: Decodes an entry of the platform's list.
         now_ms: Clock.
         data_centre: Where this instance runs.
+
+    Attributes:
+        entries: Entries of the platform's list.
+        in_flight: Requests under way by target and model (with adapter).
+        prefilling: Prompt tokens sent by target and not read yet.
+        notices: What targets have said in their answers.
+        malformed: Entries that could not be read.
     """
 
     def __init__(
@@ -70,6 +78,7 @@
         self.entries: dict[str, types.TargetEntry] = {}
         self.in_flight: dict[str, dict[str, int]] = {}
         self.prefilling: dict[str, int] = {}
+        self.notices = target_notices.TargetNotices()
         self.malformed = 0
 
     def on_rows(self, rows: tuple[store_lib.Row, ...], whole: bool) -> Changes:
@@ -152,16 +161,17 @@
         best = None
         best_key: tuple | None = None
         for entry in self.entries.values():
-            if entry.service != service or entry.leaving:
+            if not self._could_take(entry, service, model, adapter, now_ms):
                 continue
-            if model and not self._holds(entry, model, adapter, now_ms):
+            life = life_of(entry)
+            if not self.notices.takes(life, now_ms):
                 continue
             load: float = self._load(entry.target_id)
             load += self.prefill_tokens(entry.target_id) / _TOKENS_PER_LOAD
             load += _FAILURE_WEIGHT * self._failing(entry.target_id, now_ms)
             far = entry.data_centre != self._data_centre
             key = (
-                entry.target_id in avoid,
+                entry.target_id in avoid or self.notices.is_hinted(life),
                 load + (0.5 if far else 0.0),
                 entry.target_id,
             )
@@ -169,6 +179,62 @@
                 best, best_key = entry, key
         return best
 
+    def back_off_ms(self, service: str, model: str, adapter: str) -> int | None:
+        """Returns how long all targets that could run a request refuse any.
+
+        Returns:
+            The time until the first one takes requests again, None if there
+            is no such target.
+        """
+        now_ms = self._now_ms()
+        times = (
+            self.notices.back_off_ms(life_of(entry), now_ms)
+            for entry in self.entries.values()
+            if self._could_take(entry, service, model, adapter, now_ms)
+            and not self.notices.leaves(life_of(entry))
+        )
+        return min(times, default=None)
+
+    def takes(self, entry: types.TargetEntry) -> bool:
+        """Returns whether a target that was chosen may still be sent to."""
+        current = self.entries.get(entry.target_id)
+        if current is None or current.leaving:
+            return False
+        return self.notices.takes(life_of(entry), self._now_ms())
+
+    def leaves(self, entry: types.TargetEntry) -> bool:
+        """Returns whether a target leaves, as far as anybody knows."""
+        life = life_of(entry)
+        known = self.notices.leaves(life) or self.notices.is_hinted(life)
+        return entry.leaving or known
+
+    def note_leaving(self, entry: types.TargetEntry, misdirected: bool) -> None:
+        """Remembers that an answer says that its target leaves.
+
+        Args:
+            entry: Target that the request was sent to.
+            misdirected: Whether another target may have answered, which has
+                the same address.
+        """
+        lives = [life_of(entry)]
+        if misdirected:
+            lives += [
+                life_of(other)
+                for other in self.entries.values()
+                if (other.host, other.port) == (entry.host, entry.port)
+            ]
+        for life in lives:
+            if self.notices.note_leaving(life):
+                logger.info("target says it leaves", extra=life._asdict())
+
+    def note_back_off(self, entry: types.TargetEntry, for_ms: int) -> None:
+        """Remembers that a target wants no requests for a time."""
+        life = life_of(entry)
+        self.notices.note_back_off(life, for_ms, self._now_ms())
+        logger.info(
+            "target backs off", extra={**life._asdict(), "for_ms": for_ms}
+        )
+
     def prefill_tokens(self, target_id: str) -> int:
         """Returns the prompt tokens that a target has still to read."""
         own = self.prefilling.get(target_id, 0)
@@ -208,6 +274,19 @@
         """Remembers that a target said that it lacks a model or adapter."""
         self._lacks[target_id, subject] = self._now_ms()
 
+    def _could_take(
+        self,
+        entry: types.TargetEntry,
+        service: str,
+        model: str,
+        adapter: str,
+        now_ms: int,
+    ) -> bool:
+        """Returns whether a target fits, its own notices aside."""
+        if entry.service != service or entry.leaving:
+            return False
+        return not model or self._holds(entry, model, adapter, now_ms)
+
     def _holds(
         self, entry: types.TargetEntry, model: str, adapter: str, now_ms: int
     ) -> bool:
@@ -270,6 +349,11 @@
         return True
 
 
+def life_of(entry: types.TargetEntry) -> target_notices.Life:
+    """Returns the life of a target that an entry tells of."""
+    return target_notices.Life(entry.target_id, entry.born_ms)
+
+
 def subject(model: str, adapter: str) -> str:
     """Returns the name under which a model, or its adapter, is counted."""
     return f"{model}/{adapter}" if adapter else model
--- /dev/null
+++ b/tanagerloft/decisions/target_notices.py
@@ -0,0 +1,94 @@
+"""What targets have asked of this instance in their answers.
+
+Load answered: targets that leave or are overloaded and say so in an answer,
+seconds before the list of targets does, or without it ever doing so. What one
+life of a target has said holds for that life alone: its address and its name
+may be used again by another one.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+# A target that asks for more is asked again after this time.
+_MAX_BACK_OFF_MS = 3_600_000
+# Lives that are remembered; the oldest are forgotten first. A life that leaves
+# is over within a minute.
+_MAX_REMEMBERED = 1_024
+# Leaving targets that are told on, the newest; the list tells of them within
+# seconds.
+_MAX_TOLD = 32
+
+
+class Life(NamedTuple):
+    """One life of a target.
+
+    Attributes:
+        target_id: Name.
+        born_ms: Start, in the target's own time of day.
+    """
+
+    target_id: str
+    born_ms: int
+
+
+class TargetNotices:
+    """Notices of targets, own ones and those that others tell."""
+
+    def __init__(self):
+        self._leaving: dict[Life, None] = {}
+        self._back_off_until_ms: dict[Life, int] = {}
+        self._hinted: frozenset[Life] = frozenset()
+
+    def note_leaving(self, life: Life) -> bool:
+        """Takes in that a target says that it leaves.
+
+        Returns:
+            Whether that was not known.
+        """
+        if life in self._leaving:
+            return False
+        _put(self._leaving, life, None)
+        return True
+
+    def note_back_off(self, life: Life, for_ms: int, now_ms: int) -> None:
+        """Takes in that a target wants no requests for a time."""
+        until_ms = now_ms + min(for_ms, _MAX_BACK_OFF_MS)
+        known_ms = self._back_off_until_ms.pop(life, until_ms)
+        _put(self._back_off_until_ms, life, max(known_ms, until_ms))
+
+    def on_hints(self, lives: frozenset[Life]) -> None:
+        """Takes in which targets have told others that they leave."""
+        self._hinted = lives
+
+    def leaves(self, life: Life) -> bool:
+        """Returns whether a target has told this instance that it leaves."""
+        return life in self._leaving
+
+    def is_hinted(self, life: Life) -> bool:
+        """Returns whether only others have been told so."""
+        return life in self._hinted
+
+    def back_off_ms(self, life: Life, now_ms: int) -> int:
+        """Returns how long a target still wants no requests, 0 for none."""
+        until_ms = self._back_off_until_ms.get(life)
+        if until_ms is None:
+            return 0
+        if until_ms <= now_ms:
+            del self._back_off_until_ms[life]
+            return 0
+        return until_ms - now_ms
+
+    def takes(self, life: Life, now_ms: int) -> bool:
+        """Returns whether a target may be sent a request."""
+        return not self.leaves(life) and not self.back_off_ms(life, now_ms)
+
+    def told(self) -> list[Life]:
+        """Returns the leaving targets that others are to know of."""
+        return list(self._leaving)[-_MAX_TOLD:]
+
+
+def _put(known: dict, life: Life, value: int | None) -> None:
+    known[life] = value
+    if len(known) > _MAX_REMEMBERED:
+        del known[next(iter(known))]
--- a/tanagerloft/gateway/attempt.py
+++ b/tanagerloft/gateway/attempt.py
@@ -17,6 +17,8 @@
 # within this time, or on a new one: a target may forget an idle one without
 # notice.
 _FRESH_IDLE_MS = 50
+# Size of an answer that is no stream; it is kept whole until it is complete.
+_MAX_ANSWER_BYTES = 8_388_608
 
 
 class Owner(Protocol):
@@ -77,6 +79,7 @@
         self._mark: dialect_lib.Mark | None = None
         self._status = 0
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._prefill_tokens = 0
         self._over = False
         self.target = target
@@ -127,19 +130,32 @@
 
     def on_head(self, head: target_connection.Head) -> None:
         """Takes in the head of an answer."""
-        self._mark = self._parts.dialect.mark(self._context.ask, head)
+        mark = self._parts.dialect.mark(self._context.ask, head)
+        directory = self._parts.directory
+        if mark.leaving:
+            directory.note_leaving(self.target, misdirected=mark.lacks)
+        if mark.back_off_ms:
+            directory.note_back_off(self.target, mark.back_off_ms)
+        self._mark = mark
         self._status = head.status
         self._body = []
 
     def on_body(self, data: bytes) -> None:
         """Takes in a piece of the body."""
         mark = self._mark
-        if mark is None or not mark.ours:
+        if mark is None:
             return
-        if not self._is_stream(mark):
-            self._body.append(data)
+        if not mark.ours or not self._is_stream(mark):
+            self._body_bytes += len(data)
+            if self._body_bytes > _MAX_ANSWER_BYTES:
+                self._break_off()
+            elif mark.ours:
+                self._body.append(data)
             return
         completed, fresh = self._stream.feed(data, self._parts.now_ms())
+        if self._stream.malformed:
+            self._break_off()
+            return
         if completed:
             self._end_prefill()
         if fresh:
@@ -165,6 +181,12 @@
         else:
             self._owner.on_answer(mark, self._status, b"".join(self._body))
 
+    def _break_off(self) -> None:
+        """Ends an answer that does not end by itself."""
+        if self._connection is not None:
+            self._connection.cancel()
+            self.on_loss(target_connection.Loss.MALFORMED)
+
     def on_loss(self, loss: target_connection.Loss) -> None:
         """Takes in the end of the connection before that of the answer."""
         self._connection = None
@@ -177,6 +199,11 @@
             self._owner.on_failed(attempts.Evidence.NOT_SENT, opened.value)
         elif self._over:
             opened.close()
+        elif not self._parts.directory.takes(self.target):
+            opened.close()
+            self._owner.on_failed(
+                attempts.Evidence.NOT_SENT, "target takes no more requests"
+            )
         else:
             self._write(opened)
 
--- a/tanagerloft/gateway/dialect.py
+++ b/tanagerloft/gateway/dialect.py
@@ -67,6 +67,8 @@
         genuine: Whether it is the target's own answer to the request.
         lacks: Whether the target lacks the model or is another one.
         stream: Whether the body is a stream of events.
+        leaving: Whether the target says that it leaves.
+        back_off_ms: Time for which it wants no more requests, 0 for none.
         headers: Headers that go to the caller.
     """
 
@@ -75,6 +77,8 @@
     genuine: bool
     lacks: bool
     stream: bool
+    leaving: bool
+    back_off_ms: int
     headers: list[tuple[bytes, bytes]]
 
 
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -37,6 +37,9 @@
     "This request took down each target that ran it.",
     retry_after_ms=60_000,
 )
+TARGETS_BACK_OFF = Refusal(
+    "targets_back_off", 503, "The targets take no requests for a time."
+)
 OUT_OF_TIME = Refusal(
     "out_of_time", 503, "The time ended before the request was sent."
 )
--- a/tanagerloft/gateway/placing.py
+++ b/tanagerloft/gateway/placing.py
@@ -87,8 +87,15 @@
         other = self._parts.directory.choose(*self.subject, avoid)
         return other is not None and other.target_id not in avoid
 
-    def _without_target(self, now_ms: int) -> NoTarget | errors.Refusal:
-        """Refuses the request if waiting for its model cannot help."""
+    def _without_target(self, now_ms: int) -> Place:
+        """Refuses the request if waiting for its target cannot help."""
+        back_off_ms = self._parts.directory.back_off_ms(*self.subject)
+        if back_off_ms is not None:
+            if now_ms + back_off_ms > self.aim_ms:
+                return errors.TARGETS_BACK_OFF._replace(
+                    retry_after_ms=back_off_ms
+                )
+            return Later(max(1, back_off_ms))
         later_ms = self._parts.later_ms(self._context.ask.model)
         if later_ms is not None and now_ms + later_ms > self.patience_ms:
             return errors.MODEL_NOT_READY._replace(retry_after_ms=later_ms)
--- a/tanagerloft/gateway/stream_relay.py
+++ b/tanagerloft/gateway/stream_relay.py
@@ -4,6 +4,10 @@
 
 from tanagerloft.gateway import events as events_lib
 
+# Size of one event, and of all that a stream holds besides numbered events.
+_MAX_EVENT_BYTES = 1_048_576
+_MAX_UNNUMBERED_BYTES = 65_536
+
 
 class StreamRelay:
     """Passes on each event once, also when a stream goes on elsewhere.
@@ -20,6 +24,7 @@
     def __init__(self, last_event_id: int | None):
         self._splitter = events_lib.EventSplitter()
         self._last_event_ms = 0
+        self._unnumbered_bytes = 0
         self.last_event_id = last_event_id
         self.events = 0
         self.longest_gap_ms = 0
@@ -28,6 +33,14 @@
         """Begins with the answer of another target."""
         self._splitter = events_lib.EventSplitter()
 
+    @property
+    def malformed(self) -> bool:
+        """Whether what comes is no stream of events."""
+        return (
+            len(self._splitter.rest()) > _MAX_EVENT_BYTES
+            or self._unnumbered_bytes > _MAX_UNNUMBERED_BYTES
+        )
+
     def feed(self, data: bytes, now_ms: int) -> tuple[bool, bytes]:
         """Takes a piece of the answer.
 
@@ -52,7 +65,8 @@
     def _is_fresh(self, event: events_lib.Event) -> bool:
         number, last = event.number, self.last_event_id
         if number is None:
-            return True
+            self._unnumbered_bytes += len(event.data)
+            return not self.malformed
         if last is not None and number <= last:
             return False
         self.last_event_id = number
--- a/tanagerloft/net/http_client.py
+++ b/tanagerloft/net/http_client.py
@@ -8,6 +8,9 @@
 from tanagerloft.net import target_connection
 from tanagerloft.util import loops
 
+# A page of the store is a megabyte, and a third more as text.
+_MAX_BODY_BYTES = 8_388_608
+
 
 class Answer(NamedTuple):
     """A whole answer.
@@ -42,12 +45,18 @@
         )
         self._head: target_connection.Head | None = None
         self._body: list[bytes] = []
+        self._body_bytes = 0
 
     def on_head(self, head: target_connection.Head) -> None:
         self._head = head
 
     def on_body(self, data: bytes) -> None:
-        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes <= _MAX_BODY_BYTES:
+            self._body.append(data)
+        elif not self.done.done():
+            self._body.clear()
+            self.done.set_result(NoAnswer(True, "answer without end"))
 
     def on_end(self) -> None:
         if not self.done.done() and self._head is not None:
@@ -79,7 +88,10 @@
     connection.send(data, collector)
     try:
         async with loops.timeout(timeout_ms):
-            return await collector.done
+            answer = await collector.done
+        if isinstance(answer, NoAnswer):
+            connection.cancel()
+        return answer
     except TimeoutError:
         connection.cancel()
         return NoAnswer(True, "timeout")
--- a/tanagerloft/net/target_connection.py
+++ b/tanagerloft/net/target_connection.py
@@ -27,6 +27,10 @@
 # Share of the announced idle time that is used; the rest covers the transfer.
 _IDLE_SHARE = 0.5
 _WRITE_HIGH_BYTES = 65_536
+# Bytes of an answer beside its body: heads, framing, trailers. So many, and so
+# many more for each byte of the body, which may come in pieces of one byte.
+_MAX_OVERHEAD_BYTES = 65_536
+_MAX_OVERHEAD_SHARE = 16
 
 
 class Head(NamedTuple):
@@ -89,6 +93,8 @@
         self._reusable = True
         self._closed = False
         self._idle_ms = _DEFAULT_IDLE_MS
+        self._received_bytes = 0
+        self._body_bytes = 0
         self.idle_since_ms = 0
 
     def connection_made(self, transport) -> None:
@@ -120,10 +126,17 @@
             # Bytes after the answer belong to no request.
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(Loss.MALFORMED)
+            return
+        overhead_bytes = self._received_bytes - self._body_bytes
+        if overhead_bytes > (
+            _MAX_OVERHEAD_BYTES + _MAX_OVERHEAD_SHARE * self._body_bytes
+        ):
+            self._fail(Loss.MALFORMED)
 
     def on_message_begin(self) -> None:
         self._headers = []
@@ -131,7 +144,8 @@
             self._reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
+        if not self._reading:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
@@ -148,6 +162,7 @@
         self._receiver.on_head(head)
 
     def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
         if self._receiver is not None and self._reading:
             self._receiver.on_body(body)
 
@@ -167,6 +182,7 @@
     def send(self, data: bytes, receiver: Receiver) -> None:
         """Starts an exchange."""
         self._receiver = receiver
+        self._received_bytes = self._body_bytes = 0
         self._transport.write(data)
 
     def skip_answer(self, receiver: Receiver) -> None:
--- a/tanagerloft/platform/requests.py
+++ b/tanagerloft/platform/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 import orjson
@@ -37,6 +38,8 @@
 # Callers that come back sooner than this meet the same state.
 _MIN_RETRY_MS = 50
 _MISDIRECTED = 421
+_OVERLOADED = 503
+_SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class PlatformDialect:
@@ -97,6 +100,8 @@
             genuine=sealed and echoed is not None,
             lacks=head.status == _MISDIRECTED,
             stream=content_type.lower().startswith(_STREAM_TYPE),
+            leaving=head.get(wire.LEAVING) == b"1",
+            back_off_ms=_decode_back_off(head),
             headers=[
                 (name, value)
                 for name, value in head.headers
@@ -118,6 +123,15 @@
         return headers, orjson.dumps(body)
 
 
+def _decode_back_off(head: target_connection.Head) -> int:
+    """Returns for how long an overloaded target wants no requests."""
+    value = head.get(wire.RETRY_AFTER)
+    if head.status != _OVERLOADED or value is None:
+        return 0
+    seconds = _SECONDS.fullmatch(value.strip())
+    return math.ceil(float(seconds[0]) * 1_000) if seconds else 0
+
+
 def _named_by_connection(
     headers: tuple[tuple[bytes, bytes], ...],
 ) -> frozenset[bytes]:
--- a/tanagerloft/platform/wire.py
+++ b/tanagerloft/platform/wire.py
@@ -31,6 +31,8 @@
 # Headers of answers.
 SEAL = b"response-seal"
 NOT_RUN = b"not-executed"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 # Headers that concern one connection only.
 HOP_BY_HOP = frozenset(
--- /dev/null
+++ b/tests/gateway/test_notices.py
@@ -0,0 +1,189 @@
+"""Targets that leave, back off or never end, byte by byte."""
+
+import asyncio
+import resource
+
+import pytest
+
+from tests.support import users_platform as platform_lib
+
+_PIECE = b"x" * 65_536
+
+
+def _run(test):
+    async def run():
+        async with platform_lib.Platform() as platform:
+            await test(platform)
+
+    asyncio.run(run())
+
+
+def _status(data: bytes) -> int:
+    return int(data.split(b" ", 2)[1])
+
+
+def _answering(**headers):
+    async def script(request, writer):
+        writer.write(platform_lib.answer(request, **headers))
+
+    return script
+
+
+async def _ok(request, writer):
+    writer.write(platform_lib.answer(request))
+
+
+async def _backs_off(request, writer):
+    writer.write(
+        platform_lib.answer(
+            request, status=503, Not_Executed="1", Retry_After="30"
+        )
+    )
+
+
+def test_a_target_that_says_it_leaves_gets_nothing_more():
+    async def test(platform):
+        leaves = await platform.add_target(_answering(Server_Leaving="1"))
+        assert _status(await platform.call("GET", "/safe/x")) == 200
+        stays = await platform.add_target(_ok, target_id="t2")
+        for _ in range(4):
+            assert _status(await platform.call("GET", "/safe/x")) == 200
+        assert len(leaves.requests) == 1
+        assert len(stays.requests) == 4
+
+    _run(test)
+
+
+def test_other_values_of_the_header_say_nothing():
+    async def test(platform):
+        target = await platform.add_target(_answering(Server_Leaving="0"))
+        for _ in range(2):
+            assert _status(await platform.call("GET", "/safe/x")) == 200
+        assert len(target.requests) == 2
+
+    _run(test)
+
+
+def test_another_target_takes_what_one_that_backs_off_refuses():
+    async def test(platform):
+        busy = await platform.add_target(_backs_off)
+        free = await platform.add_target(_ok, target_id="t2")
+        for _ in range(6):
+            assert _status(await platform.call("GET", "/safe/x")) == 200
+        assert len(busy.requests) <= 1
+        assert len(free.requests) == 6
+
+    _run(test)
+
+
+def test_requests_are_refused_at_once_while_all_targets_back_off():
+    async def test(platform):
+        busy = await platform.add_target(_backs_off)
+        for _ in range(4):
+            data = await platform.call("POST", "/once/x", body=b"pay")
+            assert _status(data) == 503
+            assert b"targets_back_off" in data
+            told = data.lower().split(b"retry-after: ")[1].split(b"\r\n")[0]
+            assert 20 < float(told) <= 30
+        assert len(busy.requests) == 1
+
+    _run(test)
+
+
+def test_a_short_back_off_is_waited_out():
+    async def test(platform):
+        answers = []
+
+        async def script(request, writer):
+            answers.append(request)
+            if len(answers) == 1:
+                writer.write(
+                    platform_lib.answer(
+                        request,
+                        status=503,
+                        Not_Executed="1",
+                        Retry_After="0.2",
+                    )
+                )
+            else:
+                writer.write(platform_lib.answer(request))
+
+        await platform.add_target(script)
+        assert _status(await platform.call("GET", "/safe/x")) == 200
+        assert len(answers) == 2
+
+    _run(test)
+
+
+async def _flood(writer) -> None:
+    """Writes until the other side closes."""
+    try:
+        while not writer.is_closing():
+            writer.write(_PIECE)
+            await writer.drain()
+            await asyncio.sleep(0)
+    except ConnectionError:
+        return
+
+
+def _endless_head(_request) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nX-Long: "
+
+
+def _endless_interim(_request) -> bytes:
+    return b"HTTP/1.1 100 Continue\r\nX-Long: "
+
+
+def _endless_body(request) -> bytes:
+    attempt = request.headers["attempt-id"].encode()
+    return (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\n"
+        b"Response-Seal: seal-1\r\n\r\n" % attempt
+    )
+
+
+def _endless_body_of_another(_request) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n\r\n"
+
+
+def _endless_trailer(request) -> bytes:
+    return platform_lib.stream_head(request) + b"0\r\nX-Long: "
+
+
+def _endless_event(request) -> bytes:
+    head = platform_lib.stream_head(request)
+    return head + b"ffffffffff\r\nid: 1\ndata: "
+
+
+@pytest.mark.parametrize(
+    "begin",
+    [
+        _endless_head,
+        _endless_interim,
+        _endless_body,
+        _endless_body_of_another,
+        _endless_trailer,
+        _endless_event,
+    ],
+)
+@pytest.mark.parametrize("path", ["/once/x", "/stream/x"])
+def test_bytes_without_end_are_cut_off(begin, path):
+    async def test(platform):
+        async def script(request, writer):
+            writer.write(begin(request))
+            await _flood(writer)
+
+        streams = path.startswith("/stream")
+        service, headers = "plain", {}
+        if streams:
+            service, headers = "engines", {"Model": "m1"}
+        target = await platform.add_target(script, service=service)
+        before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        data = await platform.call("POST", path, body=b"x", **headers)
+        after_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        assert _status(data) == 502
+        assert len(data) < 10_000
+        await target.closed.wait()
+        assert after_kb - before_kb < 64_000
+
+    _run(test)
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -60,5 +60,6 @@
         reads_store=False,
         models_seen=(0, 0),
         crashes={},
+        leaving_targets={},
     )
     return plain._replace(**changes)
