Load models whose callers are refused; none is passed over for long

A request whose model would come too late was refused at once, so nobody waited, so nothing was loaded: 8 of 64 models never served. Loads of orders that engines had left unanswered counted as late and took the store down to one load at once; a model in steady use stayed in steady use for 10 s after demand had moved on. Change: requests since an engine last held a model count as demand; the model missed for longest goes first, one at a time (decisions/passed_over); a repeated order is due from its acceptance and tells nothing of the store's speed; silence ends steady use; half of the engines may load for long; tries at an engine that unloads back off.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -153,6 +153,8 @@
             if again is not None:
                 if state.store_model == again.model:
                     self._pace(entry.service, now_ms).take(now_ms)
+                    # It may begin at any time, so it tells nothing of speed.
+                    state.store_model = ""
                 self._start(self._carry_out(entry, state, again))
 
     def _plan_service(
@@ -174,6 +176,9 @@
             under_way=self.states.store_loads(),
             at_once=self.states.store_at_once(now_ms),
         )
+        self.usage.note_held(
+            name for engine in engines for name in engine.held()
+        )
         planned = plan.plan(
             engines,
             demands.of_service(reports, service),
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -25,8 +25,10 @@
 _REPEAT_MS = 300
 # A guess of what is left of a load that takes longer than it should.
 _LATE_MS = 500
-# An engine that is busy with an unload is tried again after this time.
+# An engine that is busy with an unload is tried again after this time, and
+# after twice as long each further time: it waits for runs of seconds.
 _BUSY_MS = 40
+_MAX_BUSY_MS = 320
 
 
 class EngineOrders:
@@ -46,6 +48,7 @@
         self._changed_ms = -1
         self._before_ms = -1
         self._next_ms = 0
+        self._busy_ms = _BUSY_MS
         self._sequence = 0
         self.copies = model_orders.Copies(frozenset(), frozenset())
 
@@ -127,10 +130,14 @@
         self._held.on_order(order)
         if order.adapter:
             return
-        margin_ms = _MARGIN_MS if takes_ms else 0
-        due_ms = now_ms + int(takes_ms) + margin_ms
+        takes = int(takes_ms) + (_MARGIN_MS if takes_ms else 0)
         self._pending = progress.Pending(
-            order, self._sequence, due_ms, progress.Phase.SENT, repeated=False
+            order,
+            self._sequence,
+            takes,
+            now_ms + takes,
+            progress.Phase.SENT,
+            repeated=False,
         )
 
     def count_before(self, order: model_orders.Order) -> int:
@@ -170,8 +177,11 @@
         if pending is None or pending.order != order:
             return
         if result is progress.Result.ACCEPTED:
+            self._busy_ms = _BUSY_MS
             self._sequence = max(self._sequence, pending.expected + 1)
-            self._pending = pending._replace(phase=progress.Phase.ACCEPTED)
+            self._pending = pending._replace(
+                phase=progress.Phase.ACCEPTED, due_ms=now_ms + pending.takes_ms
+            )
         elif result is progress.Result.HOLDS:
             self._done(pending)
         elif result is progress.Result.UNKNOWN:
@@ -281,7 +291,8 @@
         if result is progress.Result.NOT_SENT:
             self._next_ms = now_ms + _REPEAT_MS
         elif self._last_done is not None and not self._last_done.loads:
-            self._next_ms = now_ms + _BUSY_MS
+            self._next_ms = now_ms + self._busy_ms
+            self._busy_ms = min(2 * self._busy_ms, _MAX_BUSY_MS)
         else:
             self._blocked = True
 
--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -16,6 +16,11 @@
 
 # Requests in the recent window that make a model one in steady use.
 STEADY_REQUESTS = 4.0
+# A model whose silence is longer than so many of its usual pauses is not in
+# steady use any more: demand has moved on.
+_SILENT_PAUSES = 3.0
+# Requests of the recent window, times the pause between two of them.
+_RECENT_MS = 5_770.0
 # An idle model is dropped for a waiting one only after this time without
 # requests, so that two waiting models do not push each other out.
 _MIN_IDLE_MS = 200
@@ -31,6 +36,7 @@
     """An engine that could load a model, compared by when it would have it."""
 
     ready_ms: float
+    copies: int
     target_id: str
     engine: model_orders.Engine
 
@@ -140,6 +146,9 @@
             self._victims[engine.target_id] = self._find_victim(engine)
         return self._victims[engine.target_id]
 
+    def _recent(self, model: str) -> float:
+        return self._usage.recent.get(model, 0.0)
+
     def idle_adapter(
         self, engine: model_orders.Engine
     ) -> tuple[str, str] | None:
@@ -173,7 +182,10 @@
         def first(engines: Iterable[model_orders.Engine]) -> Option | None:
             options = (
                 Option(
-                    self._ready_in_ms(engine, model), engine.target_id, engine
+                    self._ready_in_ms(engine, model),
+                    len(engine.copies.all()),
+                    engine.target_id,
+                    engine,
                 )
                 for engine in engines
                 if accept(engine)
@@ -194,8 +206,12 @@
                 continue
             if self._now_ms - last_ms < _MIN_IDLE_MS:
                 continue
-            recent = self._usage.recent.get(name, 0.0)
-            steady = recent >= STEADY_REQUESTS
+            recent = self._recent(name)
+            silent_ms = self._now_ms - last_ms
+            steady = (
+                recent >= STEADY_REQUESTS
+                and silent_ms * recent < _SILENT_PAUSES * _RECENT_MS
+            )
             if steady and len(self.holders(name)) <= 1:
                 continue
             choices.append((steady, last_ms, recent, name))
--- a/tanagerloft/decisions/model_orders.py
+++ b/tanagerloft/decisions/model_orders.py
@@ -122,11 +122,16 @@
         last_used_ms: Reading of the clock at the last request, by model.
         recent: Requests of the last seconds, by model.
         in_flight: Requests under way, by model.
+        missed: Requests since an engine last held the model, by model; the
+            older ones count less.
+        missed_since_ms: Reading of the clock at the first of these.
     """
 
     last_used_ms: dict[str, int]
     recent: dict[str, float]
     in_flight: dict[str, int]
+    missed: dict[str, float]
+    missed_since_ms: dict[str, int]
 
 
 class WeightStore(NamedTuple):
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -13,6 +13,7 @@
 
 from tanagerloft.decisions import engine_pool
 from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import passed_over
 from tanagerloft.fleet import types
 
 # Requests under way on each replica beyond which another one is loaded: so
@@ -28,9 +29,12 @@
 # of its kind likely, against an answer in time.
 _LATE_WORTH = 0.2
 _COMING_WORTH = 0.3
+# The same of a request for a model that no engine has held since: it has been
+# refused, and its caller comes back.
+_MISSED_WORTH = 0.1
 # Of so many engines, one may load from the store while requests wait for
-# others: such a load takes as long as four from a copy.
-_ENGINES_PER_LONG_LOAD = 3
+# others: nothing else can be loaded there meanwhile.
+_ENGINES_PER_LONG_LOAD = 2
 
 
 class Plan(NamedTuple):
@@ -54,6 +58,7 @@
 
     def __init__(self, models: dict[str, types.Model]):
         self._models = models
+        self._passed_over = passed_over.PassedOver()
 
     def plan(
         self,
@@ -84,6 +89,17 @@
                 model_demands[demand.model] = model_orders.merge(known, demand)
             else:
                 model_demands[demand.model] = demand
+        for name in usage.missed:
+            # Refused at once as the model would come too late, but wanted.
+            if name in self._models and not pool.holders(name):
+                nobody = model_orders.Demand(name, "", (), ())
+                model_demands.setdefault(name, nobody)
+        overdue = self._passed_over.next(
+            usage, model_demands, pool.loading, now_ms
+        )
+        if overdue:
+            del model_demands[overdue]
+            round_.place_model(overdue)
         for demand in sorted(model_demands.values(), key=round_.urgency):
             round_.place_model(demand.model)
         for name in usage.recent:
@@ -137,7 +153,9 @@
         in_aim = sum(left > load_ms for left in demand.aims_left_ms)
         late = sum(left > load_ms for left in demand.patience_left_ms) - in_aim
         coming = self._usage.recent.get(demand.model, 0.0)
-        worth = in_aim + _LATE_WORTH * late + _COMING_WORTH * coming
+        missed = self._usage.missed.get(demand.model, 0.0)
+        worth = in_aim + _LATE_WORTH * late
+        worth += _COMING_WORTH * coming + _MISSED_WORTH * missed
         return (-worth / load_ms, demand.model)
 
     def place_model(self, model: str) -> None:
--- a/tanagerloft/decisions/model_usage.py
+++ b/tanagerloft/decisions/model_usage.py
@@ -10,6 +10,10 @@
 # Demand moves within some seconds, so older requests tell little.
 _RECENT_HALF_LIFE_MS = 4_000
 _RECENT_STEP_MS = 500
+# Requests for a model that no engine holds are remembered for longer: their
+# callers come back, and such a model may be asked for twice a minute.
+_MISSED_HALF_LIFE_MS = 30_000
+_MISSED_FLOOR = 0.3
 # Recent requests that a model counts for which the platform has placed on two
 # engines or more, before there are any.
 _PLACED_TWICE_REQUESTS = 8.0
@@ -24,6 +28,8 @@
         self._seen: dict[str, dict[str, int]] = {}
         self._last_used_ms: dict[str, int] = {}
         self._recent: dict[str, float] = {}
+        self._missed: dict[str, float] = {}
+        self._missed_since_ms: dict[str, int] = {}
         self._recent_ms = 0
         self._placed: set[str] = set()
 
@@ -49,6 +55,8 @@
                 self._last_used_ms[model] = now_ms
                 self._last_used_ms[subject] = now_ms
                 self._recent[model] = self._recent.get(model, 0.0) + more
+                self._missed[model] = self._missed.get(model, 0.0) + more
+                self._missed_since_ms.setdefault(model, now_ms)
             seen[subject] = count
         self._decay(now_ms)
 
@@ -75,9 +83,21 @@
         """Counts a model as used until then, though nobody has reached it."""
         self._last_used_ms[model] = until_ms
 
+    def note_held(self, models: Iterable[str]) -> None:
+        """Takes in which models engines hold or load."""
+        for model in models:
+            self._missed.pop(model, None)
+            self._missed_since_ms.pop(model, None)
+
     def usage(self, in_flight: dict[str, int]) -> model_orders.Usage:
         """Returns the use of models for a plan."""
-        return model_orders.Usage(self._last_used_ms, self._recent, in_flight)
+        return model_orders.Usage(
+            self._last_used_ms,
+            self._recent,
+            in_flight,
+            self._missed,
+            self._missed_since_ms,
+        )
 
     def _decay(self, now_ms: int) -> None:
         if not self._last_used_ms:
@@ -88,3 +108,9 @@
             self._recent_ms = now_ms
             for model in self._recent:
                 self._recent[model] *= factor
+            factor = 0.5 ** (elapsed_ms / _MISSED_HALF_LIFE_MS)
+            for model, count in list(self._missed.items()):
+                self._missed[model] = count * factor
+                if self._missed[model] < _MISSED_FLOOR:
+                    del self._missed[model]
+                    del self._missed_since_ms[model]
--- a/tanagerloft/decisions/order_progress.py
+++ b/tanagerloft/decisions/order_progress.py
@@ -37,6 +37,7 @@
     Attributes:
         order: The order.
         expected: Number of orders that the engine had accepted before it.
+        takes_ms: Time that it takes once it has been accepted.
         due_ms: When it should be done.
         phase: What is known of it.
         repeated: Whether it has been sent twice.
@@ -44,6 +45,7 @@
 
     order: model_orders.Order
     expected: int
+    takes_ms: int
     due_ms: int
     phase: Phase
     repeated: bool
--- a/tests/coordination/test_engine_keeper.py
+++ b/tests/coordination/test_engine_keeper.py
@@ -107,3 +107,37 @@
         assert fleet.holds("m0")
 
     asyncio.run(run())
+
+
+def test_a_model_that_few_ask_for_is_not_passed_over_for_long():
+    # Seen on gcd-vigia, day scale-1: models with two requests a second kept
+    # the weight store busy; others were refused all day.
+    async def run():
+        service = _service(30, 34_300, types.EngineRoom(83_000, 8), 10.0)
+        fleet = engine_fleet.EngineFleet(service, [["m0", "m1"]] * 3, 3)
+        await fleet.run(1_000, {})
+        asked_ms = fleet.now_ms
+        while "m29" not in fleet.arrived:
+            assert fleet.now_ms - asked_ms <= 8_000 + 3 * 6_000
+            wanted = [
+                f"m{n}" for n in range(2, 28) if f"m{n}" not in fleet.arrived
+            ]
+            waited = dict.fromkeys(wanted[:8], 20)
+            await fleet.run(500, waited, refused=["m29"])
+            await fleet.run(1_500, waited)
+
+    asyncio.run(run())
+
+
+def test_models_that_callers_are_refused_for_are_loaded_meanwhile():
+    # Seen on gcd-vigia: a load takes six seconds, callers wait for two. Each
+    # was refused at once, so nobody waited, so nothing was loaded.
+    async def run():
+        service = _service(8, 34_300, types.EngineRoom(83_000, 0), 10.0)
+        fleet = engine_fleet.EngineFleet(service, [["m0", "m1"]], 4)
+        await fleet.run(1_000, {"m0/a1": 1})
+        # Somebody waits all the time, for what never comes.
+        await fleet.run(20_000, {"m0/a1": 1}, refused=["m7"])
+        assert "m7" in fleet.arrived
+
+    asyncio.run(run())
--- a/tests/decisions/test_engine_orders.py
+++ b/tests/decisions/test_engine_orders.py
@@ -234,3 +234,29 @@
     orders.on_report(_report((_LOAD.model,), sequence=1), 9_500)
     assert _LOAD.model in orders.usable()
     assert not orders.busy(9_501)
+
+
+def test_a_repeated_order_is_due_from_its_acceptance():
+    # Seen on gcd-vigia: engines left orders unanswered for a second; their
+    # loads then seemed late, until one load at a time was left.
+    orders = _known()
+    orders.give(_LOAD, 6_000, 10_000)
+    orders.on_answer(_LOAD, order_progress.Result.UNKNOWN, 10_800)
+    assert orders.repeat(11_200) == _LOAD
+    orders.on_answer(_LOAD, order_progress.Result.ACCEPTED, 11_210)
+    assert not orders.on_time(17_000)
+    assert orders.on_time(17_300)
+
+
+def test_an_engine_that_waits_for_runs_is_tried_more_and_more_seldom():
+    orders = _known("old")
+    orders.give(_UNLOAD, 0, 2_000)
+    orders.on_answer(_UNLOAD, order_progress.Result.ACCEPTED, 2_005)
+    now_ms, tries = 2_010, 0
+    while now_ms < 4_000:
+        if orders.on_time(now_ms) or not orders.busy(now_ms):
+            orders.give(_LOAD, 1_000, now_ms)
+            orders.on_answer(_LOAD, order_progress.Result.REFUSED, now_ms + 5)
+            tries += 1
+        now_ms += 10
+    assert 5 <= tries <= 10
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -47,8 +47,8 @@
     )
 
 
-def _usage(recent=None, last=None) -> model_orders.Usage:
-    return model_orders.Usage(last or {}, recent or {}, {})
+def _usage(recent=None, last=None, missed=None) -> model_orders.Usage:
+    return model_orders.Usage(last or {}, recent or {}, {}, missed or {}, {})
 
 
 def _plan(engines, demands, usage=None, store=_PLENTY, count=8):
@@ -214,7 +214,9 @@
 
 def test_engines_with_few_slots_get_replicas_sooner():
     # A grown site has engines of 16 slots, where 16 requests are all.
-    usage = model_orders.Usage({"m0": _NOW_MS}, {"m0": 20.0}, {"m0": 20})
+    usage = model_orders.Usage(
+        {"m0": _NOW_MS}, {"m0": 20.0}, {"m0": 20}, {}, {}
+    )
     for slots, replicas in ((64, 0), (16, 1)):
         engines = [
             _engine("a", ["m0"], slots=slots),
@@ -224,3 +226,13 @@
         orders = _plan(engines, [], usage).orders
         loads = [order for order in orders if order.model == "m0"]
         assert len(loads) == replicas
+
+
+def test_a_model_gone_silent_makes_room_for_one_that_is_waited_for():
+    # Seen on gcd-vigia: demand had moved on, and an engine kept two models
+    # for seconds that nobody asked for any more.
+    engine = _engine("a", ["m1", "m2", "m3"])
+    recent = {"m1": 14.0, "m2": 14.0, "m3": 14.0}
+    last = {"m1": _NOW_MS - 1_000, "m2": _NOW_MS - 3_000, "m3": _NOW_MS - 500}
+    orders = _plan([engine], [_demand("m4")], _usage(recent, last)).orders
+    assert orders == [model_orders.Order(model_orders.Verb.UNLOAD, "a", "m2")]
--- /dev/null
+++ b/tests/decisions/test_passed_over.py
@@ -0,0 +1,72 @@
+"""Which model goes before all others."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import passed_over
+
+_OVERDUE_MS = 8_000
+
+
+def _usage(since_ms: dict[str, int], missed=5.0) -> model_orders.Usage:
+    counts = dict.fromkeys(since_ms, missed)
+    return model_orders.Usage({}, {}, {}, counts, since_ms)
+
+
+def test_nobody_goes_first_before_it_is_overdue():
+    chosen = passed_over.PassedOver()
+    usage = _usage({"a": 1_000})
+    assert chosen.next(usage, {"a"}, (), 8_900) == ""
+    assert chosen.next(usage, {"a"}, (), 9_000) == "a"
+
+
+def test_the_one_missed_for_longest_goes_first():
+    chosen = passed_over.PassedOver()
+    usage = _usage({"a": 2_000, "b": 1_000})
+    assert chosen.next(usage, {"a", "b"}, (), 20_000) == "b"
+
+
+def test_a_stray_request_moves_nothing():
+    chosen = passed_over.PassedOver()
+    assert chosen.next(_usage({"a": 0}, 1.0), {"a"}, (), 20_000) == ""
+
+
+def test_one_at_a_time():
+    chosen = passed_over.PassedOver()
+    usage = _usage({"a": 1_000, "b": 2_000})
+    assert chosen.next(usage, {"a", "b"}, (), 20_000) == "a"
+    assert chosen.next(usage, {"b"}, {"a"}, 20_100) == ""
+    assert chosen.next(usage, {"b"}, {"c"}, 26_000) == "b"
+
+
+def test_models_that_are_there_do_not_go_first():
+    chosen = passed_over.PassedOver()
+    assert chosen.next(_usage({"a": 0}), (), (), 20_000) == ""
+
+
+@given(
+    asked_ms=strategies.lists(
+        strategies.integers(0, 30_000), min_size=1, max_size=12
+    ),
+    load_ms=strategies.integers(200, 6_000),
+)
+def test_each_wanted_model_comes_within_a_bound(asked_ms, load_ms):
+    # However many others there are, each one waits for those before it only.
+    chosen = passed_over.PassedOver()
+    since_ms = {f"m{n}": at_ms for n, at_ms in enumerate(asked_ms)}
+    absent, loading, done_ms = set(since_ms), "", 0
+    arrived_ms: dict[str, int] = {}
+    for now_ms in range(0, 130_000, 100):
+        if loading and now_ms >= done_ms:
+            arrived_ms[loading], loading = now_ms, ""
+        asked = {m for m in absent if since_ms[m] <= now_ms}
+        usage = _usage({m: since_ms[m] for m in asked})
+        first = chosen.next(usage, asked, {loading} - {""}, now_ms)
+        if first:
+            absent.remove(first)
+            loading, done_ms = first, now_ms + load_ms
+    for model, at_ms in since_ms.items():
+        before = sum(other <= at_ms for other in asked_ms)
+        slack_ms = (before + 1) * (load_ms + 100)
+        assert arrived_ms[model] <= at_ms + _OVERDUE_MS + slack_ms
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -111,19 +111,25 @@
             for engine in self._engines.values()
         )
 
-    async def run(self, for_ms: int, waited: dict[str, int]) -> None:
+    async def run(
+        self,
+        for_ms: int,
+        waited: dict[str, int],
+        refused: Iterable[str] = (),
+    ) -> None:
         """Lets time pass while callers wait.
 
         Args:
             for_ms: How long.
             waited: Requests that wait, by model or model and adapter.
+            refused: Models that are asked for by callers that do not wait.
         """
         until_ms = self.now_ms + for_ms
         while self.now_ms < until_ms:
             self.now_ms += _STEP_MS
             self._advance()
             reports = [self._instance_report(waited)]
-            self._use(waited)
+            self._use({*filter(self.holds, waited), *refused})
             self.keeper.follow(self.now_ms)
             loads = fleet_loads.FleetLoads()
             self.keeper.plan(reports, loads, self.now_ms)
@@ -132,7 +138,7 @@
 
     def _use(self, subjects: Iterable[str]) -> None:
         if self.now_ms % _USE_MS == 0:
-            for subject in filter(self.holds, subjects):
+            for subject in subjects:
                 self._used[subject] = self._used.get(subject, 0) + 1
         self.keeper.usage.note_counts("i", self._used, self.now_ms)
 
