Learn the weight store's speed by the time that loads take, and tell it on

A model in steady use that was lost was loaded at once, beyond what the store takes; each late load took off one; a new holder began with 4.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -267,7 +267,7 @@
             takes_ms = orders.copies.load_ms(shapes[order.model])
             if order.model not in orders.copies:
                 self._pace(entry.service, now_ms).take(now_ms)
-                self.states.note_store_load(state, order.model)
+                self.states.note_store_load(state, shapes[order.model])
         orders.give(order, takes_ms, now_ms)
         self._start(self._carry_out(entry, state, order))
 
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -34,6 +34,8 @@
             store, until it is known whether that took long; empty for none.
         store_loads: Most loads from the weight store that have been under way
             at once during that one, itself included.
+        store_began_ms: When that one was ordered.
+        store_load_ms: Time that it takes at full speed.
     """
 
     def __init__(self, entry: types.TargetEntry):
@@ -43,6 +45,8 @@
         self.polling = False
         self.store_model = ""
         self.store_loads = 0
+        self.store_began_ms = 0
+        self.store_load_ms = 0.0
 
     def told(self) -> model_marks.Models | None:
         """Returns what instances are told that it holds."""
@@ -70,6 +74,7 @@
 
     Attributes:
         by_target: The states.
+        lanes: How many loads the weight store takes at once.
     """
 
     def __init__(
@@ -83,7 +88,7 @@
         self._fetch_report = fetch_report
         self._now_ms = now_ms
         self._placed = placed
-        self._lanes = weight_store.StoreLanes()
+        self.lanes = weight_store.StoreLanes()
         self._polls: set[asyncio.Task] = set()
         self.by_target: dict[str, EngineState] = {}
 
@@ -115,9 +120,11 @@
         """Returns the number of loads from the weight store under way."""
         return sum(s.loads_from_store() for s in self.by_target.values())
 
-    def note_store_load(self, begins: EngineState, model: str) -> None:
+    def note_store_load(self, begins: EngineState, model: types.Model) -> None:
         """Takes in that an engine begins to load from the weight store."""
-        begins.store_model = model
+        begins.store_model = model.name
+        begins.store_began_ms = self._now_ms()
+        begins.store_load_ms = model.load_ms
         loading = [s for s in self.by_target.values() if s.loads_from_store()]
         begins.store_loads = len(loading) + 1
         for state in loading:
@@ -125,7 +132,7 @@
 
     def store_at_once(self, now_ms: int) -> int:
         """Returns how many of these are worth having."""
-        return self._lanes.at_once(now_ms)
+        return self.lanes.at_once(now_ms)
 
     def refresh(self, services: set[str]) -> None:
         """Follows the entries of the engines of some services."""
@@ -170,7 +177,13 @@
         if late:
             self._note_late(entry, state, late)
         elif state.store_model in report.models and not report.busy:
-            self._lanes.note_on_time(state.store_loads)
+            now_ms = self._now_ms()
+            self.lanes.note_done(
+                state.store_loads,
+                now_ms - state.store_began_ms,
+                state.store_load_ms,
+                now_ms,
+            )
             state.store_model = ""
 
     def _note_late(
@@ -178,14 +191,13 @@
     ) -> None:
         now_ms = self._now_ms()
         if model == state.store_model:
-            state.store_model = ""
-            self._lanes.note_late(state.store_loads, now_ms)
+            self.lanes.note_late(state.store_loads, now_ms)
         logger.info(
             "load is late",
             extra={
                 "target": entry.target_id,
                 "model": model,
                 "store_loads": state.store_loads,
-                "store_at_once": self._lanes.at_once(now_ms),
+                "store_at_once": self.lanes.at_once(now_ms),
             },
         )
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -101,10 +101,12 @@
     Attributes:
         configuration: Version of the configuration in force.
         configuration_age_ms: Age of the proof that there is no newer one.
+        store_at_once: Loads that the weight store takes at full speed.
     """
 
     configuration: int
     configuration_age_ms: int
+    store_at_once: int
 
 
 class Proof(NamedTuple):
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -203,9 +203,8 @@
         if soonest is None:
             return
         engine = soonest.engine
-        lost = not holders and steady
         spared = pool.is_bare(engine) and self._may_load_long(engine)
-        if pool.from_store(engine, model) and not lost and not spared:
+        if pool.from_store(engine, model) and not spared:
             return
         if pool.is_free(engine):
             self._load(engine, model)
--- a/tanagerloft/decisions/weight_store.py
+++ b/tanagerloft/decisions/weight_store.py
@@ -11,6 +11,9 @@
 _ONE_EVIDENCE_MS = 3_000
 # After this time without a late load, one more at once is tried.
 _TRY_MORE_MS = 20_000
+# A load that takes longer than this many times its time is slowed by others;
+# what is less may be the way of the order and the age of the report.
+_LATE_SHARE = 1.2
 # Loads that may begin beyond the rate. The platform tolerates three in its
 # window; one is left for a load that an engine carries out late.
 _BURST_LOADS = 2.0
@@ -87,12 +90,31 @@
         self._at_once = max(1, self._slow_at - 1)
         self._late_ms = now_ms
 
-    def note_on_time(self, under_way: int) -> None:
-        """Takes in that a load has taken no longer than it should.
+    def note_done(
+        self, under_way: int, took_ms: float, load_ms: float, now_ms: int
+    ) -> None:
+        """Takes in how long a load has taken.
+
+        Loads beyond those at full speed slow all down in proportion, so the
+        time tells how many the store takes.
 
         Args:
             under_way: Most loads under way with it, itself included.
+            took_ms: Time that it took.
+            load_ms: Time that it takes at full speed.
+            now_ms: Reading of the clock.
         """
+        slowdown = took_ms / load_ms
+        if slowdown > _LATE_SHARE:
+            if under_way > 1:
+                self._slow_at = under_way
+                self._at_once = max(1, round(under_way / slowdown))
+                self._late_ms = now_ms
+            return
         tried = under_way + 1
         if tried > self._at_once and tried != self._slow_at:
             self._at_once = tried
+
+    def on_told(self, at_once: int) -> None:
+        """Takes in what the holder has learnt, for when this one follows."""
+        self._at_once = max(1, at_once)
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -109,7 +109,7 @@
             self._take_told,
             crashes,
         )
-        engines = engine_keeper.EngineKeeper(
+        self._engines = engines = engine_keeper.EngineKeeper(
             self.lease,
             self.directory,
             deployment.send_order,
@@ -176,6 +176,7 @@
         return messages.Knowledge(
             configuration=self.configuration.version,
             configuration_age_ms=now_ms - self.configuration.proved_ms,
+            store_at_once=self._engines.states.lanes.at_once(now_ms),
         )
 
     def _tell_targets(self, since_version: int) -> messages.ToldList:
@@ -199,6 +200,7 @@
             known.configuration, known.configuration_age_ms, asked_ms
         )
         self.targets.on_told(told, asked_ms)
+        self._engines.states.lanes.on_told(known.store_at_once)
 
     def _receive(self, data: bytes, address: tuple[str, int]) -> None:
         message = messages.decode(data)
--- a/tests/coordination/test_engine_states.py
+++ b/tests/coordination/test_engine_states.py
@@ -7,8 +7,10 @@
 from tanagerloft.coordination import targets
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import order_progress
+from tanagerloft.fleet import types
 from tests.support import engines
 
+_MODEL = types.Model("m", 34_300.0, 6_000, 390, 520, 40.0, 0)
 _NAMES = ("e1", "e2", "e3", "e4")
 
 
@@ -45,7 +47,7 @@
         states = play.states.by_target
         for state in states.values():
             order = model_orders.Order(model_orders.Verb.LOAD, "e", "m")
-            play.states.note_store_load(state, "m")
+            play.states.note_store_load(state, _MODEL)
             state.orders.give(order, 6_000, play.now_ms)
             accepted = order_progress.Result.ACCEPTED
             state.orders.on_answer(order, accepted, play.now_ms)
--- a/tests/coordination/test_told_targets.py
+++ b/tests/coordination/test_told_targets.py
@@ -100,7 +100,7 @@
 )
 def test_told_rows_travel_whole(entry):
     told = messages.ToldList([targets.ToldTarget("a", 5, entry)], 1, 5, 9, 100)
-    proof = messages.Proof(1, 0, False, False, messages.Knowledge(1, 0))
+    proof = messages.Proof(1, 0, False, False, messages.Knowledge(1, 0, 4))
     view = messages.View(
         "h", 1, 1, 3, {}, {}, {}, {}, 0, {}, [], proof, {}, told
     )
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -236,3 +236,11 @@
     last = {"m1": _NOW_MS - 1_000, "m2": _NOW_MS - 3_000, "m3": _NOW_MS - 500}
     orders = _plan([engine], [_demand("m4")], _usage(recent, last)).orders
     assert orders == [model_orders.Order(model_orders.Verb.UNLOAD, "a", "m2")]
+
+
+def test_a_model_that_was_lost_does_not_overload_the_weight_store():
+    # Seen on gcd-vigia-grown: each model in steady use that a crash had taken
+    # was loaded at once, beyond what the store takes at full speed.
+    engine = _engine("a", copies=_on_disk())
+    store = _PLENTY._replace(under_way=4)
+    assert not _plan([engine], [], _usage({"m1": 9.0}), store).orders
--- a/tests/decisions/test_weight_store.py
+++ b/tests/decisions/test_weight_store.py
@@ -31,15 +31,31 @@
 
 def test_loads_on_time_show_that_the_store_takes_more():
     lanes = weight_store.StoreLanes()
-    lanes.note_on_time(2)
+    lanes.note_done(2, 6_100, 6_000, 0)
     assert lanes.at_once(0) == 4
-    lanes.note_on_time(4)
+    lanes.note_done(4, 6_100, 6_000, 0)
     assert lanes.at_once(0) == 5
     lanes.note_late(5, 10_000)
-    lanes.note_on_time(4)
+    lanes.note_done(4, 6_100, 6_000, 10_000)
     assert lanes.at_once(10_000) == 4
 
 
+def test_the_time_of_slow_loads_tells_what_the_store_takes():
+    # Seen on gcd-vigia-grown: seven loads under way where two are at full
+    # speed, each of which took half a minute.
+    lanes = weight_store.StoreLanes()
+    lanes.note_done(7, 27_300, 7_800, 50_000)
+    assert lanes.at_once(50_000) == 2
+    lanes.note_done(1, 27_300, 7_800, 50_000)
+    assert lanes.at_once(50_000) == 2
+
+
+def test_a_holder_that_follows_knows_what_the_one_before_has_learnt():
+    lanes = weight_store.StoreLanes()
+    lanes.on_told(2)
+    assert lanes.at_once(0) == 2
+
+
 def test_loads_begin_at_the_rate():
     pace = weight_store.LoadPace(0.5, first=True, now_ms=0)
     begun = 0
