Let small instances leave the lease to others after an outage too

Change: the time for which it leaves the lease to others begins once the store answers. Test red before.

--- a/tanagerloft/coordination/lease_keeper.py
+++ b/tanagerloft/coordination/lease_keeper.py
@@ -103,8 +103,8 @@
                 self._may_be_free(now_ms) and now_ms >= self._read_due_ms
             ):
                 self._read_due_ms = now_ms + _READ_MS + self._jitter_ms
-                await self._read()
-                await self._claim()
+                if await self._read():
+                    await self._claim()
             await loops.sleep(_TICK_MS)
 
     def _may_be_free(self, now_ms: int) -> bool:
@@ -130,13 +130,16 @@
             )
             logger.info("lease released", extra={"token": claim.term.token})
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
         row = await self._store.read(TABLE, _KEY)
         if isinstance(row, errors.StoreError):
+            # Larger instances could not take it either.
+            self._free_since_ms = None
             logger.info("lease not read", extra={"reason": row.reason})
-            return
+            return False
         self._read_ms = self._now_ms()
         self._lease.on_row(row.version, _decode(row.value), self._now_ms())
+        return True
 
     async def _claim(self) -> None:
         claim = self._lease.next_claim(self._now_ms())
--- a/tests/coordination/test_lease_keeper.py
+++ b/tests/coordination/test_lease_keeper.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tanagerloft.coordination import errors
 from tanagerloft.coordination import lease_keeper
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.decisions import order_lease
@@ -16,12 +17,17 @@
         self.version = 0
         self.value: bytes | None = None
         self.reads = 0
+        self.down = False
 
     async def read(self, _table, key):
         self.reads += 1
+        if self.down:
+            return errors.StoreError(errors.StoreFailure.NOT_DONE, "down")
         return store_lib.Row(key, self.value, self.version)
 
     async def write(self, _table, _key, value, expected_version):
+        if self.down:
+            return errors.StoreError(errors.StoreFailure.NOT_DONE, "down")
         if expected_version == self.version:
             self.version += 1
             self.value = value
@@ -129,3 +135,46 @@
         assert bool(store.reads) is reads
 
     asyncio.run(play())
+
+
+def test_a_small_instance_leaves_the_lease_to_others_after_an_outage_too():
+    # Seen on gcd-vigia-grown: a link of a few Mbit/s took the lease as soon as
+    # the store was back, as it had waited during the outage.
+    async def play():
+        store = _Store()
+        store.down = True
+        clock = [10_000]
+        lease = order_lease.OrderLease("small", "1", "a:1", 3_000, 3_000)
+        other = order_lease.Term("gone", "1", "b:1", 1, True, False)
+        lease.on_row(1, other, 0)
+        keeper = lease_keeper.LeaseKeeper(
+            store,
+            lease,
+            lambda: clock[0],
+            lambda: 0,
+            lambda: False,
+            lambda: 100,
+            0,
+            True,
+        )
+        task = asyncio.get_running_loop().create_task(keeper.follow())
+
+        async def reads_again() -> None:
+            seen = store.reads
+            while store.reads == seen:
+                clock[0] += 100
+                await asyncio.sleep(0.01)
+
+        for _ in range(5):
+            await reads_again()
+        store.down = False
+        store.version, store.value = 1, b""
+        await reads_again()
+        await asyncio.sleep(0)
+        assert not lease.mine
+        while not lease.mine:
+            clock[0] += 100
+            await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(asyncio.wait_for(play(), 60))
