Tell the fleet at once that a holder that stops gives no more orders

Change: releasing counts as giving up, which views tell while the last renewal is valid; after that it answers nothing, so limits fall back to shares.

--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -103,7 +103,7 @@
             reply: Sends a view to its sender.
         """
         now_ms = self._now_ms()
-        if self._lease.mine and self._lease.given_up:
+        if self._lease.is_valid(now_ms) and self._lease.given_up:
             reply(self._last_view(report, now_ms))
             return
         if not self._lease.leads(now_ms) or self._configuration is None:
--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -114,7 +114,11 @@
 
     def leads(self, now_ms: int) -> bool:
         """Returns whether this process holds the lease, orders aside."""
-        return self.mine and not self.given_up and now_ms < self._valid_until_ms
+        return self.is_valid(now_ms) and not self.given_up
+
+    def is_valid(self, now_ms: int) -> bool:
+        """Returns whether its last renewal counts, even if it has given up."""
+        return self.mine and now_ms < self._valid_until_ms
 
     def on_heard(
         self, token: int, version: int, renewed_ago_ms: int, now_ms: int
@@ -163,8 +167,12 @@
         return None
 
     def release(self) -> Claim | None:
-        """Stops giving orders; returns the write that tells so."""
+        """Stops giving orders; returns the write that tells so.
+
+        Whoever still hears this holder is told at once that it has given up.
+        """
         self._stopping = True
+        self.give_up()
         if not self.mine or self.term is None or self._version is None:
             return None
         released = self.term._replace(released=True)
--- a/tests/decisions/test_order_lease.py
+++ b/tests/decisions/test_order_lease.py
@@ -112,3 +112,24 @@
     claim = other.next_claim(0)
     assert row.write(one, one.next_claim(0), 0)
     assert not row.write(other, claim, 0)
+
+
+def test_a_holder_that_stops_says_that_it_has_given_up():
+    # Seen on gcd-vigia-grown: a holder that stopped went on answering reports,
+    # so nobody read that the lease was free: 1.6 s more without orders.
+    row = _Row()
+    first = _first_holder(row)
+    assert first.leads(500)
+    claim = first.release()
+    assert first.given_up
+    assert not first.leads(500)
+    assert not first.may_order(500)
+    assert first.is_valid(500)
+    assert not first.is_valid(_VALID_MS + 1)
+    second = _lease("b")
+    row.read(second, 400)
+    second.on_given_up(first.term.token, 510)
+    assert row.write(first, claim, 505)
+    row.read(second, 520)
+    assert row.write(second, second.next_claim(520), 520)
+    assert not second.may_order(510 + _TURN_MS - 1)
