Take a lease over as soon as its holder has given it up

Change: the row is read at once when its holder says that it is free; a small instance leaves it to others for a call without an answer and a reading.

--- a/tanagerloft/coordination/lease_keeper.py
+++ b/tanagerloft/coordination/lease_keeper.py
@@ -28,8 +28,8 @@
 # Time between two readings by one instance while the lease may be free.
 _READ_MS = 500
 # A small instance leaves a free lease to larger ones for so long: one reading
-# of theirs.
-_LEAVE_TO_OTHERS_MS = 600
+# of theirs, and a call before it that gets no answer.
+_LEAVE_TO_OTHERS_MS = 1_600
 # What the holder of a large fleet needs: measured at 76 instances, see
 # docs/CAPACITY.md.
 _HOLDER_PROCESSORS = 1.0
@@ -109,7 +109,9 @@
 
     def _may_be_free(self, now_ms: int) -> bool:
         return (
-            now_ms - self._heard_ms() > self._silent_ms() or self._struggling()
+            self._lease.told_free
+            or self._struggling()
+            or now_ms - self._heard_ms() > self._silent_ms()
         )
 
     def _silent_ms(self) -> float:
--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -100,6 +100,11 @@
         """Whether this process gave up the term that the row still names."""
         return self.term is not None and self._given_up_token == self.term.token
 
+    @property
+    def told_free(self) -> bool:
+        """Whether its holder has said that it gives no more orders."""
+        return self.term is not None and self.term.token == self._free_token
+
     def renewed_ago_ms(self, now_ms: int) -> int:
         """Returns the time since the start of the last renewal."""
         return now_ms - (self._valid_until_ms - self._valid_ms)
@@ -161,8 +166,7 @@
             return self._claim(term.token, settled)
         if term.holder == self._holder and not term.released:
             return self._claim(term.token + 1, term.settled)
-        given_up = term.token == self._free_token
-        if term.released or given_up or now_ms >= self._free_at_ms():
+        if term.released or self.told_free or now_ms >= self._free_at_ms():
             return self._claim(term.token + 1, settled=False)
         return None
 
--- a/tests/coordination/test_lease_keeper.py
+++ b/tests/coordination/test_lease_keeper.py
@@ -178,3 +178,32 @@
         task.cancel()
 
     asyncio.run(asyncio.wait_for(play(), 60))
+
+
+def test_the_row_is_read_as_soon_as_its_holder_gives_up():
+    # Seen on gcd-vigia-grown: the holder stopped and said so, and the others
+    # went on waiting for its silence.
+    async def play():
+        store = _Store()
+        lease = order_lease.OrderLease("b", "1", "b:1", 3_000, 3_000)
+        other = order_lease.Term("a", "1", "a:1", 1, True, False)
+        lease.on_row(1, other, 10_000)
+        store.version, store.value = 1, b""
+        lease.on_given_up(1, 10_100)
+        keeper = lease_keeper.LeaseKeeper(
+            store,
+            lease,
+            lambda: 10_100,
+            lambda: 10_100,
+            lambda: False,
+            lambda: 100,
+            0,
+            False,
+        )
+        task = asyncio.get_running_loop().create_task(keeper.follow())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert lease.mine
+        task.cancel()
+
+    asyncio.run(play())
