Split the list of targets from the choice among them

TargetEntries holds the list, as read or told; TargetDirectory chooses. Failures are counted by the life of a target, so nothing needs to be told of an entry that goes. What entries have changed is now one answer, as nothing asks for the other.

--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -226,7 +226,7 @@
             models_seen=self._models_seen,
             crashes=self._crashes.told(now_ms),
             leaving_targets=dict(self._directory.notices.told()),
-            targets_known=self._directory.known_version,
+            targets_known=self._directory.table.known_version,
         )
         if self._lease.mine:
             if self.loopback is not None:
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -11,7 +11,7 @@
 
 import msgpack
 
-from tanagerloft.coordination import targets
+from tanagerloft.coordination import target_entries
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 
@@ -88,7 +88,7 @@
         age_ms: Age of its knowledge.
     """
 
-    changed: list[targets.ToldTarget]
+    changed: list[target_entries.ToldTarget]
     since_version: int
     version: int
     known_version: int
@@ -188,7 +188,7 @@
     return None
 
 
-def _encode_target(told: targets.ToldTarget) -> Any:
+def _encode_target(told: target_entries.ToldTarget) -> Any:
     if told.entry is None:
         return told
     *plain, models, _in_memory, _on_disk = told.entry
@@ -196,15 +196,15 @@
     return [told.target_id, told.version, [*plain, held]]
 
 
-def _decode_target(raw: Any) -> targets.ToldTarget:
+def _decode_target(raw: Any) -> target_entries.ToldTarget:
     target_id, version, fields = raw
     if fields is None:
-        return targets.ToldTarget(target_id, version, None)
+        return target_entries.ToldTarget(target_id, version, None)
     *plain, held = fields
     models = {name: frozenset(adapters) for name, adapters in held.items()}
     none: frozenset[str] = frozenset()
     entry = types.TargetEntry._make([*plain, models, none, none])
-    return targets.ToldTarget(target_id, version, entry)
+    return target_entries.ToldTarget(target_id, version, entry)
 
 
 def _decode_report(raw: Any) -> Report:
--- /dev/null
+++ b/tanagerloft/coordination/target_entries.py
@@ -0,0 +1,175 @@
+"""The platform's list of targets, as read from the store or told by others."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+from typing import NamedTuple
+
+from tanagerloft.coordination import errors
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.fleet import types
+
+logger = logging.getLogger(__name__)
+
+# Changed rows told in one message, so that it stays a datagram of a few
+# kilobytes.
+_MAX_TOLD = 20
+
+DecodeEntry = Callable[[str, bytes], types.TargetEntry | errors.MalformedEntry]
+
+
+class ToldTarget(NamedTuple):
+    """What one instance tells another of a target.
+
+    Attributes:
+        target_id: Identity.
+        version: Version of the row that it is known from.
+        entry: What the row says, without copies of weights; None if there is
+            none (any more).
+    """
+
+    target_id: str
+    version: int
+    entry: types.TargetEntry | None
+
+
+class TargetEntries:
+    """Entries by target, each with the version of its row.
+
+    A row replaces only an older one, whoever tells of it.
+
+    Args:
+        decode: Decodes an entry of the platform's list.
+
+    Attributes:
+        base_version: Version of the store from which on this instance knows
+            of all changes.
+        known_version: Version up to which it does.
+        by_target: The entries.
+    """
+
+    def __init__(self, decode: DecodeEntry):
+        self._decode = decode
+        self._versions: dict[str, int] = {}
+        self.base_version = 0
+        self.known_version = 0
+        self.by_target: dict[str, types.TargetEntry] = {}
+
+    def on_rows(self, snapshot: store_lib.Snapshot, whole: bool) -> bool:
+        """Takes in entries from the store.
+
+        Args:
+            snapshot: Rows of the list.
+            whole: Whether entries that are not among them are gone.
+
+        Returns:
+            Whether requests may find more targets.
+        """
+        changed = False
+        if whole:
+            present = {row.key for row in snapshot.rows}
+            for target_id in set(self.by_target) - present:
+                if self._is_news(target_id, snapshot.version):
+                    self._remove(target_id, "not in the list")
+            self.base_version = snapshot.version
+        for row in snapshot.rows:
+            if self._is_news(row.key, row.version):
+                changed |= self._on_row(row)
+        self.known_version = max(self.known_version, snapshot.version)
+        return changed
+
+    def _on_row(self, row: store_lib.Row) -> bool:
+        if row.value is None:
+            self._remove(row.key, "removed")
+            return False
+        entry = self._decode(row.key, row.value)
+        if isinstance(entry, errors.MalformedEntry):
+            logger.warning("target entry refused", extra=entry._asdict())
+            self._remove(row.key, "malformed")
+            return False
+        return self._take(entry, row.version)
+
+    def _is_news(self, target_id: str, version: int) -> bool:
+        """Notes the version of a row; returns whether it was not known."""
+        if version <= self._versions.get(target_id, 0):
+            return False
+        self._versions[target_id] = version
+        return True
+
+    def tell_since(self, version: int) -> tuple[list[ToldTarget], int]:
+        """Returns what has changed since a version, the oldest first.
+
+        Returns:
+            The changes, and the version up to which they are all; 0 if this
+            instance does not know what has changed since.
+        """
+        if version < self.base_version or not self.known_version:
+            return [], 0
+        if version >= self.known_version:
+            return [], version
+        changed = sorted(
+            (row_version, target_id)
+            for target_id, row_version in self._versions.items()
+            if row_version > version
+        )
+        told = [
+            ToldTarget(target_id, row_version, self.by_target.get(target_id))
+            for row_version, target_id in changed[:_MAX_TOLD]
+        ]
+        if len(told) < len(changed):
+            return told, told[-1].version
+        return told, self.known_version
+
+    def on_told(
+        self, told: list[ToldTarget], since_version: int, version: int
+    ) -> bool:
+        """Takes in what another instance knows of the list.
+
+        Args:
+            told: Rows that have changed, by its own reading of the store.
+            since_version: Version after which these are all.
+            version: Version up to which they are.
+
+        Returns:
+            Whether requests may find more targets.
+        """
+        if not self.known_version or since_version > self.known_version:
+            return False
+        changed = False
+        for target_id, row_version, entry in told:
+            if not self._is_news(target_id, row_version):
+                continue
+            if entry is None:
+                self._remove(target_id, "removed")
+            else:
+                changed |= self._take(entry, row_version)
+        self.known_version = max(self.known_version, version)
+        return changed
+
+    def _take(self, entry: types.TargetEntry, version: int) -> bool:
+        before = self.by_target.get(entry.target_id)
+        self.by_target[entry.target_id] = entry
+        if before is not None and before.born_ms == entry.born_ms:
+            if before.leaving != entry.leaving:
+                logger.info(
+                    "target leaves",
+                    extra={"target": entry.target_id, "version": version},
+                )
+            return before.models != entry.models
+        logger.info(
+            "target known",
+            extra={
+                "target": entry.target_id,
+                "service": entry.service,
+                "leaving": entry.leaving,
+                "version": version,
+            },
+        )
+        return True
+
+    def _remove(self, target_id: str, reason: str) -> None:
+        if self.by_target.pop(target_id, None) is not None:
+            logger.info(
+                "target gone", extra={"target": target_id, "reason": reason}
+            )
--- a/tanagerloft/coordination/target_list.py
+++ b/tanagerloft/coordination/target_list.py
@@ -67,11 +67,11 @@
             told: What it told.
             asked_ms: When this instance asked.
         """
-        directory = self._directory
+        table = self._directory.table
         self._note(
-            directory.on_told(told.changed, told.since_version, told.version)
+            table.on_told(told.changed, told.since_version, told.version)
         )
-        if directory.known_version < told.known_version:
+        if table.known_version < told.known_version:
             if not told.version:
                 self.word.read_now.set()
         elif self.word.hear(told.age_ms, asked_ms):
@@ -82,18 +82,18 @@
         while True:
             self.word.read_now.clear()
             started_ms = self._now_ms()
-            self._reader.advance(self._directory.known_version)
+            self._reader.advance(self._directory.table.known_version)
             whole = self._reader.whole
             found = await self._reader.read(wait_ms=0)
             if found is not None:
                 self.known = True
-                self._note(self._directory.on_rows(found, whole))
+                self._note(self._directory.table.on_rows(found, whole))
                 self.read_ms = max(self.read_ms, started_ms)
                 await loops.wait(self.word.read_now, POLL_MS)
                 await self.word.wait()
             elif self._reader.failures:
                 await loops.sleep(_RETRY_MS)
 
-    def _note(self, changes: targets_lib.Changes) -> None:
-        if changes.models:
+    def _note(self, changed: bool) -> None:
+        if changed:
             self._changed()
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -6,8 +6,7 @@
 import logging
 from typing import NamedTuple
 
-from tanagerloft.coordination import errors
-from tanagerloft.coordination import store as store_lib
+from tanagerloft.coordination import target_entries
 from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
 
@@ -22,40 +21,10 @@
 _TOKENS_PER_LOAD = 250.0
 # Requests that a failure counts for when targets are compared.
 _FAILURE_WEIGHT = 8.0
-# Changed rows told in one message, so that it stays a datagram of a few
-# kilobytes.
-_MAX_TOLD = 20
 # A failure weighs less than this share of itself is forgotten.
 _FAILURE_FLOOR = 0.1
-
-DecodeEntry = Callable[[str, bytes], types.TargetEntry | errors.MalformedEntry]
-
-
-class Changes(NamedTuple):
-    """What entries have changed.
-
-    Attributes:
-        members: Targets that there are, or what they are.
-        models: Models that engines hold.
-    """
-
-    members: bool
-    models: bool
-
-
-class ToldTarget(NamedTuple):
-    """What one instance tells another of a target.
-
-    Attributes:
-        target_id: Identity.
-        version: Version of the row that it is known from.
-        entry: What the row says, without copies of weights; None if there is
-            none (any more).
-    """
-
-    target_id: str
-    version: int
-    entry: types.TargetEntry | None
+# Lives of targets whose failures are remembered, the latest.
+_MAX_FAILING = 1_024
 
 
 class _Failures(NamedTuple):
@@ -72,127 +41,34 @@
         data_centre: Where this instance runs.
 
     Attributes:
-        base_version: Version of the store from which on this instance knows
-            of all changes.
-        known_version: Version up to which it does.
-        entries: Entries of the platform's list.
+        table: The platform's list of targets.
         in_flight: Requests under way by target and model (with adapter).
         prefilling: Prompt tokens sent by target and not read yet.
         notices: What targets have said in their answers.
-        malformed: Entries that could not be read.
     """
 
     def __init__(
         self,
-        decode: DecodeEntry,
+        decode: target_entries.DecodeEntry,
         now_ms: Callable[[], int],
         data_centre: str,
     ):
-        self._decode = decode
+        self.table = target_entries.TargetEntries(decode)
         self._now_ms = now_ms
         self._data_centre = data_centre
         self._lacks: dict[tuple[str, str], int] = {}
-        self._failures: dict[str, _Failures] = {}
+        self._failures: dict[target_notices.Life, _Failures] = {}
         self._others: dict[str, int] = {}
         self._others_prefilling: dict[str, int] = {}
         self._told_models: dict[str, dict[str, frozenset[str]]] = {}
-        self._versions: dict[str, int] = {}
-        self.base_version = 0
-        self.known_version = 0
-        self.entries: dict[str, types.TargetEntry] = {}
         self.in_flight: dict[str, dict[str, int]] = {}
         self.prefilling: dict[str, int] = {}
         self.notices = target_notices.TargetNotices()
-        self.malformed = 0
-
-    def on_rows(self, snapshot: store_lib.Snapshot, whole: bool) -> Changes:
-        """Takes in entries from the store.
-
-        Args:
-            snapshot: Rows of the list.
-            whole: Whether entries that are not among them are gone.
-        """
-        members = models = False
-        if whole:
-            present = {row.key for row in snapshot.rows}
-            for target_id in set(self.entries) - present:
-                if self._is_news(target_id, snapshot.version):
-                    members |= self._remove(target_id, "not in the list")
-            self.base_version = snapshot.version
-        for row in snapshot.rows:
-            if not self._is_news(row.key, row.version):
-                continue
-            changes = self._on_row(row)
-            members |= changes.members
-            models |= changes.models
-        self.known_version = max(self.known_version, snapshot.version)
-        return Changes(members, models)
-
-    def _on_row(self, row: store_lib.Row) -> Changes:
-        if row.value is None:
-            return Changes(self._remove(row.key, "removed"), False)
-        entry = self._decode(row.key, row.value)
-        if isinstance(entry, errors.MalformedEntry):
-            self.malformed += 1
-            logger.warning("target entry refused", extra=entry._asdict())
-            return Changes(self._remove(row.key, "malformed"), False)
-        return self._take(entry, row.version)
-
-    def _is_news(self, target_id: str, version: int) -> bool:
-        """Notes the version of a row; returns whether it was not known."""
-        if version <= self._versions.get(target_id, 0):
-            return False
-        self._versions[target_id] = version
-        return True
-
-    def tell_since(self, version: int) -> tuple[list[ToldTarget], int]:
-        """Returns what has changed since a version, the oldest first.
-
-        Returns:
-            The changes, and the version up to which they are all; 0 if this
-            instance does not know what has changed since.
-        """
-        if version < self.base_version or not self.known_version:
-            return [], 0
-        if version >= self.known_version:
-            return [], version
-        changed = sorted(
-            (row_version, target_id)
-            for target_id, row_version in self._versions.items()
-            if row_version > version
-        )
-        told = [
-            ToldTarget(target_id, row_version, self.entries.get(target_id))
-            for row_version, target_id in changed[:_MAX_TOLD]
-        ]
-        if len(told) < len(changed):
-            return told, told[-1].version
-        return told, self.known_version
-
-    def on_told(
-        self, told: list[ToldTarget], since_version: int, version: int
-    ) -> Changes:
-        """Takes in what another instance knows of the list.
 
-        Args:
-            told: Rows that have changed, by its own reading of the store.
-            since_version: Version after which these are all.
-            version: Version up to which they are.
-        """
-        if not self.known_version or since_version > self.known_version:
-            return Changes(False, False)
-        members = models = False
-        for target_id, row_version, entry in told:
-            if not self._is_news(target_id, row_version):
-                continue
-            if entry is None:
-                members |= self._remove(target_id, "removed")
-                continue
-            changes = self._take(entry, row_version)
-            members |= changes.members
-            models |= changes.models
-        self.known_version = max(self.known_version, version)
-        return Changes(members, models)
+    @property
+    def entries(self) -> dict[str, types.TargetEntry]:
+        """Entries of the list by target."""
+        return self.table.by_target
 
     def on_view(
         self,
@@ -254,7 +130,7 @@
                 continue
             load: float = self._load(entry.target_id)
             load += self.prefill_tokens(entry.target_id) / _TOKENS_PER_LOAD
-            load += _FAILURE_WEIGHT * self._failing(entry.target_id, now_ms)
+            load += _FAILURE_WEIGHT * self._failing(life, now_ms)
             far = entry.data_centre != self._data_centre
             key = (
                 entry.target_id in avoid or self.notices.is_hinted(life),
@@ -352,9 +228,15 @@
 
     def note_failure(self, target_id: str) -> None:
         """Remembers that a target failed a request."""
-        now_ms = self._now_ms()
-        weight = self._failing(target_id, now_ms) + 1.0
-        self._failures[target_id] = _Failures(weight, now_ms)
+        entry = self.entries.get(target_id)
+        if entry is None:
+            return
+        life, now_ms = life_of(entry), self._now_ms()
+        weight = self._failing(life, now_ms) + 1.0
+        self._failures.pop(life, None)
+        self._failures[life] = _Failures(weight, now_ms)
+        if len(self._failures) > _MAX_FAILING:
+            del self._failures[next(iter(self._failures))]
 
     def note_lacks(self, target_id: str, subject: str) -> None:
         """Remembers that a target said that it lacks a model or adapter."""
@@ -386,54 +268,17 @@
         own = sum(self.in_flight.get(target_id, {}).values())
         return own + self._others.get(target_id, 0)
 
-    def _failing(self, target_id: str, now_ms: int) -> float:
-        failures = self._failures.get(target_id)
+    def _failing(self, life: target_notices.Life, now_ms: int) -> float:
+        failures = self._failures.get(life)
         if failures is None:
             return 0.0
         age = (now_ms - failures.at_ms) / _FAILURE_HALF_LIFE_MS
         weight = failures.weight * 0.5**age
         if weight < _FAILURE_FLOOR:
-            del self._failures[target_id]
+            del self._failures[life]
             return 0.0
         return weight
 
-    def _take(self, entry: types.TargetEntry, version: int) -> Changes:
-        before = self.entries.get(entry.target_id)
-        self.entries[entry.target_id] = entry
-        if before is not None and before.born_ms == entry.born_ms:
-            if before.leaving != entry.leaving:
-                logger.info(
-                    "target leaves",
-                    extra={"target": entry.target_id, "version": version},
-                )
-            members = before._replace(
-                models=entry.models,
-                in_memory=entry.in_memory,
-                on_disk=entry.on_disk,
-                leaves_in_ms=entry.leaves_in_ms,
-            )
-            return Changes(members != entry, before.models != entry.models)
-        logger.info(
-            "target known",
-            extra={
-                "target": entry.target_id,
-                "service": entry.service,
-                "leaving": entry.leaving,
-                "version": version,
-            },
-        )
-        self._failures.pop(entry.target_id, None)
-        return Changes(True, True)
-
-    def _remove(self, target_id: str, reason: str) -> bool:
-        if self.entries.pop(target_id, None) is None:
-            return False
-        self._failures.pop(target_id, None)
-        logger.info(
-            "target gone", extra={"target": target_id, "reason": reason}
-        )
-        return True
-
 
 def life_of(entry: types.TargetEntry) -> target_notices.Life:
     """Returns the life of a target that an entry tells of."""
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -180,12 +180,12 @@
         )
 
     def _tell_targets(self, since_version: int) -> messages.ToldList:
-        changed, version = self.directory.tell_since(since_version)
+        changed, version = self.directory.table.tell_since(since_version)
         return messages.ToldList(
             changed=changed,
             since_version=since_version,
             version=version,
-            known_version=self.directory.known_version,
+            known_version=self.directory.table.known_version,
             age_ms=self._now_ms() - self.targets.read_ms,
         )
 
--- a/tanagerloft/gateway/deployment.py
+++ b/tanagerloft/gateway/deployment.py
@@ -9,7 +9,7 @@
 from tanagerloft.coordination import engine_keeper
 from tanagerloft.coordination import engine_states
 from tanagerloft.coordination import store as store_lib
-from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.coordination import target_entries
 from tanagerloft.gateway import dialect as dialect_lib
 from tanagerloft.net import target_connection
 
@@ -37,7 +37,7 @@
     configuration_key: str
     targets_table: str
     decode_configuration: configuration_lib.Decode
-    decode_entry: targets_lib.DecodeEntry
+    decode_entry: target_entries.DecodeEntry
     send_order: engine_keeper.SendOrder
     fetch_report: engine_states.FetchReport
     ready_path: bytes
--- a/tests/coordination/test_engine_states.py
+++ b/tests/coordination/test_engine_states.py
@@ -24,7 +24,7 @@
             lambda key, _value: engines.entry(key), lambda: self.now_ms, "dc"
         )
         rows = tuple(store_lib.Row(name, b"", 1) for name in _NAMES)
-        directory.on_rows(store_lib.Snapshot(rows, 1), whole=True)
+        directory.table.on_rows(store_lib.Snapshot(rows, 1), whole=True)
         self.states = engine_states.EngineStates(
             directory, self._fetch, lambda: self.now_ms, lambda _entry: None
         )
--- a/tests/coordination/test_holder.py
+++ b/tests/coordination/test_holder.py
@@ -57,7 +57,7 @@
     lease = _lease()
     directory = targets.TargetDirectory(lambda *_: _ENGINE, now_ms, "dc")
     rows = (store_lib.Row("e", b"", 1),)
-    directory.on_rows(store_lib.Snapshot(rows, 1), whole=True)
+    directory.table.on_rows(store_lib.Snapshot(rows, 1), whole=True)
     keeper = engine_keeper.EngineKeeper(
         lease, directory, engine.order, engine.report, now_ms
     )
--- a/tests/coordination/test_told_proofs.py
+++ b/tests/coordination/test_told_proofs.py
@@ -24,7 +24,7 @@
 def _listing(bound_ms: int) -> target_list.TargetList:
     """Returns a list that has been read at version 1."""
     directory = targets.TargetDirectory(lambda *_: None, lambda: 0, "dc")
-    directory.on_rows(store_lib.Snapshot((), 1), whole=True)
+    directory.table.on_rows(store_lib.Snapshot((), 1), whole=True)
     return target_list.TargetList(
         _NoStore(), "t", directory, lambda: 10_000, lambda: None, bound_ms
     )
--- a/tests/coordination/test_told_targets.py
+++ b/tests/coordination/test_told_targets.py
@@ -4,15 +4,15 @@
 
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import store as store_lib
-from tanagerloft.coordination import targets
+from tanagerloft.coordination import target_entries
 from tests.support import engines
 
 
-def _directory() -> targets.TargetDirectory:
+def _directory() -> target_entries.TargetEntries:
     def decode(key: str, value: bytes):
         return engines.entry(key, leaving=value == b"leaving")
 
-    return targets.TargetDirectory(decode, lambda: 0, "dc")
+    return target_entries.TargetEntries(decode)
 
 
 def _rows(version: int, **values: tuple[int, bytes | None]):
@@ -20,7 +20,9 @@
     return store_lib.Snapshot(tuple(rows), version)
 
 
-def _pair() -> tuple[targets.TargetDirectory, targets.TargetDirectory]:
+def _pair() -> tuple[
+    target_entries.TargetEntries, target_entries.TargetEntries
+]:
     """Returns two directories that have read two targets at version 10."""
     pair = _directory(), _directory()
     for one in pair:
@@ -41,7 +43,7 @@
         whole=False,
     )
     _tell(holder, follower)
-    assert follower.entries == holder.entries
+    assert follower.by_target == holder.by_target
     assert follower.known_version == 20
 
 
@@ -50,8 +52,8 @@
     holder.on_rows(_rows(20, a=(15, b"ready")), whole=False)
     follower.on_rows(_rows(30, a=(25, b"leaving"), b=(26, None)), whole=False)
     _tell(holder, follower, since=10)
-    assert follower.entries["a"].leaving
-    assert "b" not in follower.entries
+    assert follower.by_target["a"].leaving
+    assert "b" not in follower.by_target
     assert follower.known_version == 30
 
 
@@ -60,8 +62,8 @@
     holder.on_rows(_rows(20, a=(15, b"leaving"), c=(16, b"ready")), whole=False)
     _tell(holder, follower)
     follower.on_rows(_rows(12, a=(3, b"ready"), b=(7, b"ready")), whole=True)
-    assert follower.entries["a"].leaving
-    assert "c" in follower.entries
+    assert follower.by_target["a"].leaving
+    assert "c" in follower.by_target
 
 
 def test_a_holder_that_does_not_know_what_has_gone_tells_nothing():
@@ -71,7 +73,7 @@
     holder.on_rows(_rows(40, a=(3, b"ready")), whole=True)
     assert holder.tell_since(follower.known_version) == ([], 0)
     _tell(holder, follower)
-    assert set(follower.entries) == {"a", "b"}
+    assert set(follower.by_target) == {"a", "b"}
     assert follower.known_version == 10
 
 
@@ -79,7 +81,7 @@
     holder, _ = _pair()
     follower = _directory()
     _tell(holder, follower)
-    assert not follower.entries
+    assert not follower.by_target
     assert follower.known_version == 0
 
 
@@ -92,14 +94,16 @@
         _tell(holder, follower)
         tells += 1
     assert tells == 3
-    assert follower.entries == holder.entries
+    assert follower.by_target == holder.by_target
 
 
 @pytest.mark.parametrize(
     "entry", [engines.entry("a", models={"m": frozenset(["a1"])}), None]
 )
 def test_told_rows_travel_whole(entry):
-    told = messages.ToldList([targets.ToldTarget("a", 5, entry)], 1, 5, 9, 100)
+    told = messages.ToldList(
+        [target_entries.ToldTarget("a", 5, entry)], 1, 5, 9, 100
+    )
     proof = messages.Proof(1, 0, False, False, messages.Knowledge(1, 0, 4))
     view = messages.View(
         "h", 1, 1, 3, {}, {}, {}, {}, 0, {}, [], proof, {}, told
--- a/tests/fuzz/test_told_targets.py
+++ b/tests/fuzz/test_told_targets.py
@@ -14,7 +14,7 @@
 import pytest
 
 from tanagerloft.coordination import store as store_lib
-from tanagerloft.coordination import targets
+from tanagerloft.coordination import target_entries
 from tests.fuzz import machines
 from tests.support import engines
 
@@ -29,7 +29,7 @@
 class ListMachine(stateful.RuleBasedStateMachine):
     """A store with a list, and three instances that follow it."""
 
-    directory_type = targets.TargetDirectory
+    table_type = target_entries.TargetEntries
 
     def __init__(self):
         super().__init__()
@@ -37,10 +37,7 @@
         self.history: dict[str, list[tuple[int, bytes | None]]] = {
             name: [(0, _GONE)] for name in _NAMES
         }
-        self.instances = [
-            self.directory_type(self._decode, lambda: 0, "dc")
-            for _ in _INSTANCES
-        ]
+        self.instances = [self.table_type(self._decode) for _ in _INSTANCES]
         # Changes that each instance is known to know of, by target.
         self.seen = [dict.fromkeys(_NAMES, 0) for _ in _INSTANCES]
         self.readings: list[tuple] = []
@@ -96,9 +93,7 @@
 
     @stateful.rule(index=_instances)
     def restarts(self, index):
-        self.instances[index] = self.directory_type(
-            self._decode, lambda: 0, "dc"
-        )
+        self.instances[index] = self.table_type(self._decode)
         self.seen[index] = dict.fromkeys(_NAMES, 0)
         self.readings = [r for r in self.readings if r[0] != index]
         self.messages = [m for m in self.messages if m[0] != index]
@@ -107,7 +102,7 @@
     def nobody_goes_back_or_misses_a_change(self):
         for index, name in itertools.product(_INSTANCES, _NAMES):
             instance = self.instances[index]
-            entry = instance.entries.get(name)
+            entry = instance.by_target.get(name)
             value = _GONE
             if entry is not None:
                 value = _LEAVING if entry.leaving else _READY
@@ -119,7 +114,7 @@
             self.seen[index][name] = min(at for at in fitting if at >= least)
 
 
-class _TellsBeforeBase(targets.TargetDirectory):
+class _TellsBeforeBase(target_entries.TargetEntries):
     """Flaw: tells of changes that it cannot know of."""
 
     def tell_since(self, version):
@@ -127,14 +122,14 @@
         return super().tell_since(version)
 
 
-class _TakesAnyPart(targets.TargetDirectory):
+class _TakesAnyPart(target_entries.TargetEntries):
     """Flaw: takes a part for all that has changed."""
 
     def on_told(self, told, since_version, version):
         return super().on_told(told, 0, version + 1)
 
 
-class _TakesOldRows(targets.TargetDirectory):
+class _TakesOldRows(target_entries.TargetEntries):
     """Flaw: does not compare versions of rows."""
 
     def _is_news(self, target_id, version):
@@ -151,6 +146,6 @@
 )
 def test_the_oracle_sees_a_planted_flaw(flawed):
     class _Flawed(ListMachine):
-        directory_type = flawed
+        table_type = flawed
 
     machines.expect_failure(_Flawed)
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -82,7 +82,7 @@
             lambda key, _value: engines.entry(key), lambda: self.now_ms, "dc"
         )
         rows = tuple(store_lib.Row(name, b"", 1) for name in self._engines)
-        directory.on_rows(store_lib.Snapshot(rows, 1), whole=True)
+        directory.table.on_rows(store_lib.Snapshot(rows, 1), whole=True)
         self.keeper = engine_keeper.EngineKeeper(
             lease, directory, self._order, self._report, lambda: self.now_ms
         )
