--- a/tanagerloft/coordination/target_entries.py
+++ b/tanagerloft/coordination/target_entries.py
@@ -91,8 +91,13 @@
         return self._take(entry, row.version)
 
     def _is_news(self, target_id: str, version: int) -> bool:
-        """Notes the version of a row; returns whether it was not known."""
-        if version <= self._versions.get(target_id, 0):
+        """Notes the version of a row; returns whether it was not known.
+
+        Up to the known version, all is known: also of rows that came and went
+        unseen.
+        """
+        known = max(self.known_version, self._versions.get(target_id, 0))
+        if version <= known:
             return False
         self._versions[target_id] = version
         return True
--- a/tests/coordination/test_told_targets.py
+++ b/tests/coordination/test_told_targets.py
@@ -109,3 +109,14 @@
         "h", 1, 1, 3, {}, {}, {}, {}, 0, {}, [], proof, {}, told
     )
     assert messages.decode(messages.encode(view)) == view
+
+
+def test_a_late_word_of_a_target_that_has_gone_since_is_not_taken():
+    # Found by fuzzing: the row had come and gone between two readings, so its
+    # version was not known here.
+    follower = _directory()
+    follower.on_rows(_rows(1), whole=True)
+    follower.on_rows(_rows(3), whole=True)
+    late = target_entries.ToldTarget("t", 2, engines.entry("t"))
+    follower.on_told([late], 1, 2)
+    assert not follower.by_target
