--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -437,6 +437,9 @@
             socket.socket(type=socket.SOCK_DGRAM) as datagrams,
             contextlib.suppress(OSError),
         ):
+            # As listeners do: a connection of the last minute does not keep
+            # the port, or the whole part would be used up and repeat itself.
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             stream.bind((_HOST, port))
             datagrams.bind((_HOST, port))
             return port
