Keep what belongs together in one piece: a load from the store, bounded tables

Four fields of an engine's state that were set together are one StoreLoad. Without any target that backs off, a request without a target no longer goes over all entries a second time.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -151,10 +151,11 @@
                 continue
             again = state.orders.repeat(now_ms)
             if again is not None:
-                if state.store_model == again.model:
+                load = state.store_load
+                if load is not None and load.model.name == again.model:
                     self._pace(entry.service, now_ms).take(now_ms)
                     # It may begin at any time, so it tells nothing of speed.
-                    state.store_model = ""
+                    state.store_load = None
                 self._start(self._carry_out(entry, state, again))
 
     def _plan_service(
@@ -174,7 +175,7 @@
         store = model_orders.WeightStore(
             loads_left=self._pace(service, now_ms).left(now_ms),
             under_way=self.states.store_loads(),
-            at_once=self.states.store_at_once(now_ms),
+            at_once=self.states.lanes.at_once(now_ms),
         )
         self.usage.note_held(
             name for engine in engines for name in engine.held()
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
+from typing import NamedTuple
 
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import model_marks
@@ -25,17 +26,28 @@
 ]
 
 
+class StoreLoad(NamedTuple):
+    """A load from the weight store.
+
+    Attributes:
+        model: The model.
+        began_ms: When it was ordered.
+        under_way: Most such loads that have been under way at once during it,
+            itself included.
+    """
+
+    model: types.Model
+    began_ms: int
+    under_way: int
+
+
 class EngineState:
     """What the holder knows of one life of an engine.
 
     Attributes:
         orders: Account of the orders to it.
-        store_model: Model that it was last ordered to load from the weight
-            store, until it is known whether that took long; empty for none.
-        store_loads: Most loads from the weight store that have been under way
-            at once during that one, itself included.
-        store_began_ms: When that one was ordered.
-        store_load_ms: Time that it takes at full speed.
+        store_load: Its last load from the weight store, until it is known how
+            long that took; None for none.
     """
 
     def __init__(self, entry: types.TargetEntry):
@@ -43,10 +55,7 @@
         self.orders = engine_orders.EngineOrders(entry.models)
         self.report_due_ms = 0
         self.polling = False
-        self.store_model = ""
-        self.store_loads = 0
-        self.store_began_ms = 0
-        self.store_load_ms = 0.0
+        self.store_load: StoreLoad | None = None
 
     def told(self) -> model_marks.Models | None:
         """Returns what instances are told that it holds."""
@@ -122,17 +131,14 @@
 
     def note_store_load(self, begins: EngineState, model: types.Model) -> None:
         """Takes in that an engine begins to load from the weight store."""
-        begins.store_model = model.name
-        begins.store_began_ms = self._now_ms()
-        begins.store_load_ms = model.load_ms
-        loading = [s for s in self.by_target.values() if s.loads_from_store()]
-        begins.store_loads = len(loading) + 1
-        for state in loading:
-            state.store_loads = max(state.store_loads, begins.store_loads)
-
-    def store_at_once(self, now_ms: int) -> int:
-        """Returns how many of these are worth having."""
-        return self.lanes.at_once(now_ms)
+        under_way = self.store_loads() + 1
+        begins.store_load = StoreLoad(model, self._now_ms(), under_way)
+        for state in self.by_target.values():
+            load = state.store_load
+            if load is not None and state.loads_from_store():
+                state.store_load = load._replace(
+                    under_way=max(load.under_way, under_way)
+                )
 
     def refresh(self, services: set[str]) -> None:
         """Follows the entries of the engines of some services."""
@@ -176,28 +182,35 @@
         late = state.orders.on_report(report, asked_ms)
         if late:
             self._note_late(entry, state, late)
-        elif state.store_model in report.models and not report.busy:
+            return
+        load = state.store_load
+        if (
+            load is not None
+            and load.model.name in report.models
+            and not report.busy
+        ):
             now_ms = self._now_ms()
             self.lanes.note_done(
-                state.store_loads,
-                now_ms - state.store_began_ms,
-                state.store_load_ms,
+                load.under_way,
+                now_ms - load.began_ms,
+                load.model.load_ms,
                 now_ms,
             )
-            state.store_model = ""
+            state.store_load = None
 
     def _note_late(
         self, entry: types.TargetEntry, state: EngineState, model: str
     ) -> None:
         now_ms = self._now_ms()
-        if model == state.store_model:
-            self.lanes.note_late(state.store_loads, now_ms)
+        load = state.store_load
+        if load is not None and load.model.name == model:
+            self.lanes.note_late(load.under_way, now_ms)
         logger.info(
             "load is late",
             extra={
                 "target": entry.target_id,
                 "model": model,
-                "store_loads": state.store_loads,
+                "store_loads": load.under_way if load is not None else 0,
                 "store_at_once": self.lanes.at_once(now_ms),
             },
         )
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -14,6 +14,7 @@
 from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
+from tanagerloft.util import bounded
 from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
@@ -137,9 +138,11 @@
         self._heard[report.instance] = _Heard(report, now_ms, reply)
         self._loads.put(report)
         self._crashes.put(_process(report), report.crashes, now_ms)
-        self._leaving_targets |= report.leaving_targets
-        while len(self._leaving_targets) > _MAX_LEAVING:
-            del self._leaving_targets[next(iter(self._leaving_targets))]
+        for target_id, born_ms in report.leaving_targets.items():
+            if self._leaving_targets.get(target_id) != born_ms:
+                bounded.put_newest(
+                    self._leaving_targets, target_id, born_ms, _MAX_LEAVING
+                )
         if report.leaving:
             del self._heard[report.instance]
             self._loads.remove(report.instance)
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -9,6 +9,7 @@
 from tanagerloft.coordination import target_entries
 from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
+from tanagerloft.util import bounded
 
 logger = logging.getLogger(__name__)
 
@@ -148,6 +149,8 @@
             The time until the first one takes requests again, None if there
             is no such target.
         """
+        if not self.notices.backs_off:
+            return None
         now_ms = self._now_ms()
         times = (
             self.notices.back_off_ms(life_of(entry), now_ms)
@@ -232,11 +235,8 @@
         if entry is None:
             return
         life, now_ms = life_of(entry), self._now_ms()
-        weight = self._failing(life, now_ms) + 1.0
-        self._failures.pop(life, None)
-        self._failures[life] = _Failures(weight, now_ms)
-        if len(self._failures) > _MAX_FAILING:
-            del self._failures[next(iter(self._failures))]
+        failures = _Failures(self._failing(life, now_ms) + 1.0, now_ms)
+        bounded.put_newest(self._failures, life, failures, _MAX_FAILING)
 
     def note_lacks(self, target_id: str, subject: str) -> None:
         """Remembers that a target said that it lacks a model or adapter."""
--- a/tanagerloft/decisions/target_notices.py
+++ b/tanagerloft/decisions/target_notices.py
@@ -10,6 +10,8 @@
 
 from typing import NamedTuple
 
+from tanagerloft.util import bounded
+
 # A target that asks for more is asked again after this time.
 _MAX_BACK_OFF_MS = 3_600_000
 # Lives that are remembered; the oldest are forgotten first. A life that leaves
@@ -48,14 +50,16 @@
         """
         if life in self._leaving:
             return False
-        _put(self._leaving, life, None)
+        bounded.put_newest(self._leaving, life, None, _MAX_REMEMBERED)
         return True
 
     def note_back_off(self, life: Life, for_ms: int, now_ms: int) -> None:
         """Takes in that a target wants no requests for a time."""
         until_ms = now_ms + min(for_ms, _MAX_BACK_OFF_MS)
-        known_ms = self._back_off_until_ms.pop(life, until_ms)
-        _put(self._back_off_until_ms, life, max(known_ms, until_ms))
+        until_ms = max(until_ms, self._back_off_until_ms.get(life, until_ms))
+        bounded.put_newest(
+            self._back_off_until_ms, life, until_ms, _MAX_REMEMBERED
+        )
 
     def on_hints(self, lives: frozenset[Life]) -> None:
         """Takes in which targets have told others that they leave."""
@@ -79,6 +83,11 @@
             return 0
         return until_ms - now_ms
 
+    @property
+    def backs_off(self) -> bool:
+        """Whether any target may want no requests now."""
+        return bool(self._back_off_until_ms)
+
     def takes(self, life: Life, now_ms: int) -> bool:
         """Returns whether a target may be sent a request."""
         return not self.leaves(life) and not self.back_off_ms(life, now_ms)
@@ -86,9 +95,3 @@
     def told(self) -> list[Life]:
         """Returns the leaving targets that others are to know of."""
         return list(self._leaving)[-_MAX_TOLD:]
-
-
-def _put(known: dict, life: Life, value: int | None) -> None:
-    known[life] = value
-    if len(known) > _MAX_REMEMBERED:
-        del known[next(iter(known))]
--- a/tests/coordination/test_engine_states.py
+++ b/tests/coordination/test_engine_states.py
@@ -52,7 +52,7 @@
             accepted = order_progress.Result.ACCEPTED
             state.orders.on_answer(order, accepted, play.now_ms)
         assert play.states.store_loads() == len(_NAMES)
-        assert play.states.store_at_once(play.now_ms) == 4
+        assert play.states.lanes.at_once(play.now_ms) == 4
         play.now_ms += 6_100
         for state in states.values():
             assert state.orders.on_time(play.now_ms)
@@ -62,7 +62,7 @@
         await play.poll()
         # One less than the four that were under way, not than those of which
         # it is known already.
-        assert play.states.store_at_once(play.now_ms) == 3
+        assert play.states.lanes.at_once(play.now_ms) == 3
         assert all(state.told() == {} for state in states.values())
 
     asyncio.run(run())
