Split demands from the plan and paces from the keeper; one record of missed requests

Two tables that changed together are one. How long a model may be silent follows from the half-life of recent requests instead of repeating its figure.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -82,8 +82,7 @@
         )
         self._plans: dict[str, model_plan.ModelPlan] = {}
         self._services: dict[str, types.Service] = {}
-        self._paces: dict[str, weight_store.LoadPace] = {}
-        self._paced_token = 0
+        self._paces = weight_store.TermPaces()
         self._tell_plan_ms = 0
         self._tasks: set[asyncio.Task] = set()
         self.usage = model_usage.ModelUsage()
@@ -218,8 +217,7 @@
         orders = self.states.by_target[entry.target_id].orders
         models = dict(orders.usable())
         models.pop(orders.loading, None)
-        service = self._services[entry.service]
-        room = service.room or _NO_ROOM
+        room = self._room(entry.service)
         return model_orders.Engine(
             target_id=entry.target_id,
             service=entry.service,
@@ -230,26 +228,19 @@
             leaving=self._directory.leaves(entry),
             copies=orders.copies,
             running=running.get(entry.target_id, {}),
-            slots=service.slots,
+            slots=self._services[entry.service].slots,
             room_mb=room.memory_mb,
             max_adapters=room.max_adapters,
         )
 
     def _pace(self, service: str, now_ms: int) -> weight_store.LoadPace:
-        """Returns the pace of the present term; each term has its own."""
         assert self._lease.term is not None
-        token = self._lease.term.token
-        if token != self._paced_token:
-            self._paced_token = token
-            self._paces.clear()
         loads_per_s = self._services[service].store_loads_per_s or 0.0
-        pace = self._paces.get(service)
-        if pace is None:
-            first = token == 1
-            pace = weight_store.LoadPace(loads_per_s, first, now_ms)
-            self._paces[service] = pace
-        pace.set_rate(loads_per_s, now_ms)
-        return pace
+        token = self._lease.term.token
+        return self._paces.of(token, service, loads_per_s, now_ms)
+
+    def _room(self, service: str) -> types.EngineRoom:
+        return self._services[service].room or _NO_ROOM
 
     def _give(self, order: model_orders.Order, now_ms: int) -> None:
         entry = self._directory.entries.get(order.target_id)
@@ -258,7 +249,7 @@
             return
         orders = state.orders
         shapes = self._models(entry.service)
-        room = self._services[entry.service].room or _NO_ROOM
+        room = self._room(entry.service)
         if orders.busy(now_ms) or not model_orders.fits(
             orders.held(), order, shapes, room.memory_mb, room.max_adapters
         ):
--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import model_usage
 from tanagerloft.fleet import types
 
 # Requests in the recent window that make a model one in steady use.
@@ -19,8 +20,6 @@
 # A model whose silence is longer than so many of its usual pauses is not in
 # steady use any more: demand has moved on.
 _SILENT_PAUSES = 3.0
-# Requests of the recent window, times the pause between two of them.
-_RECENT_MS = 5_770.0
 # An idle model is dropped for a waiting one only after this time without
 # requests, so that two waiting models do not push each other out.
 _MIN_IDLE_MS = 200
@@ -103,6 +102,10 @@
         """Returns the engines that have a model and stay."""
         return self._holders.get(model, [])
 
+    def serves(self, model: str) -> bool:
+        """Returns whether a model is one of the service."""
+        return model in self._models
+
     def near(self, model: str) -> list[model_orders.Engine]:
         """Returns the engines that have a copy of a model at hand."""
         return self._near.get(model, [])
@@ -210,7 +213,7 @@
             silent_ms = self._now_ms - last_ms
             steady = (
                 recent >= STEADY_REQUESTS
-                and silent_ms * recent < _SILENT_PAUSES * _RECENT_MS
+                and silent_ms * recent < _SILENT_PAUSES * model_usage.RECENT_MS
             )
             if steady and len(self.holders(name)) <= 1:
                 continue
--- /dev/null
+++ b/tanagerloft/decisions/model_demands.py
@@ -0,0 +1,64 @@
+"""What of the demands is for models that no engine holds."""
+
+from __future__ import annotations
+
+from tanagerloft.decisions import engine_pool
+from tanagerloft.decisions import model_orders
+
+# Worth of a late answer, and of a request of the recent window that makes more
+# of its kind likely, against an answer in time.
+_LATE_WORTH = 0.2
+_COMING_WORTH = 0.3
+# The same of a request for a model that no engine has held since: it has been
+# refused, and its caller comes back.
+_MISSED_WORTH = 0.1
+
+
+def absent_models(
+    demands: list[model_orders.Demand],
+    usage: model_orders.Usage,
+    pool: engine_pool.EnginePool,
+) -> dict[str, model_orders.Demand]:
+    """Returns the demand for each model that no engine holds.
+
+    Args:
+        demands: Demands for models of the service.
+        usage: Use of the models.
+        pool: Engines of the service.
+    """
+    absent: dict[str, model_orders.Demand] = {}
+    for demand in demands:
+        if pool.holders(demand.model):
+            continue
+        known = absent.get(demand.model)
+        absent[demand.model] = (
+            model_orders.merge(known, demand) if known is not None else demand
+        )
+    for name in usage.missed:
+        # Refused at once as the model would come too late, but wanted.
+        if pool.serves(name) and not pool.holders(name):
+            absent.setdefault(name, model_orders.Demand(name, "", (), ()))
+    return absent
+
+
+def worth(
+    demand: model_orders.Demand, usage: model_orders.Usage, load_ms: float
+) -> float:
+    """Returns the worth of loading a model.
+
+    What counts is requests that it lets meet their aim, others whose callers
+    still wait, and those that will come while the model is there.
+
+    Args:
+        demand: Demand for it.
+        usage: Use of the models.
+        load_ms: Time until it is there.
+    """
+    in_aim = sum(left > load_ms for left in demand.aims_left_ms)
+    late = sum(left > load_ms for left in demand.patience_left_ms) - in_aim
+    coming = usage.recent.get(demand.model, 0.0)
+    missed = usage.missed.get(demand.model)
+    total = in_aim + _LATE_WORTH * late + _COMING_WORTH * coming
+    if missed is not None:
+        total += _MISSED_WORTH * missed.requests
+    return total
--- a/tanagerloft/decisions/model_orders.py
+++ b/tanagerloft/decisions/model_orders.py
@@ -115,6 +115,18 @@
         return held
 
 
+class Missed(NamedTuple):
+    """Requests for a model since an engine last held it.
+
+    Attributes:
+        requests: Their number; the older ones count less.
+        since_ms: Reading of the clock at the first of them.
+    """
+
+    requests: float
+    since_ms: int
+
+
 class Usage(NamedTuple):
     """Use of models over all instances.
 
@@ -122,16 +134,13 @@
         last_used_ms: Reading of the clock at the last request, by model.
         recent: Requests of the last seconds, by model.
         in_flight: Requests under way, by model.
-        missed: Requests since an engine last held the model, by model; the
-            older ones count less.
-        missed_since_ms: Reading of the clock at the first of these.
+        missed: Requests since an engine last held the model, by model.
     """
 
     last_used_ms: dict[str, int]
     recent: dict[str, float]
     in_flight: dict[str, int]
-    missed: dict[str, float]
-    missed_since_ms: dict[str, int]
+    missed: dict[str, Missed]
 
 
 class WeightStore(NamedTuple):
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from tanagerloft.decisions import engine_pool
+from tanagerloft.decisions import model_demands
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import passed_over
 from tanagerloft.fleet import types
@@ -25,13 +26,6 @@
 _STEADY_REPLICAS = 2
 # A copy is fetched ahead of demand only in the place of a model with less use.
 _UNUSED_REQUESTS = 0.5
-# Worth of a late answer, and of a request of the recent window that makes more
-# of its kind likely, against an answer in time.
-_LATE_WORTH = 0.2
-_COMING_WORTH = 0.3
-# The same of a request for a model that no engine has held since: it has been
-# refused, and its caller comes back.
-_MISSED_WORTH = 0.1
 # Of so many engines, one may load from the store while requests wait for
 # others: nothing else can be loaded there meanwhile.
 _ENGINES_PER_LONG_LOAD = 2
@@ -76,31 +70,16 @@
             self._models, engines, usage, weight_store, wanted, now_ms
         )
         round_ = _Round(self._models, pool, usage, weight_store, wanted)
-        model_demands: dict[str, model_orders.Demand] = {}
+        demands = [one for one in demands if one.model in self._models]
         for demand in demands:
-            if demand.model not in self._models:
-                continue
-            if pool.holders(demand.model):
-                if demand.adapter:
-                    round_.place_adapter(demand.model, demand.adapter)
-                continue
-            known = model_demands.get(demand.model)
-            if known is not None:
-                model_demands[demand.model] = model_orders.merge(known, demand)
-            else:
-                model_demands[demand.model] = demand
-        for name in usage.missed:
-            # Refused at once as the model would come too late, but wanted.
-            if name in self._models and not pool.holders(name):
-                nobody = model_orders.Demand(name, "", (), ())
-                model_demands.setdefault(name, nobody)
-        overdue = self._passed_over.next(
-            usage, model_demands, pool.loading, now_ms
-        )
+            if demand.adapter and pool.holders(demand.model):
+                round_.place_adapter(demand.model, demand.adapter)
+        absent = model_demands.absent_models(demands, usage, pool)
+        overdue = self._passed_over.next(usage, absent, pool.loading, now_ms)
         if overdue:
-            del model_demands[overdue]
+            del absent[overdue]
             round_.place_model(overdue)
-        for demand in sorted(model_demands.values(), key=round_.urgency):
+        for demand in sorted(absent.values(), key=round_.urgency):
             round_.place_model(demand.model)
         for name in usage.recent:
             if name in self._models:
@@ -138,9 +117,7 @@
     def urgency(self, demand: model_orders.Demand) -> tuple[float, str]:
         """Returns the rank of a demand, the most urgent the least.
 
-        What counts is the worth of a load for each second that it takes:
-        requests that it lets meet their aim, others whose callers still wait,
-        and those that will come while the model is there.
+        What counts is the worth of a load for each second that it takes.
         """
         model = self._models[demand.model]
         load_ms = min(
@@ -150,12 +127,7 @@
             ),
             default=model.load_ms,
         )
-        in_aim = sum(left > load_ms for left in demand.aims_left_ms)
-        late = sum(left > load_ms for left in demand.patience_left_ms) - in_aim
-        coming = self._usage.recent.get(demand.model, 0.0)
-        missed = self._usage.missed.get(demand.model, 0.0)
-        worth = in_aim + _LATE_WORTH * late
-        worth += _COMING_WORTH * coming + _MISSED_WORTH * missed
+        worth = model_demands.worth(demand, self._usage, load_ms)
         return (-worth / load_ms, demand.model)
 
     def place_model(self, model: str) -> None:
--- a/tanagerloft/decisions/model_usage.py
+++ b/tanagerloft/decisions/model_usage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import math
 
 from tanagerloft.decisions import model_orders
 from tanagerloft.fleet import types
@@ -10,6 +11,8 @@
 # Demand moves within some seconds, so older requests tell little.
 _RECENT_HALF_LIFE_MS = 4_000
 _RECENT_STEP_MS = 500
+# Requests that count as recent, times the usual pause between two of them.
+RECENT_MS = _RECENT_HALF_LIFE_MS / math.log(2)
 # Requests for a model that no engine holds are remembered for longer: their
 # callers come back, and such a model may be asked for twice a minute.
 _MISSED_HALF_LIFE_MS = 30_000
@@ -28,8 +31,7 @@
         self._seen: dict[str, dict[str, int]] = {}
         self._last_used_ms: dict[str, int] = {}
         self._recent: dict[str, float] = {}
-        self._missed: dict[str, float] = {}
-        self._missed_since_ms: dict[str, int] = {}
+        self._missed: dict[str, model_orders.Missed] = {}
         self._recent_ms = 0
         self._placed: set[str] = set()
 
@@ -55,8 +57,10 @@
                 self._last_used_ms[model] = now_ms
                 self._last_used_ms[subject] = now_ms
                 self._recent[model] = self._recent.get(model, 0.0) + more
-                self._missed[model] = self._missed.get(model, 0.0) + more
-                self._missed_since_ms.setdefault(model, now_ms)
+                missed = self._missed.get(model, model_orders.Missed(0, now_ms))
+                self._missed[model] = missed._replace(
+                    requests=missed.requests + more
+                )
             seen[subject] = count
         self._decay(now_ms)
 
@@ -87,16 +91,11 @@
         """Takes in which models engines hold or load."""
         for model in models:
             self._missed.pop(model, None)
-            self._missed_since_ms.pop(model, None)
 
     def usage(self, in_flight: dict[str, int]) -> model_orders.Usage:
         """Returns the use of models for a plan."""
         return model_orders.Usage(
-            self._last_used_ms,
-            self._recent,
-            in_flight,
-            self._missed,
-            self._missed_since_ms,
+            self._last_used_ms, self._recent, in_flight, self._missed
         )
 
     def _decay(self, now_ms: int) -> None:
@@ -109,8 +108,8 @@
             for model in self._recent:
                 self._recent[model] *= factor
             factor = 0.5 ** (elapsed_ms / _MISSED_HALF_LIFE_MS)
-            for model, count in list(self._missed.items()):
-                self._missed[model] = count * factor
-                if self._missed[model] < _MISSED_FLOOR:
-                    del self._missed[model]
-                    del self._missed_since_ms[model]
+            self._missed = {
+                model: missed._replace(requests=missed.requests * factor)
+                for model, missed in self._missed.items()
+                if missed.requests * factor >= _MISSED_FLOOR
+            }
--- a/tanagerloft/decisions/passed_over.py
+++ b/tanagerloft/decisions/passed_over.py
@@ -43,11 +43,11 @@
         if self._chosen in loading:
             return ""
         overdue = [
-            (since_ms, model)
-            for model, since_ms in usage.missed_since_ms.items()
+            (missed.since_ms, model)
+            for model, missed in usage.missed.items()
             if model in absent
-            and now_ms - since_ms >= _OVERDUE_MS
-            and usage.missed.get(model, 0.0) >= _MIN_REQUESTS
+            and now_ms - missed.since_ms >= _OVERDUE_MS
+            and missed.requests >= _MIN_REQUESTS
         ]
         self._chosen = min(overdue)[1] if overdue else ""
         return self._chosen
--- a/tanagerloft/decisions/weight_store.py
+++ b/tanagerloft/decisions/weight_store.py
@@ -57,6 +57,35 @@
         self._loads -= 1.0
 
 
+class TermPaces:
+    """Paces of the services; each term of the order lease begins anew."""
+
+    def __init__(self):
+        self._paces: dict[str, LoadPace] = {}
+        self._token = 0
+
+    def of(
+        self, token: int, service: str, loads_per_s: float, now_ms: int
+    ) -> LoadPace:
+        """Returns the pace of a service, at its present rate.
+
+        Args:
+            token: Fencing token of the present term; the first is 1.
+            service: Name of the service.
+            loads_per_s: Loads that may begin in a second.
+            now_ms: Reading of the clock.
+        """
+        if token != self._token:
+            self._token = token
+            self._paces.clear()
+        pace = self._paces.get(service)
+        if pace is None:
+            pace = LoadPace(loads_per_s, token == 1, now_ms)
+            self._paces[service] = pace
+        pace.set_rate(loads_per_s, now_ms)
+        return pace
+
+
 class StoreLanes:
     """Loads from the weight store that are worth having under way at once."""
 
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -48,7 +48,7 @@
 
 
 def _usage(recent=None, last=None, missed=None) -> model_orders.Usage:
-    return model_orders.Usage(last or {}, recent or {}, {}, missed or {}, {})
+    return model_orders.Usage(last or {}, recent or {}, {}, missed or {})
 
 
 def _plan(engines, demands, usage=None, store=_PLENTY, count=8):
@@ -214,9 +214,7 @@
 
 def test_engines_with_few_slots_get_replicas_sooner():
     # A grown site has engines of 16 slots, where 16 requests are all.
-    usage = model_orders.Usage(
-        {"m0": _NOW_MS}, {"m0": 20.0}, {"m0": 20}, {}, {}
-    )
+    usage = model_orders.Usage({"m0": _NOW_MS}, {"m0": 20.0}, {"m0": 20}, {})
     for slots, replicas in ((64, 0), (16, 1)):
         engines = [
             _engine("a", ["m0"], slots=slots),
--- a/tests/decisions/test_passed_over.py
+++ b/tests/decisions/test_passed_over.py
@@ -10,8 +10,8 @@
 
 
 def _usage(since_ms: dict[str, int], missed=5.0) -> model_orders.Usage:
-    counts = dict.fromkeys(since_ms, missed)
-    return model_orders.Usage({}, {}, {}, counts, since_ms)
+    known = {m: model_orders.Missed(missed, at) for m, at in since_ms.items()}
+    return model_orders.Usage({}, {}, {}, known)
 
 
 def test_nobody_goes_first_before_it_is_overdue():
