--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -18,8 +18,6 @@
 REPORT_LAG_MS = 300
 # Time by which loads take longer than they should.
 _MARGIN_MS = 30
-# An accepted order that a report does not show is over after this time.
-_GRACE_MS = 1_000
 # An order without an answer is sent again after this time, as it was: only one
 # of the two can be carried out, for both name the orders before them.
 _REPEAT_MS = 300
@@ -130,12 +128,12 @@
         self._held.on_order(order)
         if order.adapter:
             return
-        takes = int(takes_ms) + (_MARGIN_MS if takes_ms else 0)
+        whole_ms = int(takes_ms) + (_MARGIN_MS if takes_ms else 0)
         self._pending = progress.Pending(
             order,
             self._sequence,
-            takes,
-            now_ms + takes,
+            whole_ms,
+            now_ms + whole_ms,
             progress.Phase.SENT,
             repeated=False,
         )
@@ -249,19 +247,9 @@
         pending = self._pending
         if pending is None:
             return
-        shown = (pending.order.model in report.models) is pending.loads
-        if shown:
+        if pending.is_over(report, self._sequence, seen_ms):
             self._pending = None
-        elif pending.phase in (
-            progress.Phase.ACCEPTED,
-            progress.Phase.LATE,
-        ):
-            if seen_ms > pending.due_ms + _GRACE_MS:
-                self._pending = None
-        elif self._sequence > pending.expected:
-            # Another order was accepted instead; this one never will be.
-            self._pending = None
-        if not pending.loads and self._pending:
+        elif not pending.loads:
             self._held.remove(pending.order.model)
 
     def _done(self, pending: progress.Pending) -> None:
--- a/tanagerloft/decisions/order_progress.py
+++ b/tanagerloft/decisions/order_progress.py
@@ -6,6 +6,10 @@
 from typing import NamedTuple
 
 from tanagerloft.decisions import model_orders
+from tanagerloft.fleet import types
+
+# An accepted order that a report does not show is over after this time.
+_GRACE_MS = 1_000
 
 
 class Result(enum.Enum):
@@ -50,6 +54,23 @@
     phase: Phase
     repeated: bool
 
+    def is_over(
+        self, report: types.TargetReport, sequence: int, seen_ms: int
+    ) -> bool:
+        """Returns whether a report of an idle engine shows that it has ended.
+
+        Args:
+            report: The report.
+            sequence: Number of orders that the engine has accepted.
+            seen_ms: When the engine was as the report tells.
+        """
+        if (self.order.model in report.models) is self.loads:
+            return True
+        if self.phase in (Phase.ACCEPTED, Phase.LATE):
+            return seen_ms > self.due_ms + _GRACE_MS
+        # Another order was accepted instead; this one never will be.
+        return sequence > self.expected
+
     @property
     def loads(self) -> bool:
         """Whether it is a load, and not an unload."""
--- a/tanagerloft/gateway/crash_watch.py
+++ b/tanagerloft/gateway/crash_watch.py
@@ -7,6 +7,7 @@
 
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.fleet import types
+from tanagerloft.net import connection_pool
 from tanagerloft.net import target_connection
 from tanagerloft.util import loops
 
@@ -27,7 +28,7 @@
 
     def __init__(
         self,
-        pool: target_connection.Pool,
+        pool: connection_pool.Pool,
         counts: crash_quarantine.CrashCounts,
         now_ms: Callable[[], int],
     ):
--- a/tanagerloft/gateway/deployment.py
+++ b/tanagerloft/gateway/deployment.py
@@ -11,7 +11,7 @@
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import target_entries
 from tanagerloft.gateway import dialect as dialect_lib
-from tanagerloft.net import target_connection
+from tanagerloft.net import connection_pool
 
 
 class Deployment(NamedTuple):
@@ -44,4 +44,4 @@
     metrics_path: bytes
 
 
-Build = Callable[[target_connection.Pool, tuple[str, int], str], Deployment]
+Build = Callable[[connection_pool.Pool, tuple[str, int], str], Deployment]
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -21,9 +21,9 @@
 from tanagerloft.gateway import steps as steps_lib
 from tanagerloft.gateway import waiting as waiting_lib
 from tanagerloft.net import caller_connection
+from tanagerloft.net import connection_pool
 from tanagerloft.net import plain_pages
 from tanagerloft.net import responder as responder_lib
-from tanagerloft.net import target_connection
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import loops
 
@@ -58,7 +58,7 @@
         self._settings = settings
         self._clock = clock
         self._name = settings.get("instance", "id")
-        self._pool = target_connection.Pool(clock.now_ms)
+        self._pool = connection_pool.Pool(clock.now_ms)
         store = settings.get("store", "address")
         self._deployment = build(
             self._pool, (store.host, store.port), self._name
--- a/tanagerloft/gateway/parts.py
+++ b/tanagerloft/gateway/parts.py
@@ -11,7 +11,7 @@
 from tanagerloft.gateway import dialect as dialect_lib
 from tanagerloft.gateway import errors
 from tanagerloft.gateway import waiting as waiting_lib
-from tanagerloft.net import target_connection
+from tanagerloft.net import connection_pool
 
 
 class Parts(NamedTuple):
@@ -35,7 +35,7 @@
 
     dialect: dialect_lib.Dialect
     directory: targets_lib.TargetDirectory
-    pool: target_connection.Pool
+    pool: connection_pool.Pool
     room: waiting_lib.WaitingRoom
     take_repeat: Callable[[str], bool]
     note_first: Callable[[str], None]
--- /dev/null
+++ b/tanagerloft/net/connection_pool.py
@@ -0,0 +1,68 @@
+"""Connections to targets and to the store, idle ones kept for reuse."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tanagerloft.net import target_connection
+from tanagerloft.util import loops
+
+# Bound on setting up a connection; callers allow one second for theirs.
+_CONNECT_TIMEOUT_MS = 1_000
+
+
+class Pool:
+    """Connections by address, idle ones kept for reuse.
+
+    Args:
+        now_ms: Clock.
+    """
+
+    def __init__(self, now_ms: Callable[[], int]):
+        self._now_ms = now_ms
+        self._idle: dict[
+            tuple[str, int], list[target_connection.TargetConnection]
+        ] = {}
+
+    def take_idle(
+        self, address: tuple[str, int], max_idle_ms: int | None = None
+    ) -> target_connection.TargetConnection | None:
+        """Returns an idle connection, the last used first."""
+        idle = self._idle.get(address)
+        now_ms = self._now_ms()
+        while idle:
+            connection = idle.pop()
+            if connection.usable(now_ms, None):
+                if connection.usable(now_ms, max_idle_ms):
+                    return connection
+                idle.append(connection)
+                return None
+            connection.close()
+        return None
+
+    async def connect(
+        self, address: tuple[str, int], timeout_ms: int = _CONNECT_TIMEOUT_MS
+    ) -> target_connection.TargetConnection | target_connection.Loss:
+        """Opens a connection."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with loops.timeout(timeout_ms):
+                _, connection = await loop.create_connection(
+                    lambda: target_connection.TargetConnection(self, address),
+                    *address,
+                )
+        except (OSError, TimeoutError):
+            return target_connection.Loss.NOT_CONNECTED
+        return connection
+
+    def put_back(self, connection: target_connection.TargetConnection) -> None:
+        """Keeps a connection for later exchanges."""
+        connection.idle_since_ms = self._now_ms()
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, connection: target_connection.TargetConnection) -> None:
+        """Told by a connection that it has closed; may be told twice."""
+        idle = self._idle.get(connection.address, [])
+        if connection in idle:
+            idle.remove(connection)
--- a/tanagerloft/net/http_client.py
+++ b/tanagerloft/net/http_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import NamedTuple
 
+from tanagerloft.net import connection_pool
 from tanagerloft.net import target_connection
 from tanagerloft.util import loops
 
@@ -68,7 +69,7 @@
 
 
 async def exchange(
-    pool: target_connection.Pool,
+    pool: connection_pool.Pool,
     address: tuple[str, int],
     data: bytes,
     timeout_ms: int,
--- a/tanagerloft/net/target_connection.py
+++ b/tanagerloft/net/target_connection.py
@@ -1,20 +1,19 @@
-"""Connections to targets and to the store, and a pool of them."""
+"""Connections to targets and to the store."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 import enum
 import socket
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import Protocol
 
 import httptools
 
-from tanagerloft.util import loops
+if TYPE_CHECKING:
+    from tanagerloft.net import connection_pool
 
-# Bound on setting up a connection; callers allow one second for theirs.
-CONNECT_TIMEOUT_MS = 1_000
 # Bytes that nobody acknowledges end a connection after this time.
 _USER_TIMEOUT_MS = 3_000
 # A peer that answers no probe is taken as gone after idle + count * interval.
@@ -80,7 +79,7 @@
 class TargetConnection(asyncio.Protocol):
     """One connection; carries one exchange at a time."""
 
-    def __init__(self, pool: Pool, address: tuple[str, int]):
+    def __init__(self, pool: connection_pool.Pool, address: tuple[str, int]):
         self._pool = pool
         self.address = address
         self._parser = httptools.HttpResponseParser(self)
@@ -243,59 +242,6 @@
                 self._idle_ms = int(int(value) * 1_000 * _IDLE_SHARE)
 
 
-class Pool:
-    """Connections by address, idle ones kept for reuse.
-
-    Args:
-        now_ms: Clock.
-    """
-
-    def __init__(self, now_ms: Callable[[], int]):
-        self._now_ms = now_ms
-        self._idle: dict[tuple[str, int], list[TargetConnection]] = {}
-
-    def take_idle(
-        self, address: tuple[str, int], max_idle_ms: int | None = None
-    ) -> TargetConnection | None:
-        """Returns an idle connection, the last used first."""
-        idle = self._idle.get(address)
-        now_ms = self._now_ms()
-        while idle:
-            connection = idle.pop()
-            if connection.usable(now_ms, None):
-                if connection.usable(now_ms, max_idle_ms):
-                    return connection
-                idle.append(connection)
-                return None
-            connection.close()
-        return None
-
-    async def connect(
-        self, address: tuple[str, int], timeout_ms: int = CONNECT_TIMEOUT_MS
-    ) -> TargetConnection | Loss:
-        """Opens a connection."""
-        loop = asyncio.get_running_loop()
-        try:
-            async with loops.timeout(timeout_ms):
-                _, connection = await loop.create_connection(
-                    lambda: TargetConnection(self, address), *address
-                )
-        except (OSError, TimeoutError):
-            return Loss.NOT_CONNECTED
-        return connection
-
-    def put_back(self, connection: TargetConnection) -> None:
-        """Keeps a connection for later exchanges."""
-        connection.idle_since_ms = self._now_ms()
-        self._idle.setdefault(connection.address, []).append(connection)
-
-    def forget(self, connection: TargetConnection) -> None:
-        """Told by a connection that it has closed; may be told twice."""
-        idle = self._idle.get(connection.address, [])
-        if connection in idle:
-            idle.remove(connection)
-
-
 def _set_keepalive(sock: socket.socket) -> None:
     """Makes a silent peer show: it would leave no trace otherwise."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/tanagerloft/platform/deployment.py
+++ b/tanagerloft/platform/deployment.py
@@ -2,7 +2,7 @@
 
 from tanagerloft import registry as registry_lib
 from tanagerloft.gateway import deployment
-from tanagerloft.net import target_connection
+from tanagerloft.net import connection_pool
 from tanagerloft.platform import configuration
 from tanagerloft.platform import entries
 from tanagerloft.platform import orders
@@ -17,7 +17,7 @@
 
 
 def build(
-    pool: target_connection.Pool,
+    pool: connection_pool.Pool,
     store_address: tuple[str, int],
     instance: str,
 ) -> deployment.Deployment:
--- a/tanagerloft/platform/orders.py
+++ b/tanagerloft/platform/orders.py
@@ -9,8 +9,8 @@
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
+from tanagerloft.net import connection_pool
 from tanagerloft.net import http_client
-from tanagerloft.net import target_connection
 from tanagerloft.platform import entries
 from tanagerloft.platform import wire
 
@@ -34,7 +34,7 @@
         holder: Name under which this instance orders.
     """
 
-    def __init__(self, pool: target_connection.Pool, holder: str):
+    def __init__(self, pool: connection_pool.Pool, holder: str):
         self._pool = pool
         self._holder = holder
 
--- a/tanagerloft/platform/store.py
+++ b/tanagerloft/platform/store.py
@@ -12,8 +12,8 @@
 
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import store as store_lib
+from tanagerloft.net import connection_pool
 from tanagerloft.net import http_client
-from tanagerloft.net import target_connection
 
 _JSON = [(b"Content-Type", b"application/json")]
 # Answers take 4 ms; a call that takes this long is on a dead connection or
@@ -40,7 +40,7 @@
 class Store:
     """The platform's store; a ``coordination.store.Store``."""
 
-    def __init__(self, pool: target_connection.Pool, address: tuple[str, int]):
+    def __init__(self, pool: connection_pool.Pool, address: tuple[str, int]):
         self._pool = pool
         self._address = address
         self._host = f"{address[0]}:{address[1]}"
--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -7,6 +7,7 @@
 
 from tanagerloft.fleet import types
 from tanagerloft.net import caller_connection
+from tanagerloft.net import connection_pool
 from tanagerloft.net import responder as responder_lib
 from tanagerloft.net import target_connection
 
@@ -114,7 +115,7 @@
 
 def _feed_target(pieces: list[bytes], error: Exception | None) -> _Receiver:
     async def run() -> _Receiver:
-        pool = target_connection.Pool(lambda: 1)
+        pool = connection_pool.Pool(lambda: 1)
         connection = target_connection.TargetConnection(pool, ("h", 1))
         connection.connection_made(_Transport())
         receiver = _Receiver()
