Share what tests of the gateway and of the lease wrote again

Running a test against a platform, the status of an answer, the target that answers 200, a held lease and a lease keeper stand once. Assertions are as they were.

--- a/tests/coordination/test_fleet_link.py
+++ b/tests/coordination/test_fleet_link.py
@@ -4,16 +4,7 @@
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import targets
 from tanagerloft.decisions import crash_quarantine
-from tanagerloft.decisions import order_lease
-
-
-def _holding_lease() -> order_lease.OrderLease:
-    lease = order_lease.OrderLease("a", "1", "a:1", 3_000, 3_000)
-    lease.on_row(0, None, 0)
-    claim = lease.next_claim(0)
-    assert claim is not None
-    lease.on_written(claim, 1, 0, 0)
-    return lease
+from tests.support import engines
 
 
 def test_a_report_stays_as_it_was_when_loads_change():
@@ -24,7 +15,7 @@
     link = fleet_link.FleetLink(
         "a",
         "1",
-        _holding_lease(),
+        engines.held_lease(valid_ms=3_000),
         directory,
         lambda *_: None,
         lambda: 0,
--- a/tests/coordination/test_holder.py
+++ b/tests/coordination/test_holder.py
@@ -7,7 +7,6 @@
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import targets
-from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import order_progress
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
@@ -44,17 +43,8 @@
         return engines.report(on_disk=frozenset(["m"]))
 
 
-def _lease() -> order_lease.OrderLease:
-    lease = order_lease.OrderLease("a", "1", "a:1", 10**9, 3_000)
-    lease.on_row(0, None, 0)
-    claim = lease.next_claim(0)
-    assert claim is not None
-    lease.on_written(claim, 1, 0, 0)
-    return lease
-
-
 def _holder(engine: _Engine, now_ms) -> holder_lib.Holder:
-    lease = _lease()
+    lease = engines.held_lease()
     directory = targets.TargetDirectory(lambda *_: _ENGINE, now_ms, "dc")
     rows = (store_lib.Row("e", b"", 1),)
     directory.table.on_rows(store_lib.Snapshot(rows, 1), whole=True)
--- a/tests/coordination/test_lease_keeper.py
+++ b/tests/coordination/test_lease_keeper.py
@@ -34,6 +34,35 @@
         return self.version
 
 
+def _keeper(
+    store: _Store,
+    lease: order_lease.OrderLease,
+    now_ms,
+    heard_ms: int = 0,
+    report_pause_ms: int = 100,
+    small: bool = False,
+) -> lease_keeper.LeaseKeeper:
+    return lease_keeper.LeaseKeeper(
+        store,
+        lease,
+        now_ms,
+        lambda: heard_ms,
+        lambda: False,
+        lambda: report_pause_ms,
+        0,
+        small,
+    )
+
+
+def _lease(name: str, held_by: str = "", at_ms: int = 0):
+    """Returns the lease as an instance sees it, which another may hold."""
+    lease = order_lease.OrderLease(name, "1", f"{name}:1", 3_000, 3_000)
+    if held_by:
+        term = order_lease.Term(held_by, "1", "o:1", 1, True, False)
+        lease.on_row(1, term, at_ms)
+    return lease
+
+
 @pytest.mark.parametrize(
     ("processors", "link_mbps", "small"),
     [(1.07, 1_000, False), (2.15, 200, False), (0.516, 10, True), (2, 5, True)],
@@ -50,17 +79,9 @@
         keepers = {}
         leases = {}
         for name, small in (("small", True), ("large", False)):
-            lease = order_lease.OrderLease(name, "1", "a:1", 3_000, 3_000)
-            leases[name] = lease
-            keepers[name] = lease_keeper.LeaseKeeper(
-                store,
-                lease,
-                lambda: int(loop.time() * 1_000),
-                lambda: 0,
-                lambda: False,
-                lambda: 100,
-                0,
-                small,
+            leases[name] = lease = _lease(name)
+            keepers[name] = _keeper(
+                store, lease, lambda: int(loop.time() * 1_000), small=small
             )
         tasks = [loop.create_task(keepers["small"].follow())]
         await asyncio.sleep(0)
@@ -79,16 +100,9 @@
     async def play():
         store = _Store()
         loop = asyncio.get_running_loop()
-        lease = order_lease.OrderLease("small", "1", "a:1", 3_000, 3_000)
-        keeper = lease_keeper.LeaseKeeper(
-            store,
-            lease,
-            lambda: int(loop.time() * 1_000),
-            lambda: 0,
-            lambda: False,
-            lambda: 100,
-            0,
-            True,
+        lease = _lease("small")
+        keeper = _keeper(
+            store, lease, lambda: int(loop.time() * 1_000), small=True
         )
         task = loop.create_task(keeper.follow())
         while not lease.mine:
@@ -116,18 +130,12 @@
 ):
     async def play():
         store = _Store()
-        lease = order_lease.OrderLease("b", "1", "b:1", 3_000, 3_000)
-        other = order_lease.Term("a", "1", "a:1", 1, True, False)
-        lease.on_row(1, other, 10_000)
-        keeper = lease_keeper.LeaseKeeper(
+        keeper = _keeper(
             store,
-            lease,
+            _lease("b", held_by="a", at_ms=10_000),
             lambda: 10_000 + silent_ms,
-            lambda: 10_000,
-            lambda: False,
-            lambda: report_pause_ms,
-            0,
-            False,
+            heard_ms=10_000,
+            report_pause_ms=report_pause_ms,
         )
         task = asyncio.get_running_loop().create_task(keeper.follow())
         await asyncio.sleep(0.05)
@@ -144,19 +152,8 @@
         store = _Store()
         store.down = True
         clock = [10_000]
-        lease = order_lease.OrderLease("small", "1", "a:1", 3_000, 3_000)
-        other = order_lease.Term("gone", "1", "b:1", 1, True, False)
-        lease.on_row(1, other, 0)
-        keeper = lease_keeper.LeaseKeeper(
-            store,
-            lease,
-            lambda: clock[0],
-            lambda: 0,
-            lambda: False,
-            lambda: 100,
-            0,
-            True,
-        )
+        lease = _lease("small", held_by="gone")
+        keeper = _keeper(store, lease, lambda: clock[0], small=True)
         task = asyncio.get_running_loop().create_task(keeper.follow())
 
         async def reads_again() -> None:
@@ -185,21 +182,10 @@
     # went on waiting for its silence.
     async def play():
         store = _Store()
-        lease = order_lease.OrderLease("b", "1", "b:1", 3_000, 3_000)
-        other = order_lease.Term("a", "1", "a:1", 1, True, False)
-        lease.on_row(1, other, 10_000)
+        lease = _lease("b", held_by="a", at_ms=10_000)
         store.version, store.value = 1, b""
         lease.on_given_up(1, 10_100)
-        keeper = lease_keeper.LeaseKeeper(
-            store,
-            lease,
-            lambda: 10_100,
-            lambda: 10_100,
-            lambda: False,
-            lambda: 100,
-            0,
-            False,
-        )
+        keeper = _keeper(store, lease, lambda: 10_100, heard_ms=10_100)
         task = asyncio.get_running_loop().create_task(keeper.follow())
         await asyncio.sleep(0)
         await asyncio.sleep(0)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -10,18 +10,6 @@
 _PIECE = b"x" * 65_536
 
 
-def _run(test):
-    async def run():
-        async with platform_lib.Platform() as platform:
-            await test(platform)
-
-    asyncio.run(run())
-
-
-def _status(data: bytes) -> int:
-    return int(data.split(b" ", 2)[1])
-
-
 def _answering(**headers):
     async def script(request, writer):
         writer.write(platform_lib.answer(request, **headers))
@@ -29,10 +17,6 @@
     return script
 
 
-async def _ok(request, writer):
-    writer.write(platform_lib.answer(request))
-
-
 async def _backs_off(request, writer):
     writer.write(
         platform_lib.answer(
@@ -44,36 +28,47 @@
 def test_a_target_that_says_it_leaves_gets_nothing_more():
     async def test(platform):
         leaves = await platform.add_target(_answering(Server_Leaving="1"))
-        assert _status(await platform.call("GET", "/safe/x")) == 200
-        stays = await platform.add_target(_ok, target_id="t2")
+        assert platform_lib.status(await platform.call("GET", "/safe/x")) == 200
+        stays = await platform.add_target(
+            platform_lib.answer_ok, target_id="t2"
+        )
         for _ in range(4):
-            assert _status(await platform.call("GET", "/safe/x")) == 200
+            assert (
+                platform_lib.status(await platform.call("GET", "/safe/x"))
+                == 200
+            )
         assert len(leaves.requests) == 1
         assert len(stays.requests) == 4
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_other_values_of_the_header_say_nothing():
     async def test(platform):
         target = await platform.add_target(_answering(Server_Leaving="0"))
         for _ in range(2):
-            assert _status(await platform.call("GET", "/safe/x")) == 200
+            assert (
+                platform_lib.status(await platform.call("GET", "/safe/x"))
+                == 200
+            )
         assert len(target.requests) == 2
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_another_target_takes_what_one_that_backs_off_refuses():
     async def test(platform):
         busy = await platform.add_target(_backs_off)
-        free = await platform.add_target(_ok, target_id="t2")
+        free = await platform.add_target(platform_lib.answer_ok, target_id="t2")
         for _ in range(6):
-            assert _status(await platform.call("GET", "/safe/x")) == 200
+            assert (
+                platform_lib.status(await platform.call("GET", "/safe/x"))
+                == 200
+            )
         assert len(busy.requests) <= 1
         assert len(free.requests) == 6
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_requests_are_refused_at_once_while_all_targets_back_off():
@@ -81,13 +76,13 @@
         busy = await platform.add_target(_backs_off)
         for _ in range(4):
             data = await platform.call("POST", "/once/x", body=b"pay")
-            assert _status(data) == 503
+            assert platform_lib.status(data) == 503
             assert b"targets_back_off" in data
             told = data.lower().split(b"retry-after: ")[1].split(b"\r\n")[0]
             assert 20 < float(told) <= 30
         assert len(busy.requests) == 1
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_short_back_off_is_waited_out():
@@ -109,10 +104,10 @@
                 writer.write(platform_lib.answer(request))
 
         await platform.add_target(script)
-        assert _status(await platform.call("GET", "/safe/x")) == 200
+        assert platform_lib.status(await platform.call("GET", "/safe/x")) == 200
         assert len(answers) == 2
 
-    _run(test)
+    platform_lib.run(test)
 
 
 async def _flood(writer) -> None:
@@ -181,9 +176,9 @@
         before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         data = await platform.call("POST", path, body=b"x", **headers)
         after_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        assert _status(data) == 502
+        assert platform_lib.status(data) == 502
         assert len(data) < 10_000
         await target.closed.wait()
         assert after_kb - before_kb < 64_000
 
-    _run(test)
+    platform_lib.run(test)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -11,18 +11,6 @@
 _SEALED = b"Response-Seal: seal-1"
 
 
-def _run(test, **config_changes):
-    async def run():
-        async with platform_lib.Platform(**config_changes) as platform:
-            await test(platform)
-
-    asyncio.run(run())
-
-
-async def _ok(request, writer):
-    writer.write(platform_lib.answer(request))
-
-
 async def _reset(_request, writer):
     platform_lib.reset(writer)
 
@@ -34,15 +22,11 @@
     await platform.eventually(waits)
 
 
-def _status(data: bytes) -> int:
-    return int(data.split(b" ", 2)[1])
-
-
 def test_an_answer_reaches_the_caller_as_it_was():
     async def test(platform):
-        target = await platform.add_target(_ok)
+        target = await platform.add_target(platform_lib.answer_ok)
         data = await platform.call("POST", "/once/x?q=1", body=b"pay")
-        assert _status(data) == 200
+        assert platform_lib.status(data) == 200
         assert _SEALED.lower() in data.lower()
         assert data.endswith(b"\r\n\r\nok")
         request = target.requests[0]
@@ -53,12 +37,12 @@
         assert request.headers["expect-instance"] == "t1"
         assert "authorization" not in request.headers
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_headers_that_only_the_instance_may_set_are_dropped():
     async def test(platform):
-        target = await platform.add_target(_ok)
+        target = await platform.add_target(platform_lib.answer_ok)
         await platform.call(
             "GET",
             "/safe/x",
@@ -75,16 +59,16 @@
         assert headers["x-kept"] == "yes"
         assert not {"hold", "pin-ms", "kv-backup"} & set(headers)
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_the_time_left_goes_to_the_target():
     async def test(platform):
-        target = await platform.add_target(_ok)
+        target = await platform.add_target(platform_lib.answer_ok)
         await platform.call("GET", "/safe/x", Deadline_Ms="2000")
         assert 0 < int(target.requests[0].headers["deadline-ms"]) <= 2_000
 
-    _run(test)
+    platform_lib.run(test)
 
 
 @pytest.mark.parametrize(
@@ -102,12 +86,12 @@
 )
 def test_refusals_before_a_target_is_chosen(path, headers, status):
     async def test(platform):
-        target = await platform.add_target(_ok)
+        target = await platform.add_target(platform_lib.answer_ok)
         data = await platform.call("GET", path, **headers)
-        assert _status(data) == status
+        assert platform_lib.status(data) == status
         assert len(target.requests) == (status == 200)
 
-    _run(test)
+    platform_lib.run(test)
 
 
 @pytest.mark.parametrize(
@@ -123,22 +107,22 @@
 )
 def test_a_request_that_can_be_read_in_two_ways_is_refused(smuggled):
     async def test(platform):
-        target = await platform.add_target(_ok)
+        target = await platform.add_target(platform_lib.answer_ok)
         reader, writer = await platform.connect()
         request = platform_lib.request_bytes("POST", "/safe/x")
         head = request.removesuffix(b"\r\n") + smuggled
         inner = platform_lib.request_bytes("GET", "/free/x", Attempt_Id="in")
         writer.write(head + b"\r\nabc" + inner)
         data = await reader.read(-1)
-        assert _status(data) == 400
+        assert platform_lib.status(data) == 400
         assert not target.requests
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_body_in_chunks_goes_on_whole():
     async def test(platform):
-        target = await platform.add_target(_ok)
+        target = await platform.add_target(platform_lib.answer_ok)
         reader, writer = await platform.connect()
         head = platform_lib.request_bytes(
             "POST", "/once/x", Transfer_Encoding="chunked"
@@ -146,10 +130,10 @@
         writer.write(head + b"3\r\nabc\r\n")
         await writer.drain()
         writer.write(b"2\r\nde\r\n0\r\n\r\n")
-        assert _status(await reader.read(-1)) == 200
+        assert platform_lib.status(await reader.read(-1)) == 200
         assert target.requests[0].body == b"abcde"
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_requests_of_one_connection_are_answered_in_order():
@@ -171,7 +155,7 @@
         assert places == sorted(places)
         assert data.endswith(b"three")
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_lost_answer_of_what_runs_once_is_not_repeated():
@@ -179,22 +163,27 @@
         first = await platform.add_target(_reset)
         second = await platform.add_target(_reset, target_id="t2")
         data = await platform.call("POST", "/once/x", body=b"pay")
-        assert _status(data) == 502
+        assert platform_lib.status(data) == 502
         assert len(first.requests) + len(second.requests) == 1
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_lost_answer_of_what_may_be_repeated_is_sought_elsewhere():
     async def test(platform):
         first = await platform.add_target(_reset)
-        second = await platform.add_target(_ok, target_id="t2")
+        second = await platform.add_target(
+            platform_lib.answer_ok, target_id="t2"
+        )
         for _ in range(2):
-            assert _status(await platform.call("GET", "/safe/x")) == 200
+            assert (
+                platform_lib.status(await platform.call("GET", "/safe/x"))
+                == 200
+            )
         assert first.requests
         assert len(second.requests) == 2
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_target_that_did_not_run_it_is_not_the_end():
@@ -205,12 +194,17 @@
             )
 
         await platform.add_target(busy)
-        second = await platform.add_target(_ok, target_id="t2")
+        second = await platform.add_target(
+            platform_lib.answer_ok, target_id="t2"
+        )
         for _ in range(2):
-            assert _status(await platform.call("POST", "/once/x")) == 200
+            assert (
+                platform_lib.status(await platform.call("POST", "/once/x"))
+                == 200
+            )
         assert len(second.requests) == 2
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_the_answer_of_another_request_is_passed_over():
@@ -224,7 +218,7 @@
         data = await platform.call("GET", "/safe/x")
         assert data.endswith(b"\r\n\r\nyours")
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_bytes_after_an_answer_belong_to_no_request():
@@ -238,7 +232,7 @@
             data = await platform.call("GET", "/safe/x", Attempt_Id=name)
             assert data.endswith(b"\r\n\r\nfirst")
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_an_answer_without_a_seal_is_not_passed_on():
@@ -249,10 +243,10 @@
 
         await platform.add_target(unsealed)
         data = await platform.call("POST", "/once/x")
-        assert _status(data) == 502
+        assert platform_lib.status(data) == 502
         assert b"forged" not in data
 
-    _run(test)
+    platform_lib.run(test)
 
 
 @pytest.mark.parametrize("clean", [True, False])
@@ -269,9 +263,9 @@
 
         await platform.add_target(unframed)
         data = await platform.call("POST", "/once/x")
-        assert _status(data) == (200 if clean else 502)
+        assert platform_lib.status(data) == (200 if clean else 502)
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_truncated_answer_is_not_passed_on():
@@ -282,9 +276,11 @@
             writer.close()
 
         await platform.add_target(truncated)
-        assert _status(await platform.call("POST", "/once/x")) == 502
+        assert (
+            platform_lib.status(await platform.call("POST", "/once/x")) == 502
+        )
 
-    _run(test)
+    platform_lib.run(test)
 
 
 async def _stream(request, writer):
@@ -324,7 +320,7 @@
         gate.set()
         assert (await reader.read(-1)).endswith(b"0\r\n\r\n")
 
-    _run(test)
+    platform_lib.run(test)
 
 
 async def _cut_after_two(request, writer):
@@ -350,7 +346,7 @@
         assert not _is_whole(data)
         assert _events(data) == [1, 2]
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_stream_that_may_be_resumed_goes_on_elsewhere():
@@ -369,7 +365,7 @@
         assert _events(data) == [1, 2, 3, 4]
         assert len(first.requests) == len(second.requests) == 1
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_stream_that_has_begun_gets_no_second_head():
@@ -401,7 +397,7 @@
         assert data.count(b"HTTP/1.1") == 1
         assert not _is_whole(data)
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_the_work_stops_when_the_caller_leaves():
@@ -421,7 +417,7 @@
         async with asyncio.timeout(10):
             await target.closed.wait()
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_caller_that_leaves_while_waiting_is_forgotten():
@@ -442,19 +438,26 @@
         await asyncio.sleep(0)
         assert not target.requests
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_leaving_target_gets_nothing():
     async def test(platform):
-        leaving = await platform.add_target(_ok, state="draining")
-        staying = await platform.add_target(_ok, target_id="t2")
+        leaving = await platform.add_target(
+            platform_lib.answer_ok, state="draining"
+        )
+        staying = await platform.add_target(
+            platform_lib.answer_ok, target_id="t2"
+        )
         for _ in range(4):
-            assert _status(await platform.call("GET", "/safe/x")) == 200
+            assert (
+                platform_lib.status(await platform.call("GET", "/safe/x"))
+                == 200
+            )
         assert not leaving.requests
         assert len(staying.requests) == 4
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_entries_that_cannot_be_read_are_refused_one_by_one():
@@ -464,50 +467,53 @@
         store.put("servers", "bad-2", {"service": 7})
         store.put("servers", "bad-3", {"service": "plain", "address": "x"})
         store.put("op", "config", {"version": "?"})
-        await platform.add_target(_ok)
-        assert _status(await platform.call("GET", "/safe/x")) == 200
+        await platform.add_target(platform_lib.answer_ok)
+        assert platform_lib.status(await platform.call("GET", "/safe/x")) == 200
         assert set(platform.instance.directory.entries) == {"t1"}
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_key_taken_away_stops_working():
     async def test(platform):
-        await platform.add_target(_ok)
-        assert _status(await platform.call("GET", "/safe/x")) == 200
+        await platform.add_target(platform_lib.answer_ok)
+        assert platform_lib.status(await platform.call("GET", "/safe/x")) == 200
         config = platform_lib.configuration(version=2, tenants=[])
         platform.store.put("op", "config", config)
 
         async def refused() -> bool:
-            return _status(await platform.call("GET", "/safe/x")) == 401
+            return (
+                platform_lib.status(await platform.call("GET", "/safe/x"))
+                == 401
+            )
 
         await platform.eventually(refused)
         older = platform_lib.configuration(version=1)
         platform.store.put("op", "config", older)
-        await platform.add_target(_ok, target_id="t2")
+        await platform.add_target(platform_lib.answer_ok, target_id="t2")
         assert await refused()
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_body_beyond_the_limit_is_refused():
     async def test(platform):
-        target = await platform.add_target(_ok)
+        target = await platform.add_target(platform_lib.answer_ok)
         data = await platform.call("POST", "/once/x", body=b"x" * 2_000)
-        assert _status(data) == 413
+        assert platform_lib.status(data) == 413
         assert not target.requests
 
-    _run(test, limits={"body_bytes": 1_000})
+    platform_lib.run(test, limits={"body_bytes": 1_000})
 
 
 def test_headers_beyond_the_limit_are_refused():
     async def test(platform):
-        target = await platform.add_target(_ok)
+        target = await platform.add_target(platform_lib.answer_ok)
         data = await platform.call("GET", "/safe/x", X_Long="x" * 2_000)
-        assert _status(data) == 431
+        assert platform_lib.status(data) == 431
         assert not target.requests
 
-    _run(test, limits={"header_bytes": 1_000})
+    platform_lib.run(test, limits={"header_bytes": 1_000})
 
 
 def test_a_limit_of_tokens_is_kept():
@@ -520,15 +526,15 @@
     }
 
     async def test(platform):
-        await platform.add_target(_ok)
+        await platform.add_target(platform_lib.answer_ok)
         statuses = []
         for _ in range(3):
             data = await platform.call("GET", "/safe/x", Token_Counts="40,0")
-            statuses.append(_status(data))
+            statuses.append(platform_lib.status(data))
         assert statuses == [200, 200, 429]
         assert b"Retry-After: " in data
 
-    _run(test, tenants=[account])
+    platform_lib.run(test, tenants=[account])
 
 
 def test_a_stop_refuses_what_no_target_has():
@@ -541,11 +547,11 @@
         await _one_waits(platform)
         platform.instance.gateway.refuse_waiting()
         data = await reader.read(-1)
-        assert _status(data) == 503
+        assert platform_lib.status(data) == 503
         assert b"Retry-After: " in data
         writer.close()
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_the_end_of_a_stop_answers_what_is_under_way():
@@ -562,10 +568,10 @@
 
         await platform.eventually(sent)
         platform.instance.gateway.end_all()
-        assert _status(await reader.read(-1)) == 504
+        assert platform_lib.status(await reader.read(-1)) == 504
         writer.close()
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_late_in_a_stop_new_requests_are_refused():
@@ -575,15 +581,15 @@
         gateway = platform.instance.gateway
         gateway.stop(gateway.now_ms() + 60_000)
         data = await platform.call("POST", "/stream/x", Model="m1")
-        assert _status(data) == 200
+        assert platform_lib.status(data) == 200
         # A graceful stop of any length: nearly five seconds are left.
         gateway.stop(gateway.now_ms() + 4_990)
         data = await platform.call("POST", "/stream/x", Model="m1")
-        assert _status(data) == 503
+        assert platform_lib.status(data) == 503
         assert b"Connection: close" in data
         assert len(target.requests) == 1
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_model_that_comes_too_late_is_refused_at_once():
@@ -595,14 +601,14 @@
 
         engine = await platform.add_target(refused_load, "engines")
         data = await platform.call("POST", "/stream/x", Model="m2")
-        assert _status(data) == 503
+        assert platform_lib.status(data) == 503
         assert b"Retry-After: " in data
         assert not [r for r in engine.requests if r.target == "/stream/x"]
 
     config = platform_lib.configuration()
     models = config["services"][1]["engine"]["models"]
     models.append({"name": "m2", "weights_mb": 70_000, "load_s": 60})
-    _run(test, services=config["services"])
+    platform_lib.run(test, services=config["services"])
 
 
 def test_a_waiting_request_is_refused_when_its_key_is_taken_away():
@@ -615,15 +621,18 @@
         platform.store.put("op", "config", config)
 
         async def refused() -> bool:
-            return _status(await platform.call("GET", "/safe/x")) == 401
+            return (
+                platform_lib.status(await platform.call("GET", "/safe/x"))
+                == 401
+            )
 
         await platform.eventually(refused)
         target = await platform.add_target(_stream, "engines")
-        assert _status(await reader.read(-1)) == 401
+        assert platform_lib.status(await reader.read(-1)) == 401
         assert not target.requests
         writer.close()
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_request_that_crashes_targets_is_barred():
@@ -644,7 +653,7 @@
 
         async def barred() -> bool:
             data = await platform.call("POST", "/once/x", body=b"bad")
-            codes.append(_status(data))
+            codes.append(platform_lib.status(data))
             return b"crashes_targets" in data
 
         await platform.eventually(barred)
@@ -654,9 +663,9 @@
         assert sum(len(target.requests) for target in targets) <= 4
         await platform.add_target(crash, target_id="t9")
         good = await platform.call("POST", "/once/x", body=b"good")
-        assert _status(good) == 200
+        assert platform_lib.status(good) == 200
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_request_that_is_answered_in_between_is_not_barred():
@@ -674,7 +683,7 @@
         codes = []
         for _ in range(12):
             data = await platform.call("POST", "/once/x", body=b"pay")
-            codes.append(_status(data))
+            codes.append(platform_lib.status(data))
         assert codes == [502, 502, 502, 200] * 3
 
-    _run(test)
+    platform_lib.run(test)
--- a/tests/gateway/test_resources.py
+++ b/tests/gateway/test_resources.py
@@ -16,14 +16,6 @@
 _HOST = "127.0.0.1"
 
 
-def _run(test, **config_changes):
-    async def run():
-        async with platform_lib.Platform(**config_changes) as platform:
-            await test(platform)
-
-    asyncio.run(run())
-
-
 def _resident_mb(pid: int) -> float:
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
     line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
@@ -71,7 +63,7 @@
 
 def test_thousands_of_idle_callers_fit(tmp_path):
     async def test(platform):
-        target = await platform.add_target(_ok)
+        target = await platform.add_target(platform_lib.answer_ok)
         async with _process(platform, tmp_path) as (process, ports):
             await platform.eventually(lambda: _is_ready(ports))
             callers = []
@@ -92,7 +84,7 @@
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_caller_that_does_not_read_holds_the_target_back():
@@ -125,12 +117,12 @@
         assert sum(written) < 32 * 1_024 * 1_024
         writer.close()
 
-    _run(test)
+    platform_lib.run(test)
 
 
 def test_a_store_connection_gone_silent_is_replaced():
     async def test(platform):
-        await platform.add_target(_ok)
+        await platform.add_target(platform_lib.answer_ok)
         platform.store.mute()
         platform.store.put(
             "op", "config", platform_lib.configuration(version=2)
@@ -142,8 +134,4 @@
 
         await platform.eventually(in_force)
 
-    _run(test)
-
-
-async def _ok(request, writer):
-    writer.write(platform_lib.answer(request))
+    platform_lib.run(test)
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -10,7 +10,6 @@
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import targets
 from tanagerloft.decisions import model_orders
-from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
 from tests.support import engines
@@ -73,11 +72,7 @@
         self._engines = {
             f"e{n}": _Engine(models) for n, models in enumerate(held)
         }
-        lease = order_lease.OrderLease("a", "1", "a:1", 10**9, 3_000)
-        lease.on_row(0, None, self.now_ms)
-        claim = lease.next_claim(self.now_ms)
-        assert claim is not None
-        lease.on_written(claim, 1, self.now_ms, self.now_ms)
+        lease = engines.held_lease(self.now_ms)
         directory = targets.TargetDirectory(
             lambda key, _value: engines.entry(key), lambda: self.now_ms, "dc"
         )
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -1,9 +1,28 @@
 """Entries, reports and messages that many tests need in like form."""
 
 from tanagerloft.coordination import messages
+from tanagerloft.decisions import order_lease
 from tanagerloft.fleet import types
 
 _NONE: frozenset[str] = frozenset()
+_TURN_MS = 3_000
+
+
+def held_lease(
+    now_ms: int = 0, valid_ms: int = 10**9
+) -> order_lease.OrderLease:
+    """Returns the lease as the instance ``a`` has it, which holds it.
+
+    Args:
+        now_ms: Reading of the clock when it was taken.
+        valid_ms: Time for which one renewal counts.
+    """
+    lease = order_lease.OrderLease("a", "1", "a:1", valid_ms, _TURN_MS)
+    lease.on_row(0, None, now_ms)
+    claim = lease.next_claim(now_ms)
+    assert claim is not None
+    lease.on_written(claim, 1, now_ms, now_ms)
+    return lease
 
 
 def entry(target_id: str, **changes) -> types.TargetEntry:
--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -422,6 +422,26 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def run(test: Callable[[Platform], Awaitable[None]], **config_changes) -> None:
+    """Runs a test against a platform of its own."""
+
+    async def play():
+        async with Platform(**config_changes) as platform:
+            await test(platform)
+
+    asyncio.run(play())
+
+
+def status(data: bytes) -> int:
+    """Returns the status code of an answer."""
+    return int(data.split(b" ", 2)[1])
+
+
+async def answer_ok(request: Request, writer: asyncio.StreamWriter) -> None:
+    """Script of a target that answers each request with 200."""
+    writer.write(answer(request))
+
+
 def free_port() -> int:
     """Returns a port that nobody listens on.
 
