End a start that fails, and one that is stopped, at once

Cause: a port in use raised an error after threads had been started, which kept the process alive; SIGTERM only set an event that nobody waited for. All listeners now raise one error with address and reason, and the commands print it in one line and end the process. A stop during a trial's start ends the wait for readiness.

--- a/tanagerloft/cmd/gateway.py
+++ b/tanagerloft/cmd/gateway.py
@@ -10,6 +10,7 @@
 from tanagerloft.config import fleet_settings
 from tanagerloft.config import settings as settings_lib
 from tanagerloft.gateway import instance as instance_lib
+from tanagerloft.net import errors as net_errors
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import log
 
@@ -43,5 +44,9 @@
         return registry.build("deployment", deployment, *arguments)
 
     instance = instance_lib.Instance(settings, build, clock)
-    asyncio.run(instance.run())
+    try:
+        asyncio.run(instance.run())
+    except net_errors.ListenError as error:
+        handler.drain(_DRAIN_MS)
+        exits.end_failed_start(error)
     handler.drain(_DRAIN_MS)
--- a/tanagerloft/cmd/serve.py
+++ b/tanagerloft/cmd/serve.py
@@ -11,6 +11,7 @@
 from tanagerloft.cmd import exits
 from tanagerloft.config import errors
 from tanagerloft.config import settings as settings_lib
+from tanagerloft.net import errors as net_errors
 from tanagerloft.server import instance as instance_lib
 
 _FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
@@ -25,8 +26,11 @@
         exits.fail(settings, exits.INVALID)
     set_up_logging(settings.get("log", "level"))
     stop = stop_event()
-    instance = instance_lib.Instance(settings)
-    instance.start()
+    try:
+        instance = instance_lib.Instance(settings)
+        instance.start()
+    except net_errors.ListenError as error:
+        exits.end_failed_start(error)
     click.echo(f"listening on port {instance.port}")
     sys.stdout.flush()
     stop.wait()
--- a/tanagerloft/cmd/standin.py
+++ b/tanagerloft/cmd/standin.py
@@ -11,6 +11,7 @@
 from tanagerloft.cmd import exits
 from tanagerloft.cmd import options
 from tanagerloft.cmd import serve
+from tanagerloft.net import errors as net_errors
 from tanagerloft.server import http_server
 from tanagerloft.standins import trial as trial_lib
 from tanagerloft.util import http
@@ -132,8 +133,8 @@
     server = http_server.HttpServer("127.0.0.1", port, application, _THREADS)
     try:
         bound = server.start()
-    except OSError as error:
-        exits.fail(error)
+    except net_errors.ListenError as error:
+        exits.end_failed_start(error)
     click.echo(json.dumps({"port": bound}))
     sys.stdout.flush()
     stop.wait()
--- a/tanagerloft/cmd/trial.py
+++ b/tanagerloft/cmd/trial.py
@@ -5,7 +5,9 @@
 
 import click
 
+from tanagerloft.cmd import exits
 from tanagerloft.cmd import serve
+from tanagerloft.net import errors as net_errors
 from tanagerloft.standins import trial as trial_lib
 
 
@@ -21,7 +23,10 @@
     serve.set_up_logging("INFO")
     stop = serve.stop_event()
     running = trial_lib.Trial(port)
-    running.start()
+    try:
+        running.start(stop)
+    except net_errors.ListenError as error:
+        exits.end_failed_start(error)
     if announce:
         click.echo(json.dumps({"port": running.port, "key": trial_lib.KEY}))
     else:
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -22,6 +22,7 @@
 from tanagerloft.gateway import waiting as waiting_lib
 from tanagerloft.net import caller_connection
 from tanagerloft.net import connection_pool
+from tanagerloft.net import errors as net_errors
 from tanagerloft.net import plain_pages
 from tanagerloft.net import responder as responder_lib
 from tanagerloft.util import clock as clock_lib
@@ -133,7 +134,11 @@
         return self._clock.now_ms() - self._control.configuration.proved_ms
 
     async def run(self) -> None:
-        """Serves until SIGTERM, then stops gracefully."""
+        """Serves until SIGTERM, then stops gracefully.
+
+        Raises:
+            net_errors.ListenError: An address is in use.
+        """
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -178,12 +183,17 @@
         connections: set[caller_connection.CallerConnection],
     ) -> None:
         address = self._settings.get("listen", key)
-        await asyncio.get_running_loop().create_server(
-            lambda: caller_connection.CallerConnection(handler, connections),
-            address.host,
-            address.port,
-            backlog=_BACKLOG,
-        )
+        try:
+            await asyncio.get_running_loop().create_server(
+                lambda: caller_connection.CallerConnection(
+                    handler, connections
+                ),
+                address.host,
+                address.port,
+                backlog=_BACKLOG,
+            )
+        except OSError as error:
+            raise net_errors.ListenError(str(address), str(error)) from error
 
     async def _stop(self) -> None:
         """Stops without cutting an answer."""
--- a/tanagerloft/net/datagrams.py
+++ b/tanagerloft/net/datagrams.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from tanagerloft.net import errors
+
 
 class Datagrams(asyncio.DatagramProtocol):
     """Socket for datagrams.
@@ -18,11 +20,19 @@
         self._transport: asyncio.DatagramTransport | None = None
 
     async def open(self, host: str, port: int) -> None:
-        """Binds the socket."""
+        """Binds the socket.
+
+        Raises:
+            errors.ListenError: The address is in use.
+        """
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, port)
-        )
+        try:
+            await loop.create_datagram_endpoint(
+                lambda: self, local_addr=(host, port)
+            )
+        except OSError as error:
+            address = f"{host}:{port}"
+            raise errors.ListenError(address, str(error)) from error
 
     def connection_made(self, transport) -> None:
         """Keeps the socket."""
--- a/tanagerloft/peers/bus.py
+++ b/tanagerloft/peers/bus.py
@@ -12,6 +12,7 @@
 import msgpack
 import zmq
 
+from tanagerloft.net import errors as net_errors
 from tanagerloft.peers import errors
 from tanagerloft.util import clock as clock_lib
 
@@ -62,6 +63,9 @@
         clock: Clock for time-outs.
         count: Called with the direction (``in`` or ``out``) and size in bytes
             of each message.
+
+    Raises:
+        net_errors.ListenError: The address is in use.
     """
 
     def __init__(
@@ -79,7 +83,10 @@
         self._dealers: dict[str, zmq.Socket] = {}
         self._context = zmq.Context()
         self._router = self._socket(zmq.ROUTER)
-        self._router.bind(f"tcp://{address}")
+        try:
+            self._router.bind(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            raise net_errors.ListenError(address, str(error)) from error
         self.address = self._bound_address()
         self._wake_lock = threading.Lock()
         self._wake_out = self._context.socket(zmq.PAIR)
--- a/tanagerloft/server/http_server.py
+++ b/tanagerloft/server/http_server.py
@@ -10,6 +10,8 @@
 import cheroot.server
 import cheroot.wsgi
 
+from tanagerloft.net import errors
+
 CONNECTION_KEY = "tanagerloft.connection"
 _BACKLOG = 512
 _KEEP_ALIVE_CONNECTIONS = 4_096
@@ -131,8 +133,17 @@
         )
 
     def start(self) -> int:
-        """Binds and serves; returns the port."""
-        self._server.prepare()
+        """Binds and serves; returns the port.
+
+        Raises:
+            errors.ListenError: The address is in use.
+        """
+        try:
+            self._server.prepare()
+        except OSError as error:
+            host, port = self._server.bind_addr
+            address = f"{host}:{port}"
+            raise errors.ListenError(address, str(error)) from error
         self._thread.start()
         return self._server.bind_addr[1]
 
--- a/tanagerloft/server/instance.py
+++ b/tanagerloft/server/instance.py
@@ -78,11 +78,16 @@
         self._runner.start()
         logger.info("serving on port %d", self.port)
 
-    def wait_ready(self, timeout_ms: int) -> bool:
-        """Waits until requests can be admitted; returns whether they can."""
+    def wait_ready(self, timeout_ms: int, stop: threading.Event) -> bool:
+        """Waits until requests can be admitted; returns whether they can.
+
+        Args:
+            timeout_ms: Bound on the wait.
+            stop: Ends the wait when it is set.
+        """
         services = self.services
         deadline_ms = services.clock.now_ms() + timeout_ms
-        while services.clock.now_ms() < deadline_ms:
+        while services.clock.now_ms() < deadline_ms and not stop.is_set():
             if (
                 services.configuration.is_ready()
                 and services.limits.is_settled()
--- a/tanagerloft/standins/trial.py
+++ b/tanagerloft/standins/trial.py
@@ -1,6 +1,7 @@
 """Instance and stand-ins in one process, on loopback."""
 
 import logging
+import threading
 
 from tanagerloft.config import inventory as inventory_lib
 from tanagerloft.config import settings as settings_lib
@@ -96,8 +97,15 @@
         self.weights = weights.WeightsStandin()
         self.engine: engine.EngineStandin | None = None
 
-    def start(self) -> None:
-        """Starts all parts."""
+    def start(self, stop: threading.Event) -> None:
+        """Starts all parts and waits until requests can be admitted.
+
+        Args:
+            stop: Ends the wait when it is set.
+
+        Raises:
+            net.errors.ListenError: The port is in use.
+        """
         platform_port = self._serve(self.platform)
         service_port = self._serve(self.service)
         inventory = make_inventory(0, service_port)
@@ -114,7 +122,7 @@
         assert isinstance(settings, settings_lib.Settings), settings
         self._instance = instance_lib.Instance(settings)
         self._instance.start()
-        self._instance.wait_ready(_READY_TIMEOUT_MS)
+        self._instance.wait_ready(_READY_TIMEOUT_MS, stop)
         self.port = self._instance.port
 
     def stop(self) -> None:
