Call a limit spent only when those who hold its tokens have said so

Cause of the false 429 of the older path: an instance whose first readings of the table were more than two seconds apart counted as settled ('any peer can be asked') although it had no peer and held no shares, so its first request was called over its limit.

An instance is now settled when it holds shares itself or two others do, and a request is refused as 503 limit_unconfirmed, not run, when no holder of shares was heard or grants came too late. The gateway says the same when no holder of the lease has answered; before, it said 429.

--- a/tanagerloft/controllers/grants.py
+++ b/tanagerloft/controllers/grants.py
@@ -44,6 +44,20 @@
     grants: tuple[Grant, ...] = ()
 
 
+class Gathered(NamedTuple):
+    """What a round of asking has given.
+
+    Attributes:
+        grants: The grants; they may sum to less than what was missing.
+        heard: Whether any holder has answered.
+        asked_all: Whether time sufficed to ask all that could be asked.
+    """
+
+    grants: tuple[Grant, ...]
+    heard: bool
+    asked_all: bool
+
+
 class _Level(NamedTuple):
     """What a holder had left after its latest grant."""
 
@@ -82,7 +96,7 @@
         holders: list[str],
         addresses: dict[str, str],
         share: shares.Size,
-    ) -> list[Grant]:
+    ) -> Gathered:
         """Asks holders, one after another, until nothing is missing.
 
         Args:
@@ -93,15 +107,19 @@
             share: Size of the bucket over one share.
 
         Returns:
-            The grants, which may sum to less than what is missing.
+            What they gave.
         """
         grants: list[Grant] = []
+        heard, asked_all = False, True
         asked_ms = self._clock.now_ms()
         ordered = self._fullest_first(account, holders, share, asked_ms)
         for holder in ordered or homes.rank(account, addresses):
             now_ms = self._clock.now_ms()
             left_ms = self._grant_ms - (now_ms - asked_ms)
-            if missing == 0 or left_ms <= 0:
+            if missing == 0:
+                break
+            if left_ms <= 0:
+                asked_all = False
                 break
             if not self._may_ask(holder, addresses, now_ms):
                 continue
@@ -109,10 +127,13 @@
             grant = self._ask(
                 holder, addresses[holder], account, missing, timeout_ms
             )
-            if grant is not None:
+            if grant is None:
+                continue
+            heard = True
+            if grant.reservation.micro_tokens:
                 grants.append(grant)
                 missing -= grant.reservation.micro_tokens
-        return grants
+        return Gathered(tuple(grants), heard, asked_all)
 
     def _may_ask(
         self, holder: str, addresses: dict[str, str], now_ms: int
@@ -156,6 +177,4 @@
         incarnation, left, *taken = answer
         self._last_levels[account, holder] = _Level(left, now_ms)
         reservation = bucket_lib.Reservation(*taken)
-        if reservation.micro_tokens == 0:
-            return None
         return Grant(address, incarnation, reservation)
--- a/tanagerloft/controllers/limits.py
+++ b/tanagerloft/controllers/limits.py
@@ -68,19 +68,25 @@
 
     def charge(
         self, account: inventory_lib.Account, cost_tokens: int
-    ) -> grants_lib.Charge | decision_errors.LimitExceeded:
+    ) -> (
+        grants_lib.Charge
+        | decision_errors.LimitExceeded
+        | decision_errors.LimitUnconfirmed
+    ):
         """Takes the tokens for a request, or nothing."""
         cost_micro = bucket_lib.to_micro(cost_tokens)
         if cost_micro > self._size(account, shares.SLOTS).cap_micro_tokens:
             return decision_errors.LimitExceeded(0)
         asked_ms = self._clock.now_ms()
         with self._lock:
-            local = self._state(account.name).take_up_to(cost_micro, asked_ms)
+            state = self._state(account.name)
+            local = state.take_up_to(cost_micro, asked_ms)
+            heard = bool(state.slots)
             self._open_tokens += cost_tokens
         missing = cost_micro - local.micro_tokens
         if missing == 0:
             return grants_lib.Charge(account.name, cost_tokens, local)
-        grants = self._asker.gather(
+        gathered = self._asker.gather(
             account.name,
             missing,
             self._holders(account.name),
@@ -88,13 +94,17 @@
             self._size(account, 1),
         )
         charge = grants_lib.Charge(
-            account.name, cost_tokens, local, tuple(grants)
+            account.name, cost_tokens, local, gathered.grants
         )
-        granted = sum(grant.reservation.micro_tokens for grant in grants)
+        granted = sum(one.reservation.micro_tokens for one in charge.grants)
         in_time = self._clock.now_ms() - asked_ms <= self._grant_ms
         if granted == missing and in_time:
             return charge
         self.settle(charge, 0)
+        if not (heard or gathered.heard):
+            return decision_errors.LimitUnconfirmed("no holder of shares heard")
+        if granted == missing or not gathered.asked_all:
+            return decision_errors.LimitUnconfirmed("grants came too late")
         return decision_errors.LimitExceeded(_retry_ms(account, cost_micro))
 
     def settle(self, charge: grants_lib.Charge, used_tokens: int) -> None:
@@ -157,12 +167,15 @@
         """Returns whether requests of each account can be charged somewhere.
 
         Once true it stays so: a holder that dies later costs tokens, not
-        readiness. Without the table it is true, because any peer is asked for
-        grants then.
+        readiness. Without the table it is true where there are peers, because
+        any peer is asked for grants then.
         """
         if not self._settled:
             self._settled = self._all_have_holders()
-        return self._settled or self._configuration.needs_peers()
+        return self._settled or (
+            self._configuration.needs_peers()
+            and bool(self._membership.peer_addresses())
+        )
 
     def hand_back_all(self) -> None:
         """Hands back all shares, with their tokens, before the process ends."""
@@ -218,12 +231,19 @@
         return self._accounts[name]
 
     def _all_have_holders(self) -> bool:
-        reachable = {self._me.instance_id, *self._membership.peer_addresses()}
         return self._has_read and all(
-            reachable.intersection(self._holders(name))
+            self._is_held(name)
             for name in self._configuration.version.inventory.accounts
         )
 
+    def _is_held(self, name: str) -> bool:
+        """Returns whether tokens are left if one other holder is lost."""
+        state = self._accounts.get(name)
+        if state is not None and state.slots:
+            return True
+        peers = set(self._membership.peer_addresses())
+        return len(peers.intersection(self._holders(name))) > 1
+
     def _read_interval_ms(self) -> int:
         instance_count = len(self._membership.live())
         return max(_MIN_READ_MS, instance_count * _READ_PER_INSTANCE_MS)
--- a/tanagerloft/decisions/errors.py
+++ b/tanagerloft/decisions/errors.py
@@ -31,6 +31,16 @@
     retry_after_ms: int
 
 
+class LimitUnconfirmed(NamedTuple):
+    """Whether the account's tokens suffice cannot be told now.
+
+    Attributes:
+        reason: What is missing to tell.
+    """
+
+    reason: str
+
+
 class StaleOrder(NamedTuple):
     """A row no longer says what an order was made from."""
 
--- a/tanagerloft/decisions/token_grants.py
+++ b/tanagerloft/decisions/token_grants.py
@@ -11,6 +11,8 @@
 from typing import NamedTuple
 
 _MS_PER_S = 1_000
+# A holder that is lost has a successor that answers within about this time.
+_UNCONFIRMED_RETRY_MS = 1_000
 
 
 class Limit(NamedTuple):
@@ -159,10 +161,13 @@
     Attributes:
         admitted: Whether the tokens are there.
         retry_ms: When to come back, if not.
+        confirmed: Whether the holder has said so; what is left of the account's
+            limit is not known otherwise.
     """
 
     admitted: bool
     retry_ms: int
+    confirmed: bool
 
 
 class _Waiting(NamedTuple):
@@ -244,7 +249,7 @@
         ]
         self._waiting = self._waiting[len(refused) :]
         for item in refused:
-            item.done(Outcome(False, max(1, grant.retry_ms)))
+            item.done(Outcome(False, max(1, grant.retry_ms), confirmed=True))
 
     def on_silence(self, now_ms: int) -> None:
         """Goes on alone when the holder has not answered for a while."""
@@ -268,7 +273,7 @@
         ]
         self._waiting = self._waiting[len(overdue) :]
         for item in overdue:
-            item.done(Outcome(False, _MS_PER_S))
+            item.done(Outcome(False, _UNCONFIRMED_RETRY_MS, confirmed=False))
 
     def _admit(self) -> None:
         while self._waiting:
@@ -277,4 +282,4 @@
                 return
             self._waiting.pop(0)
             self._used += item.cost_tokens
-            item.done(Outcome(True, 0))
+            item.done(Outcome(True, 0, confirmed=True))
--- a/tanagerloft/filters/admit.py
+++ b/tanagerloft/filters/admit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from tanagerloft import registry as registry_lib
@@ -15,6 +16,9 @@
     from tanagerloft.server import services as services_lib
 
 
+logger = logging.getLogger(__name__)
+
+
 def setup(registry: registry_lib.Registry) -> None:
     """Declares the filter."""
     registry.add("filter", "admit", build)
@@ -29,6 +33,13 @@
         if context.account is None or cost_tokens == 0:
             return None
         charge = limits.charge(context.account, cost_tokens)
+        if isinstance(charge, decision_errors.LimitUnconfirmed):
+            logger.warning(
+                "limit of %s unconfirmed: %s",
+                context.account.name,
+                charge.reason,
+            )
+            return errors.LIMIT_UNCONFIRMED
         if isinstance(charge, decision_errors.LimitExceeded):
             if charge.retry_after_ms == 0:
                 return errors.LIMIT_NEVER
--- a/tanagerloft/filters/errors.py
+++ b/tanagerloft/filters/errors.py
@@ -85,6 +85,12 @@
     "This instance cannot confirm that keys are current.",
     retry_after_ms=2_000,
 )
+LIMIT_UNCONFIRMED = Refusal(
+    "limit_unconfirmed",
+    503,
+    "What is left of the account's limit is not known here now.",
+    retry_after_ms=1_000,
+)
 NOT_CONFIGURED = Refusal(
     "not_configured",
     503,
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -14,6 +14,7 @@
 KEY_MISSING = errors.KEY_MISSING
 KEY_UNKNOWN = Refusal("key_unknown", 401, "The key is not valid.")
 UNKNOWN_ROUTE = errors.UNKNOWN_ROUTE
+LIMIT_UNCONFIRMED = errors.LIMIT_UNCONFIRMED
 NOT_CONFIGURED = errors.NOT_CONFIGURED._replace(retry_after_ms=500)
 KEYS_UNCONFIRMED = errors.KEYS_UNCONFIRMED._replace(retry_after_ms=500)
 MODEL_NOT_READY = Refusal(
--- a/tanagerloft/gateway/gateway.py
+++ b/tanagerloft/gateway/gateway.py
@@ -167,7 +167,9 @@
                 context.charged = True
                 self._start(context)
                 return
-            refusal = errors.limit_exceeded(outcome.retry_ms)
+            refusal = errors.LIMIT_UNCONFIRMED
+            if outcome.confirmed:
+                refusal = errors.limit_exceeded(outcome.retry_ms)
             detail = f"{account.name} {context.cost_tokens}"
             self._refuse(
                 context.responder, refusal, context.ask.request_id, detail
--- a/tanagerloft/standins/service.py
+++ b/tanagerloft/standins/service.py
@@ -54,11 +54,12 @@
         return self._run(request)
 
     def _run(self, request: wrappers.Request) -> wrappers.Response:
-        time.sleep(self.faults.get("slow_ms") / 1_000)
         key = request.headers.get("Idempotency-Key", "none")
+        # A run counts from its start: its caller may be gone before its end.
         with self._lock:
             self._runs[key] = self._runs.get(key, 0) + 1
             count = sum(self._runs.values())
+        time.sleep(self.faults.get("slow_ms") / 1_000)
         if self.faults.take("silent"):
             time.sleep(_SILENCE_S)
         if self.faults.take("lost_answers"):
--- a/tests/decisions/test_token_grants.py
+++ b/tests/decisions/test_token_grants.py
@@ -68,14 +68,14 @@
     account.on_grant(token_grants.Grant(0, 300), 6, 1)
     assert not outcomes
     account.on_grant(token_grants.Grant(500, 0), 7, 2)
-    assert outcomes == [token_grants.Outcome(True, 0)]
+    assert outcomes == [token_grants.Outcome(True, 0, True)]
 
 
 def test_a_request_that_gets_no_grant_is_refused_at_once():
     account, outcomes = _account()
     account.ask(500, 7, 0, outcomes.append)
     account.on_grant(token_grants.Grant(0, 300), 7, 1)
-    assert outcomes == [token_grants.Outcome(False, 300)]
+    assert outcomes == [token_grants.Outcome(False, 300, True)]
 
 
 def test_tokens_given_back_are_used_again():
@@ -92,7 +92,7 @@
     account.on_silence(399)
     assert not outcomes
     account.on_silence(500)
-    assert outcomes == [token_grants.Outcome(True, 0)]
+    assert outcomes == [token_grants.Outcome(True, 0, True)]
     assert account.need().granted_tokens == 50
 
 
@@ -102,6 +102,8 @@
     account.on_silence(500)
     account.on_silence(900)
     assert [outcome.admitted for outcome in outcomes] == [False]
+    # Nobody has said that the limit is spent.
+    assert not outcomes[0].confirmed
 
 
 def test_a_stretched_limit_stays_within_the_tolerance_in_any_window():
@@ -129,4 +131,4 @@
     account.ask(20, 1, 0, outcomes.append)
     account.on_silence(500)
     account.on_silence(900)
-    assert outcomes == [token_grants.Outcome(False, 1_000)]
+    assert outcomes == [token_grants.Outcome(False, 1_000, False)]
