Learn the loads that the store takes at once from their progress

Cause: a load that began while a fifth one was under way for part of its time was on time within the tolerance, so five, then six were tried; each load then took up to nine seconds, past what callers wait. Now the number of loads under way at each moment tells, for each number that the store may take, when a load should be done; what is late or early against that speaks against it.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -27,6 +27,12 @@
 _TELL_PLAN_MS = 1_000
 # Time in which a model that has been loaded gets its first request.
 _FIRST_USE_MS = 500
+# Answers after which an order has begun nothing.
+_NOT_BEGUN = (
+    order_progress.Result.HOLDS,
+    order_progress.Result.REFUSED,
+    order_progress.Result.NOT_SENT,
+)
 # Engines whose room is not told get no loads.
 _NO_ROOM = types.EngineRoom(memory_mb=0.0, max_adapters=0)
 
@@ -111,6 +117,7 @@
         """Follows the list of targets, reports and orders under way."""
         self.states.refresh(set(self._plans))
         self.states.poll_reports(now_ms)
+        self.states.follow_store_loads()
         self._follow_orders(now_ms)
 
     def plan(
@@ -150,11 +157,9 @@
                 continue
             again = state.orders.repeat(now_ms)
             if again is not None:
-                load = state.store_load
-                if load is not None and load.model.name == again.model:
+                if state.store_load == again.model:
                     self._pace(entry.service, now_ms).take(now_ms)
-                    # It may begin at any time, so it tells nothing of speed.
-                    state.store_load = None
+                    self.states.forget_store_load(state)
                 self._start(self._carry_out(entry, state, again))
 
     def _plan_service(
@@ -174,7 +179,7 @@
         store = model_orders.WeightStore(
             loads_left=self._pace(service, now_ms).left(now_ms),
             under_way=self.states.store_loads(),
-            at_once=self.states.lanes.at_once(now_ms),
+            at_once=self.states.lanes.at_once(),
         )
         self.usage.note_held(
             name for engine in engines for name in engine.held()
@@ -278,6 +283,8 @@
         sequence = state.orders.count_before(order)
         answer = await self._send_order(entry, order, token, sequence)
         state.orders.on_answer(order, answer.result, self._now_ms())
+        if answer.result in _NOT_BEGUN and state.store_load == order.model:
+            self.states.forget_store_load(state)
         self.changed.set()
         logger.info(
             "order given",
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -6,13 +6,12 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
-from typing import NamedTuple
 
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import model_marks
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import engine_orders
-from tanagerloft.decisions import weight_store
+from tanagerloft.decisions import store_lanes
 from tanagerloft.fleet import types
 
 logger = logging.getLogger(__name__)
@@ -26,36 +25,24 @@
 ]
 
 
-class StoreLoad(NamedTuple):
-    """A load from the weight store.
-
-    Attributes:
-        model: The model.
-        began_ms: When it was ordered.
-        under_way: Most such loads that have been under way at once during it,
-            itself included.
-    """
-
-    model: types.Model
-    began_ms: int
-    under_way: int
-
-
 class EngineState:
     """What the holder knows of one life of an engine.
 
     Attributes:
+        target_id: The engine.
+        born_ms: When this life of it began.
         orders: Account of the orders to it.
-        store_load: Its last load from the weight store, until it is known how
-            long that took; None for none.
+        store_load: Model that it loads from the weight store, until it is
+            known how long that took; empty for none.
     """
 
     def __init__(self, entry: types.TargetEntry):
+        self.target_id = entry.target_id
         self.born_ms = entry.born_ms
         self.orders = engine_orders.EngineOrders(entry.models)
         self.report_due_ms = 0
         self.polling = False
-        self.store_load: StoreLoad | None = None
+        self.store_load = ""
 
     def told(self) -> model_marks.Models | None:
         """Returns what instances are told that it holds."""
@@ -97,12 +84,14 @@
         self._fetch_report = fetch_report
         self._now_ms = now_ms
         self._placed = placed
-        self.lanes = weight_store.StoreLanes()
+        self.lanes = store_lanes.StoreLanes()
         self._polls: set[asyncio.Task] = set()
         self.by_target: dict[str, EngineState] = {}
 
     def forget(self) -> None:
         """Forgets all engines: another holder may give them orders."""
+        for target_id in self.by_target:
+            self.lanes.forget(target_id)
         self.by_target.clear()
 
     def told_models(self) -> dict[str, model_marks.Models | None]:
@@ -129,27 +118,38 @@
         """Returns the number of loads from the weight store under way."""
         return sum(s.loads_from_store() for s in self.by_target.values())
 
-    def note_store_load(self, begins: EngineState, model: types.Model) -> None:
+    def note_store_load(self, state: EngineState, model: types.Model) -> None:
         """Takes in that an engine begins to load from the weight store."""
-        under_way = self.store_loads() + 1
-        begins.store_load = StoreLoad(model, self._now_ms(), under_way)
-        for state in self.by_target.values():
-            load = state.store_load
-            if load is not None and state.loads_from_store():
-                state.store_load = load._replace(
-                    under_way=max(load.under_way, under_way)
-                )
+        self.follow_store_loads()
+        state.store_load = model.name
+        self.lanes.begin(state.target_id, model.load_ms)
+        self.follow_store_loads()
+
+    def forget_store_load(self, state: EngineState) -> None:
+        """Takes in that a load has not begun, or may begin at any time."""
+        state.store_load = ""
+        self.lanes.forget(state.target_id)
+
+    def follow_store_loads(self) -> None:
+        """Counts the time that loads have been under way.
+
+        One that should be done counts until a report shows it.
+        """
+        under_way = sum(bool(s.store_load) for s in self.by_target.values())
+        self.lanes.advance(under_way, self._now_ms())
 
     def refresh(self, services: set[str]) -> None:
         """Follows the entries of the engines of some services."""
         entries = self._directory.entries
         for target_id in set(self.by_target) - set(entries):
             del self.by_target[target_id]
+            self.lanes.forget(target_id)
         for target_id, entry in entries.items():
             if entry.service not in services:
                 continue
             state = self.by_target.get(target_id)
             if state is None or state.born_ms != entry.born_ms:
+                self.lanes.forget(target_id)
                 self.by_target[target_id] = EngineState(entry)
                 self._placed(entry)
 
@@ -179,38 +179,32 @@
                 extra={"target": entry.target_id, "reason": report.reason},
             )
             return
+        self.follow_store_loads()
         late = state.orders.on_report(report, asked_ms)
+        self._follow_load(state, report, asked_ms)
         if late:
-            self._note_late(entry, state, late)
-            return
-        load = state.store_load
-        if (
-            load is not None
-            and load.model.name in report.models
-            and not report.busy
-        ):
-            now_ms = self._now_ms()
-            self.lanes.note_done(
-                load.under_way,
-                now_ms - load.began_ms,
-                load.model.load_ms,
-                now_ms,
+            logger.info(
+                "load is late",
+                extra={
+                    "target": entry.target_id,
+                    "model": late,
+                    "store_loads": self.store_loads(),
+                    "store_at_once": self.lanes.at_once(),
+                },
             )
-            state.store_load = None
 
-    def _note_late(
-        self, entry: types.TargetEntry, state: EngineState, model: str
+    def _follow_load(
+        self,
+        state: EngineState,
+        report: types.TargetReport,
+        asked_ms: int,
     ) -> None:
-        now_ms = self._now_ms()
-        load = state.store_load
-        if load is not None and load.model.name == model:
-            self.lanes.note_late(load.under_way, now_ms)
-        logger.info(
-            "load is late",
-            extra={
-                "target": entry.target_id,
-                "model": model,
-                "store_loads": load.under_way if load is not None else 0,
-                "store_at_once": self.lanes.at_once(now_ms),
-            },
-        )
+        """Learns from a report how long a load from the store takes."""
+        if not state.store_load:
+            return
+        if state.store_load in report.models:
+            self.lanes.seen_done(state.target_id)
+            state.store_load = ""
+        elif report.busy:
+            age_ms = self._now_ms() - asked_ms + engine_orders.REPORT_LAG_MS
+            self.lanes.seen_loading(state.target_id, age_ms)
--- /dev/null
+++ b/tanagerloft/decisions/store_lanes.py
@@ -0,0 +1,167 @@
+"""Learns how many loads the weight store takes at full speed.
+
+Load answered: a store that carries a fixed number of loads a second, whatever
+is queued. Loads beyond those slow all others down in proportion, so that each
+is there later than its callers wait, while no more are carried.
+
+For each number that the store may take, the progress of a load follows from
+how many were under way at each moment. A load that was still under way when
+it should have been done, or was done before it could be, speaks against that
+number. Loads need not begin together, and none need be late by much.
+"""
+
+from __future__ import annotations
+
+# Loads at once before anything is known.
+_FIRST_AT_ONCE = 4
+# Highest number that is told from a higher one.
+_MAX_AT_ONCE = 32
+# By how much a load's time may differ from what follows from the others: the
+# way of its order, and a part of its time for what is not known of others.
+_SLACK_MS = 100.0
+_SLACK_SHARE = 0.02
+# Excess, as a share of a load's time, from which on a load speaks with its
+# whole weight.
+_WHOLE_EXCESS_SHARE = 0.1
+# Weight against a number from which on it is not used, and the time in which
+# it fades to a half: the store may have become faster.
+_EXCLUDED_FROM = 0.5
+_FADE_HALF_MS = 60_000.0
+# A mean number is rounded up if so little is missing.
+_MOST_OF_THE_TIME = 0.25
+
+
+class _Watch:
+    """A load under way.
+
+    Args:
+        load_ms: Time that it takes at full speed.
+        began: Progress of loads at its begin, by number.
+
+    Attributes:
+        load_ms: Time that it takes at full speed.
+        began: Progress of loads at its begin, by number.
+        spoken: Weight that it has already given against each number.
+        lasted_ms: Time since its begin.
+        sum_ms: Time that all loads have been under way since then.
+    """
+
+    def __init__(self, load_ms: float, began: list[float]):
+        self.load_ms = load_ms
+        self.began = began
+        self.spoken = [0.0] * len(began)
+        self.lasted_ms = 0
+        self.sum_ms = 0
+
+    def mean_under_way(self) -> int:
+        """Returns how many were under way for most of its time."""
+        return int(self.sum_ms / max(1, self.lasted_ms) + _MOST_OF_THE_TIME)
+
+
+class StoreLanes:
+    """Loads from the weight store that are worth having under way at once."""
+
+    def __init__(self):
+        self._tried = _FIRST_AT_ONCE - 1
+        self._against = [0.0] * _MAX_AT_ONCE
+        self._progress = [0.0] * _MAX_AT_ONCE
+        self._under_way = 0
+        self._at_ms: int | None = None
+        self._watched: dict[str, _Watch] = {}
+
+    def at_once(self) -> int:
+        """Returns the loads to have under way at once.
+
+        One more than have been seen to go at full speed is tried.
+        """
+        most = min(self._tried + 1, _MAX_AT_ONCE)
+        fitting = [
+            number
+            for number in range(1, most + 1)
+            if self._against[number - 1] < _EXCLUDED_FROM
+        ]
+        if fitting:
+            return fitting[-1]
+        return min(range(1, most + 1), key=lambda n: self._against[n - 1])
+
+    def advance(self, under_way: int, now_ms: int) -> None:
+        """Counts the time since the last call.
+
+        Args:
+            under_way: Loads under way from now on.
+            now_ms: Reading of the clock.
+        """
+        if self._at_ms is not None and now_ms > self._at_ms:
+            elapsed_ms = now_ms - self._at_ms
+            fades = 0.5 ** (elapsed_ms / _FADE_HALF_MS)
+            for index in range(_MAX_AT_ONCE):
+                self._progress[index] += elapsed_ms * self._speed(index)
+                self._against[index] *= fades
+            for watch in self._watched.values():
+                watch.lasted_ms += elapsed_ms
+                watch.sum_ms += elapsed_ms * self._under_way
+        self._at_ms = now_ms
+        self._under_way = under_way
+
+    def begin(self, target_id: str, load_ms: float) -> None:
+        """Takes in that an engine begins to load from the store.
+
+        Args:
+            target_id: The engine.
+            load_ms: Time that the load takes at full speed.
+        """
+        self._watched[target_id] = _Watch(load_ms, list(self._progress))
+
+    def forget(self, target_id: str) -> None:
+        """Takes in that the load of an engine tells nothing."""
+        self._watched.pop(target_id, None)
+
+    def seen_loading(self, target_id: str, ago_ms: float) -> None:
+        """Takes in that a load was still under way some time ago."""
+        watch = self._watched.get(target_id)
+        if watch is not None:
+            # Too high a number has it done by then.
+            self._speak(watch, ago_ms, sign=1.0)
+
+    def seen_done(self, target_id: str) -> None:
+        """Takes in that a load is done by now."""
+        watch = self._watched.pop(target_id, None)
+        if watch is None:
+            return
+        # Too low a number does not have it done yet.
+        self._speak(watch, 0.0, sign=-1.0)
+        tried = min(watch.mean_under_way(), _MAX_AT_ONCE)
+        if tried and self._against[tried - 1] < _EXCLUDED_FROM:
+            self._tried = max(self._tried, tried)
+
+    def on_told(self, at_once: int) -> None:
+        """Takes in what the holder has learnt, for when this one follows."""
+        at_once = max(1, min(at_once, _MAX_AT_ONCE))
+        if at_once != self.at_once():
+            self._tried = at_once - 1
+            self._against = [0.0] * _MAX_AT_ONCE
+
+    def _speed(self, index: int) -> float:
+        """Returns the speed of a load if the store takes ``index + 1``."""
+        return min(1.0, (index + 1) / max(1, self._under_way))
+
+    def _speak(self, watch: _Watch, ago_ms: float, sign: float) -> None:
+        """Lets a load speak against numbers.
+
+        What speaks against all of them alike, as an engine that is slow by
+        itself, tells nothing.
+        """
+        slack_ms = _SLACK_MS + _SLACK_SHARE * watch.load_ms
+        whole_ms = _WHOLE_EXCESS_SHARE * watch.load_ms
+        weights = []
+        for index, began in enumerate(watch.began):
+            done_ms = self._progress[index] - began
+            done_ms -= ago_ms * self._speed(index)
+            excess_ms = sign * (done_ms - watch.load_ms) - slack_ms
+            weights.append(min(1.0, max(0.0, excess_ms / whole_ms)))
+        least = min(weights)
+        for index, weight in enumerate(weights):
+            told = weight - least - watch.spoken[index]
+            if told > 0:
+                self._against[index] += told
+                watch.spoken[index] += told
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -176,7 +176,7 @@
         return messages.Knowledge(
             configuration=self.configuration.version,
             configuration_age_ms=now_ms - self.configuration.proved_ms,
-            store_at_once=self._engines.states.lanes.at_once(now_ms),
+            store_at_once=self._engines.states.lanes.at_once(),
         )
 
     def _tell_targets(self, since_version: int) -> messages.ToldList:
