Tell callers when their model will really be there

Cause: callers were told by a plan in which nothing else comes, so most waited for seconds and were refused then; and while nobody could give orders they were told nothing and waited to their end. How late models have been against their plan now stretches what is told; a holder that waits for its turn plans too; and without a holder an instance counts from the end of the lost term.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -13,6 +13,7 @@
 from tanagerloft.coordination import fleet_loads
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import arrival_times
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import model_plan
 from tanagerloft.decisions import model_usage
@@ -87,6 +88,7 @@
             directory, fetch_report, now_ms, self._note_placed
         )
         self._plans: dict[str, model_plan.ModelPlan] = {}
+        self._arrivals: dict[str, arrival_times.ArrivalTimes] = {}
         self._services: dict[str, types.Service] = {}
         self._paces = weight_store.TermPaces()
         self._tell_plan_ms = 0
@@ -103,6 +105,8 @@
             for service in configuration.services.values()
             if service.has_engines
         }
+        for name in self._plans:
+            self._arrivals.setdefault(name, arrival_times.ArrivalTimes())
         for service in configuration.services.values():
             if service.has_engines and service.room is None:
                 logger.warning(
@@ -126,7 +130,10 @@
         loads: fleet_loads.FleetLoads,
         now_ms: int,
     ) -> None:
-        """Plans and gives orders, if the lease allows it now.
+        """Plans, and gives orders if the lease allows it now.
+
+        A holder that still waits for its turn plans too, so that callers who
+        would wait in vain are told.
 
         Args:
             reports: Reports of all instances.
@@ -134,9 +141,15 @@
             now_ms: Reading of the clock.
         """
         self.later_ms = {}
-        if self._lease.may_order(now_ms):
-            for service, plan in self._plans.items():
-                self._plan_service(service, plan, reports, loads, now_ms)
+        if not self._lease.leads(now_ms):
+            for arrivals in self._arrivals.values():
+                arrivals.forget()
+            return
+        for service, plan in self._plans.items():
+            orders = self._plan_service(service, plan, reports, loads, now_ms)
+            for order in orders:
+                if self._lease.may_order(now_ms):
+                    self._give(order, now_ms)
 
     def _models(self, service: str) -> dict[str, types.Model]:
         known = self._services.get(service)
@@ -169,7 +182,7 @@
         reports: list[messages.Report],
         loads: fleet_loads.FleetLoads,
         now_ms: int,
-    ) -> None:
+    ) -> list[model_orders.Order]:
         engines = [
             self._engine(entry, loads.running, now_ms)
             for entry in self._directory.entries.values()
@@ -191,14 +204,20 @@
             store,
             now_ms,
         )
-        self.later_ms.update(planned.later_ms)
+        expected_ms = self._arrivals[service].expected(
+            planned.later_ms,
+            {name for engine in engines for name in engine.models},
+            {engine.loading for engine in engines},
+            now_ms,
+        )
+        self.later_ms.update(expected_ms)
         if planned.later_ms and now_ms >= self._tell_plan_ms:
             self._tell_plan_ms = now_ms + _TELL_PLAN_MS
             logger.info(
                 "models waited for",
                 extra={
                     "service": service,
-                    "later_ms": planned.later_ms,
+                    "later_ms": expected_ms,
                     "busy_ms": {
                         engine.target_id: engine.busy_ms
                         for engine in engines
@@ -210,8 +229,7 @@
                     "store_at_once": store.at_once,
                 },
             )
-        for order in planned.orders:
-            self._give(order, now_ms)
+        return planned.orders
 
     def _engine(
         self,
@@ -222,14 +240,15 @@
         orders = self.states.by_target[entry.target_id].orders
         models = dict(orders.usable())
         models.pop(orders.loading, None)
+        waits_ms = self._lease.orders_in_ms(now_ms)
         room = self._room(entry.service)
         return model_orders.Engine(
             target_id=entry.target_id,
             service=entry.service,
             models=models,
             loading=orders.loading,
-            busy=orders.busy(now_ms),
-            busy_ms=orders.busy_ms(now_ms),
+            busy=orders.busy(now_ms) or waits_ms > 0,
+            busy_ms=max(orders.busy_ms(now_ms), waits_ms),
             leaving=self._directory.leaves(entry),
             copies=orders.copies,
             running=running.get(entry.target_id, {}),
--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -30,6 +30,9 @@
 _REPEAT_MS = 20
 # Without the holder for this long, an instance uses its share of limits.
 _SILENCE_MS = 150
+# Without an answer for so long, and for so many reports, the holder is lost.
+_LOST_MS = 500
+_LOST_REPORTS = 2.5
 # Uses of a model are told for this long: the holder hears several reports.
 _USE_TOLD_MS = 2_000
 # Reports whose time of sending is kept, to date the answers.
@@ -159,8 +162,24 @@
         return max(_REPORT_MS, self.instances * _REPORT_PER_INSTANCE_MS)
 
     def model_later_ms(self, model: str) -> int | None:
-        """Returns the time until a model will be there, if the holder told."""
-        return self._later_ms.get(model)
+        """Returns the time until a model will be there, None if not known.
+
+        While no holder answers, only what was under way can come before
+        another one gives orders.
+        """
+        now_ms = self._now_ms()
+        told_ms = self._later_ms.get(model)
+        if not self._holder_is_lost(now_ms):
+            return told_ms
+        silent_ms = now_ms - self.heard_ms
+        if told_ms is not None and told_ms > silent_ms:
+            return told_ms - silent_ms
+        return self._lease.orders_in_ms(now_ms)
+
+    def _holder_is_lost(self, now_ms: int) -> bool:
+        silent_ms = now_ms - self.heard_ms
+        lost_ms = max(_LOST_MS, _LOST_REPORTS * self.report_pause_ms)
+        return self._lease.known and silent_ms > lost_ms
 
     def bars(self, digest: Callable[[], str]) -> bool:
         """Returns whether a request has crashed too many targets."""
@@ -191,6 +210,9 @@
             for account in self._accounts.values():
                 if now_ms - self.heard_ms > _SILENCE_MS:
                     account.on_silence(now_ms)
+            if self._holder_is_lost(now_ms):
+                # Those who wait look whether they do so in vain.
+                self._changed()
             delay_ms = self.report_pause_ms
             if urgent:
                 delay_ms = max(_REPEAT_MS, self.instances)
--- /dev/null
+++ b/tanagerloft/decisions/arrival_times.py
@@ -0,0 +1,97 @@
+"""Learns how much later than planned waited-for models arrive.
+
+Load answered: more models asked for than engines can load in time. A plan tells
+when each would be there if nothing else came; but what is asked for next often
+goes first, so those who were told to wait do so in vain. How late models have
+been of late tells how much the plan's word is worth.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from typing import NamedTuple
+
+# Arrivals as planned that are assumed before anything has been seen.
+_PRIOR_ARRIVALS = 3.0
+# What has been seen counts half after so many further arrivals.
+_HALF_ARRIVALS = 20.0
+_FADE = 0.5 ** (1.0 / _HALF_ARRIVALS)
+# Plans shorter than this are as long as the way of a word through the fleet.
+_LEAST_MS = 100.0
+# A plan is not stretched by more than this.
+_MOST_STRETCH = 8.0
+# Plans up to this long are loads from copies, longer ones wait for the store
+# or for others; the two are late for different reasons.
+_SHORT_MS = 2_000.0
+
+
+class _Wait(NamedTuple):
+    since_ms: int
+    planned_ms: float
+
+
+class _Lateness:
+    """Sums over arrivals; the older ones count less."""
+
+    def __init__(self):
+        self._planned = _PRIOR_ARRIVALS
+        self._took = _PRIOR_ARRIVALS
+
+    def add(self, planned_ms: float, took_ms: float) -> None:
+        planned_ms = max(planned_ms, _LEAST_MS)
+        ratio = min(_MOST_STRETCH, max(took_ms, _LEAST_MS) / planned_ms)
+        self._planned = self._planned * _FADE + 1.0
+        self._took = self._took * _FADE + ratio
+
+    def stretch(self) -> float:
+        return max(1.0, self._took / self._planned)
+
+
+class ArrivalTimes:
+    """Follows what was planned for waited-for models, and what became of it."""
+
+    def __init__(self):
+        self._waits: dict[str, _Wait] = {}
+        self._short = _Lateness()
+        self._long = _Lateness()
+
+    def expected(
+        self,
+        planned_ms: Mapping[str, int],
+        held: Collection[str],
+        under_way: Collection[str],
+        now_ms: int,
+    ) -> dict[str, int]:
+        """Returns when models are to be expected, by model.
+
+        Args:
+            planned_ms: Time until a waited-for model would be there as planned.
+            held: Models that engines hold.
+            under_way: Models that engines load; these come as planned.
+            now_ms: Reading of the clock.
+        """
+        for model in self._waits.keys() - planned_ms.keys():
+            self._end(model, model in held, now_ms)
+        for model, left_ms in planned_ms.items():
+            self._waits.setdefault(model, _Wait(now_ms, float(left_ms)))
+        return {
+            model: left_ms
+            if model in under_way
+            else int(left_ms * self._lateness(left_ms).stretch())
+            for model, left_ms in planned_ms.items()
+        }
+
+    def forget(self) -> None:
+        """Forgets what is waited for; what has been learnt stays."""
+        self._waits.clear()
+
+    def _end(self, model: str, arrived: bool, now_ms: int) -> None:
+        wait = self._waits.pop(model)
+        took_ms = now_ms - wait.since_ms
+        # Who left before the planned time has not seen whether it would hold.
+        if arrived or took_ms > wait.planned_ms:
+            self._lateness(wait.planned_ms).add(wait.planned_ms, took_ms)
+
+    def _lateness(self, planned_ms: float) -> _Lateness:
+        return self._short if planned_ms <= _SHORT_MS else self._long
--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -149,6 +149,17 @@
             < self._valid_until_ms - _ORDER_WAY_MS
         )
 
+    def orders_in_ms(self, now_ms: int) -> int:
+        """Returns the time until orders can be given, as far as is known.
+
+        Of another's term, it is the time until a successor could give some.
+        """
+        if self.mine and not self.given_up:
+            return max(0, self._orders_from_ms - now_ms)
+        if self.term is None:
+            return 0
+        return max(0, self._first_order_ms(self.term, now_ms) - now_ms)
+
     def leads(self, now_ms: int) -> bool:
         """Returns whether this process holds the lease, orders aside."""
         return self.is_valid(now_ms) and not self.given_up
--- a/tests/coordination/test_engine_keeper.py
+++ b/tests/coordination/test_engine_keeper.py
@@ -7,6 +7,7 @@
 
 from tanagerloft.fleet import types
 from tests.support import engine_fleet
+from tests.support import engines
 
 _WINDOW_MS = 5_000
 # What the platform tolerates beyond the rate: a share, and loads besides.
@@ -143,3 +144,24 @@
         assert "m7" in fleet.arrived
 
     asyncio.run(run())
+
+
+def test_a_holder_that_waits_for_its_turn_tells_when_models_will_be_there():
+    """Seen on gcd-vigia: callers waited to their end for orders of nobody."""
+
+    async def run():
+        service = _service(10, 34_300, types.EngineRoom(83_000, 8), 10.0)
+        lease = engines.taken_lease(10_000)
+        fleet = engine_fleet.EngineFleet(
+            service, [["m0", "m1"]] * 2, 4, lease=lease
+        )
+        await fleet.run(1_000, {"m5": 2})
+        turn_ms = lease.orders_in_ms(fleet.now_ms)
+        assert turn_ms > 1_000
+        assert fleet.keeper.later_ms["m5"] >= turn_ms + 6_000
+        assert not fleet.begun_ms
+        await fleet.run(turn_ms + 500, {"m5": 2})
+        assert fleet.begun_ms
+        assert fleet.keeper.later_ms["m5"] < 6_000
+
+    asyncio.run(run())
--- a/tests/coordination/test_fleet_link.py
+++ b/tests/coordination/test_fleet_link.py
@@ -4,27 +4,32 @@
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import targets
 from tanagerloft.decisions import crash_quarantine
+from tanagerloft.decisions import order_lease
 from tests.support import engines
 
 
-def test_a_report_stays_as_it_was_when_loads_change():
-    # The holder hears its own reports as objects, and takes the last one off
-    # its sums when the next comes.
-    directory = targets.TargetDirectory(lambda *_: None, lambda: 0, "dc")
-    heard: list[messages.Report] = []
-    link = fleet_link.FleetLink(
+def _link(lease, directory, now_ms) -> fleet_link.FleetLink:
+    return fleet_link.FleetLink(
         "a",
         "1",
-        engines.held_lease(valid_ms=3_000),
+        lease,
         directory,
         lambda *_: None,
-        lambda: 0,
+        now_ms,
         list,
         lambda: None,
         lambda: False,
         lambda *_: None,
         crash_quarantine.CrashCounts(),
     )
+
+
+def test_a_report_stays_as_it_was_when_loads_change():
+    # The holder hears its own reports as objects, and takes the last one off
+    # its sums when the next comes.
+    directory = targets.TargetDirectory(lambda *_: None, lambda: 0, "dc")
+    heard: list[messages.Report] = []
+    link = _link(engines.held_lease(valid_ms=3_000), directory, lambda: 0)
     link.loopback = heard.append
     directory.note_start("t", "m")
     directory.note_prefill("t", 500)
@@ -33,3 +38,22 @@
     directory.note_prefill("t", -500)
     assert heard[0].in_flight == {"t": {"m": 1}}
     assert heard[0].prefilling == {"t": 500}
+
+
+def test_when_a_model_will_be_there_is_told_also_while_the_holder_is_lost():
+    """Seen on gcd-vigia: callers waited to their end for orders of nobody."""
+    now_ms = 10_000
+    lease = order_lease.OrderLease("a", "1", "a:1", 1_500, 3_000)
+    before = order_lease.Term("z", "1", "z:1", 1, True, False, {})
+    lease.on_row(1, before, now_ms)
+    directory = targets.TargetDirectory(lambda *_: None, lambda: now_ms, "dc")
+    link = _link(lease, directory, lambda: now_ms)
+    link.on_view(engines.view(later_ms={"under way": 2_000}))
+    assert link.model_later_ms("other") is None
+    assert link.model_later_ms("under way") == 2_000
+    now_ms += 1_000
+    assert link.model_later_ms("under way") == 1_000
+    # The lost term, the turn after it, and the way of an order.
+    assert link.model_later_ms("other") == 500 + 3_000 + 250
+    now_ms += 1_500
+    assert link.model_later_ms("under way") == 2_250
--- a/tests/coordination/test_told_targets.py
+++ b/tests/coordination/test_told_targets.py
@@ -104,10 +104,7 @@
     told = messages.ToldList(
         [target_entries.ToldTarget("a", 5, entry)], 1, 5, 9, 100
     )
-    proof = messages.Proof(1, 0, False, False, messages.Knowledge(1, 0, 4))
-    view = messages.View(
-        "h", 1, 1, 3, {}, {}, {}, {}, 0, {}, [], proof, {}, told
-    )
+    view = engines.view(targets=told)
     assert messages.decode(messages.encode(view)) == view
 
 
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -10,6 +10,7 @@
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import targets
 from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
 from tests.support import engines
@@ -51,6 +52,7 @@
         service: The service; its room and rate are what the engines have.
         held: Models that each engine holds at the start.
         at_once: Loads that the weight store takes at full speed.
+        lease: Lease of the keeper, one that allows orders if None.
 
     Attributes:
         service: The service as the engines have it.
@@ -61,7 +63,13 @@
         over_room: What engines were ordered to hold beyond their room.
     """
 
-    def __init__(self, service: types.Service, held: list[list[str]], at_once):
+    def __init__(
+        self,
+        service: types.Service,
+        held: list[list[str]],
+        at_once,
+        lease: order_lease.OrderLease | None = None,
+    ):
         self.service = service
         self.now_ms = 10_000
         self.begun_ms: list[int] = []
@@ -72,7 +80,7 @@
         self._engines = {
             f"e{n}": _Engine(models) for n, models in enumerate(held)
         }
-        lease = engines.held_lease(self.now_ms)
+        lease = lease or engines.held_lease(self.now_ms)
         directory = targets.TargetDirectory(
             lambda key, _value: engines.entry(key), lambda: self.now_ms, "dc"
         )
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -25,6 +25,41 @@
     return lease
 
 
+def taken_lease(now_ms: int, valid_ms: int = 10**9) -> order_lease.OrderLease:
+    """Returns the lease as ``a`` has it, which took it over at ``now_ms``.
+
+    The holder before was lost just long enough ago.
+    """
+    lease = order_lease.OrderLease("a", "1", "a:1", valid_ms, _TURN_MS)
+    before = order_lease.Term("z", "1", "z:1", 1, True, False, {})
+    lease.on_row(1, before, now_ms - valid_ms)
+    claim = lease.next_claim(now_ms)
+    assert claim is not None
+    lease.on_written(claim, 2, now_ms, now_ms)
+    return lease
+
+
+def view(**changes) -> messages.View:
+    """Returns a view of the holder ``z`` that tells nothing."""
+    plain = messages.View(
+        holder="z",
+        token=1,
+        sequence=1,
+        instances=3,
+        grants={},
+        in_flight={},
+        prefilling={},
+        models={},
+        models_mark=0,
+        later_ms={},
+        barred=[],
+        proof=messages.Proof(1, 0, False, False, messages.Knowledge(1, 0, 4)),
+        leaving_targets={},
+        targets=messages.ToldList([], 1, 5, 9, 100),
+    )
+    return plain._replace(**changes)
+
+
 def entry(target_id: str, **changes) -> types.TargetEntry:
     """Returns the entry of an empty engine of the service ``s``."""
     plain = types.TargetEntry(
