Believe no store that it shares its speed among loads

Progress is now judged by a shared speed and by one set at the load's begin; only what is late, or early, by both speaks.

A play of a store of each kind finds its size (1 to 12); it failed before.

--- a/tanagerloft/decisions/store_lanes.py
+++ b/tanagerloft/decisions/store_lanes.py
@@ -5,9 +5,11 @@
 is there later than its callers wait, while no more are carried.
 
 For each number that the store may take, the progress of a load follows from
-how many were under way at each moment. A load that was still under way when
-it should have been done, or was done before it could be, speaks against that
-number. Loads need not begin together, and none need be late by much.
+how many are under way. A store may share its speed at each moment, or slow down
+only loads that begin while too many are under way; which one it does is not
+told. So a load that was still under way when it should have been done either
+way, or was done before it could be either way, speaks against that number.
+Loads need not begin together, and none need be late by much.
 """
 
 from __future__ import annotations
@@ -37,25 +39,29 @@
     Args:
         load_ms: Time that it takes at full speed.
         began: Progress of loads at its begin, by number.
+        beside: Loads under way at its begin, itself included.
 
     Attributes:
         load_ms: Time that it takes at full speed.
         began: Progress of loads at its begin, by number.
+        beside: Loads under way at its begin, itself included.
         spoken: Weight that it has already given against each number.
         lasted_ms: Time since its begin.
         sum_ms: Time that all loads have been under way since then.
     """
 
-    def __init__(self, load_ms: float, began: list[float]):
+    def __init__(self, load_ms: float, began: list[float], beside: int):
         self.load_ms = load_ms
         self.began = began
+        self.beside = beside
         self.spoken = [0.0] * len(began)
         self.lasted_ms = 0
         self.sum_ms = 0
 
-    def mean_under_way(self) -> int:
-        """Returns how many were under way for most of its time."""
-        return int(self.sum_ms / max(1, self.lasted_ms) + _MOST_OF_THE_TIME)
+    def surely_under_way(self) -> int:
+        """Returns how many were under way at its begin and most of its time."""
+        mean = self.sum_ms / max(1, self.lasted_ms)
+        return min(self.beside, int(mean + _MOST_OF_THE_TIME))
 
 
 class StoreLanes:
@@ -88,7 +94,8 @@
         """Counts the time since the last call.
 
         Args:
-            under_way: Loads under way from now on.
+            under_way: Loads under way from now on, with those that should be
+                done but have not been seen to be.
             now_ms: Reading of the clock.
         """
         if self._at_ms is not None and now_ms > self._at_ms:
@@ -103,14 +110,16 @@
         self._at_ms = now_ms
         self._under_way = under_way
 
-    def begin(self, target_id: str, load_ms: float) -> None:
+    def begin(self, target_id: str, load_ms: float, beside: int) -> None:
         """Takes in that an engine begins to load from the store.
 
         Args:
             target_id: The engine.
             load_ms: Time that the load takes at full speed.
+            beside: Loads that are believed to be under way with it, itself
+                included.
         """
-        self._watched[target_id] = _Watch(load_ms, list(self._progress))
+        self._watched[target_id] = _Watch(load_ms, list(self._progress), beside)
 
     def forget(self, target_id: str) -> None:
         """Takes in that the load of an engine tells nothing."""
@@ -121,7 +130,7 @@
         watch = self._watched.get(target_id)
         if watch is not None:
             # Too high a number has it done by then.
-            self._speak(watch, ago_ms, sign=1.0)
+            self._speak(watch, ago_ms, later=True)
 
     def seen_done(self, target_id: str) -> None:
         """Takes in that a load is done by now."""
@@ -129,8 +138,8 @@
         if watch is None:
             return
         # Too low a number does not have it done yet.
-        self._speak(watch, 0.0, sign=-1.0)
-        tried = min(watch.mean_under_way(), _MAX_AT_ONCE)
+        self._speak(watch, 0.0, later=False)
+        tried = min(watch.surely_under_way(), _MAX_AT_ONCE)
         if tried and self._against[tried - 1] < _EXCLUDED_FROM:
             self._tried = max(self._tried, tried)
 
@@ -147,8 +156,24 @@
         if watch is None:
             return None
         index = self.at_once() - 1
-        done_ms = self._progress[index] - watch.began[index]
-        return max(0.0, watch.load_ms - done_ms) / self._speed(index)
+        shared_ms, own_ms = self._done_ms(watch, index, 0.0)
+        return min(
+            max(0.0, watch.load_ms - shared_ms) / self._speed(index),
+            max(0.0, watch.load_ms - own_ms) / _own_speed(watch, index),
+        )
+
+    def _done_ms(
+        self, watch: _Watch, index: int, ago_ms: float
+    ) -> tuple[float, float]:
+        """Returns the progress of a load some time ago.
+
+        Returns:
+            With a speed that all share, and with one set at its begin.
+        """
+        shared_ms = self._progress[index] - watch.began[index]
+        shared_ms -= ago_ms * self._speed(index)
+        own_ms = (watch.lasted_ms - ago_ms) * _own_speed(watch, index)
+        return shared_ms, own_ms
 
     def on_told(self, at_once: int) -> None:
         """Takes in what the holder has learnt, for when this one follows."""
@@ -161,7 +186,7 @@
         """Returns the speed of a load if the store takes ``index + 1``."""
         return min(1.0, (index + 1) / max(1, self._under_way))
 
-    def _speak(self, watch: _Watch, ago_ms: float, sign: float) -> None:
+    def _speak(self, watch: _Watch, ago_ms: float, later: bool) -> None:
         """Lets a load speak against numbers.
 
         What speaks against all of them alike, as an engine that is slow by
@@ -170,10 +195,12 @@
         slack_ms = _SLACK_MS + _SLACK_SHARE * watch.load_ms
         whole_ms = _WHOLE_EXCESS_SHARE * watch.load_ms
         weights = []
-        for index, began in enumerate(watch.began):
-            done_ms = self._progress[index] - began
-            done_ms -= ago_ms * self._speed(index)
-            excess_ms = sign * (done_ms - watch.load_ms) - slack_ms
+        for index in range(_MAX_AT_ONCE):
+            done_ms = self._done_ms(watch, index, ago_ms)
+            excess_ms = watch.load_ms - max(done_ms)
+            if later:
+                excess_ms = min(done_ms) - watch.load_ms
+            excess_ms -= slack_ms
             weights.append(min(1.0, max(0.0, excess_ms / whole_ms)))
         least = min(weights)
         for index, weight in enumerate(weights):
@@ -181,3 +208,8 @@
             if told > 0:
                 self._against[index] += told
                 watch.spoken[index] += told
+
+
+def _own_speed(watch: _Watch, index: int) -> float:
+    """Returns a load's speed if what was under way at its begin sets it."""
+    return min(1.0, (index + 1) / watch.beside)
--- a/tests/decisions/test_store_lanes.py
+++ b/tests/decisions/test_store_lanes.py
@@ -14,7 +14,8 @@
 
 
 class _Load:
-    def __init__(self, now_ms):
+    def __init__(self, now_ms, own_speed):
+        self.own_speed = own_speed
         self.left_ms = _LOAD_MS
         self.done_ms = None
         self.counted_ms = now_ms + _LOAD_MS + 30
@@ -24,8 +25,9 @@
 class _Play:
     """A store that carries a number of loads at full speed, and its users."""
 
-    def __init__(self, takes, lanes=None, load_ms=_LOAD_MS):
+    def __init__(self, takes, lanes=None, load_ms=_LOAD_MS, shared=True):
         self.takes = takes
+        self._shared = shared
         self.lanes = lanes or store_lanes.StoreLanes()
         self.now_ms = 0
         self.loads = {}
@@ -45,7 +47,9 @@
         speed = min(1.0, self.takes / max(1, len(running)))
         self.now_ms += _STEP_MS
         for load in running:
-            load.left_ms -= _STEP_MS * speed
+            load.left_ms -= _STEP_MS * (
+                speed if self._shared else load.own_speed
+            )
             if load.left_ms <= 0:
                 load.done_ms = self.now_ms
                 self.finished += 1
@@ -79,21 +83,25 @@
         self._next_ms = self.now_ms + self._random.choice((50, 150, 700))
         self.begun += 1
         name = f"load-{self.begun}"
-        self.loads[name] = _Load(self.now_ms)
-        self.lanes.begin(name, self._load_ms)
+        running = 1 + sum(one.done_ms is None for one in self.loads.values())
+        self.loads[name] = _Load(self.now_ms, min(1.0, self.takes / running))
+        self.lanes.begin(name, self._load_ms, self._believed())
+        self.lanes.advance(len(self.loads), self.now_ms)
         self.most = max(self.most, len(self.loads))
 
 
+@pytest.mark.parametrize("shared", [True, False])
 @pytest.mark.parametrize("takes", [1, 2, 3, 4, 6, 8, 12])
-def test_the_number_at_full_speed_is_found(takes):
-    play = _Play(takes)
+def test_the_number_at_full_speed_is_found(takes, shared):
+    play = _Play(takes, shared=shared)
     play.run(120_000)
     assert takes <= play.lanes.at_once() <= takes + 1
 
 
-def test_loads_that_overlap_in_part_do_not_raise_the_number():
+@pytest.mark.parametrize("shared", [True, False])
+def test_loads_that_overlap_in_part_do_not_raise_the_number(shared):
     """Seen on gcd-vigia: six at once where four are, each load nine seconds."""
-    play = _Play(4)
+    play = _Play(4, shared=shared)
     numbers = []
     for _ in range(240):
         play.run(500)
@@ -128,7 +136,7 @@
 def test_one_load_alone_tells_nothing_of_more():
     lanes = store_lanes.StoreLanes()
     lanes.advance(0, 0)
-    lanes.begin("e", _LOAD_MS)
+    lanes.begin("e", _LOAD_MS, beside=1)
     lanes.advance(1, 0)
     lanes.advance(0, 3 * _LOAD_MS)
     lanes.seen_loading("e", 0)
@@ -160,7 +168,7 @@
     lanes.on_told(2)
     lanes.advance(0, 0)
     for index in range(4):
-        lanes.begin(f"e{index}", _LOAD_MS)
+        lanes.begin(f"e{index}", _LOAD_MS, beside=4)
     lanes.advance(4, 0)
     assert lanes.left_ms("e0") == 2 * _LOAD_MS
     lanes.advance(4, _LOAD_MS)
