--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -176,6 +176,10 @@
             return told_ms - silent_ms
         return self._lease.orders_in_ms(now_ms)
 
+    def holder_age_ms(self) -> int:
+        """Returns the age of the holder's last word."""
+        return self._now_ms() - self.heard_ms
+
     def _holder_is_lost(self, now_ms: int) -> bool:
         silent_ms = now_ms - self.heard_ms
         lost_ms = max(_LOST_MS, _LOST_REPORTS * self.report_pause_ms)
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -75,10 +75,12 @@
             if demand.adapter and pool.holders(demand.model):
                 round_.place_adapter(demand.model, demand.adapter)
         absent = model_demands.absent_models(demands, usage, pool)
-        overdue = self._passed_over.next(usage, absent, pool.loading, now_ms)
-        if overdue:
-            del absent[overdue]
-            round_.place_model(overdue)
+        overdue = self._passed_over.next(
+            usage, absent, pool.loading, now_ms, weight_store.at_once
+        )
+        for model in overdue:
+            del absent[model]
+            round_.place_model(model)
         for demand in sorted(absent.values(), key=round_.urgency):
             round_.place_model(demand.model)
         for name in usage.recent:
--- a/tanagerloft/decisions/passed_over.py
+++ b/tanagerloft/decisions/passed_over.py
@@ -1,9 +1,9 @@
 """Bounds how long a wanted model is passed over.
 
 Load answered: more models asked for than the weight store and the engines can
-serve, where those with more requests always come first. The one that has been
-missed for longest goes before all others, one such load at a time: the rest of
-the engines stay with what most callers wait for.
+serve, where those with more requests always come first. Those that have been
+missed for longest go before all others, as many at a time as half of the loads
+that the store takes: the rest stay with what most callers wait for.
 """
 
 from __future__ import annotations
@@ -20,10 +20,10 @@
 
 
 class PassedOver:
-    """Chooses the overdue model that is loaded next."""
+    """Chooses the overdue models that are loaded next."""
 
     def __init__(self):
-        self._chosen = ""
+        self._chosen: list[str] = []
 
     def next(
         self,
@@ -31,17 +31,19 @@
         absent: Collection[str],
         loading: Collection[str],
         now_ms: int,
-    ) -> str:
-        """Returns the model that goes before all others, empty for none.
+        at_once: int,
+    ) -> list[str]:
+        """Returns the models that go before all others, the first one first.
 
         Args:
             usage: Use of the models.
             absent: Models that are asked for and that no engine has or loads.
             loading: Models that engines load.
             now_ms: Reading of the clock.
+            at_once: Loads that the store takes at full speed.
         """
-        if self._chosen in loading:
-            return ""
+        under_way = [model for model in self._chosen if model in loading]
+        free = max(1, at_once // 2) - len(under_way)
         overdue = [
             (missed.since_ms, model)
             for model, missed in usage.missed.items()
@@ -49,5 +51,6 @@
             and now_ms - missed.since_ms >= _OVERDUE_MS
             and missed.requests >= _MIN_REQUESTS
         ]
-        self._chosen = min(overdue)[1] if overdue else ""
-        return self._chosen
+        chosen = [model for _, model in sorted(overdue)[: max(0, free)]]
+        self._chosen = under_way + chosen
+        return chosen
--- a/tanagerloft/gateway/context.py
+++ b/tanagerloft/gateway/context.py
@@ -51,6 +51,9 @@
         ends_ms: When it needs its final answer; set by ``identify``.
         charged: Whether the tokens have been taken.
         times: When it reached each step.
+        holder_age_ms: Age of the holder's last word when the request started.
+        expected_ms: Time in which its model was expected then; None if a
+            target had it or nothing was told.
     """
 
     def __init__(
@@ -71,6 +74,8 @@
         self.ends_ms = 0
         self.charged = False
         self.times = RequestTimes(request.began_ms)
+        self.holder_age_ms = 0
+        self.expected_ms: int | None = None
         self._digest: str | None = None
 
     @property
@@ -96,6 +101,8 @@
             "account": self.account_name,
             "model": self.subject,
             "configuration": self.configuration.version,
+            "holder_age_ms": self.holder_age_ms,
+            "expected_ms": self.expected_ms,
         }
 
     @property
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -71,6 +71,8 @@
         self._timer = loops.call_later(max(0, left_ms), self._time_over)
         context.responder.on_gone = self._caller_gone
         context.responder.on_flow = self._set_flow
+        context.holder_age_ms = parts.holder_age_ms()
+        context.expected_ms = parts.later_ms(context.ask.model)
         if not self.try_send():
             parts.report_soon()
 
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -96,6 +96,7 @@
             ),
             report_soon=self._control.link.report_soon,
             later_ms=self._control.link.model_later_ms,
+            holder_age_ms=self._control.link.holder_age_ms,
             now_ms=now_ms,
         )
         steps = [
--- a/tanagerloft/gateway/parts.py
+++ b/tanagerloft/gateway/parts.py
@@ -30,6 +30,7 @@
         crash_watch: Finds requests that crash targets.
         report_soon: Tells the holder soon what is waited for.
         later_ms: Returns the time until a model will be there, if known.
+        holder_age_ms: Returns the age of the holder's last word.
         now_ms: Clock.
     """
 
@@ -43,4 +44,5 @@
     crash_watch: crash_watch_lib.CrashWatch
     report_soon: Callable[[], None]
     later_ms: Callable[[str], int | None]
+    holder_age_ms: Callable[[], int]
     now_ms: Callable[[], int]
