Keep the lease of orders through a stop of its holder

Cause: a holder that was stopped handed the lease to another instance, which was often stopped next. A holder now gives orders until its process ends; the row goes on to name it, and the same instance goes on at once when it is started again (0.5 s later), without a turn. If it is gone for good, another one waits for the end of its term first: 1.5 s more.

The word that a holder gives up is still heard of one that cannot renew. Rows that say 'released' come from earlier versions only; they are still read.

--- a/tanagerloft/coordination/lease_keeper.py
+++ b/tanagerloft/coordination/lease_keeper.py
@@ -153,15 +153,22 @@
         missed_ms = _MISSED_REPORTS * self._report_pause_ms()
         return min(_MAX_SILENT_MS, max(_HOLDER_SILENT_MS, missed_ms))
 
-    async def release(self) -> None:
-        """Hands the lease back at a graceful stop."""
-        claim = self._lease.release()
-        if claim is not None:
-            claim = _promising(claim, self._promises.last_promises())
-            await self._store.write(
-                TABLE, _KEY, _encode(claim.term), claim.expected_version
-            )
-            logger.info("lease released", extra={"token": claim.term.token})
+    async def finish(self) -> None:
+        """Gives no more orders; the process ends after a graceful stop."""
+        claim = self._lease.finish()
+        if claim is None:
+            return
+        claim = _promising(claim, self._promises.last_promises())
+        version = await self._store.write(
+            TABLE, _KEY, _encode(claim.term), claim.expected_version
+        )
+        reason = ""
+        if isinstance(version, errors.StoreError):
+            reason = version.reason
+        logger.info(
+            "lease left to the next process",
+            extra={"token": claim.term.token, "reason": reason},
+        )
 
     async def _read(self) -> bool:
         row = await self._store.read(TABLE, _KEY)
--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -25,7 +25,8 @@
         address: Where the holder hears other instances, ``host:port``.
         token: Fencing token; rises with each new term.
         settled: Whether the wait after the holder before is over.
-        released: Whether the holder has stopped giving orders.
+        released: Whether the holder has handed the lease back. Rows of earlier
+            versions of the program say so.
         promises: Tokens that the holder leaves in each account's bucket.
     """
 
@@ -216,17 +217,20 @@
             return self._claim(term.token + 1, settled=False)
         return None
 
-    def release(self) -> Claim | None:
-        """Stops giving orders; returns the write that tells so.
+    def finish(self) -> Claim | None:
+        """Ends this process' part in it; returns a last write of the row.
 
-        Whoever still hears this holder is told at once that it has given up.
+        The row goes on to name this instance. Most that stop are started again,
+        and the same instance goes on at once, while another one has to wait for
+        a turn.
         """
+        last = None
+        if self.mine and not self.given_up and self._version is not None:
+            assert self.term is not None
+            last = Claim(self._version, self.term)
         self._stopping = True
-        self.give_up()
-        if not self.mine or self.term is None or self._version is None:
-            return None
-        released = self.term._replace(released=True)
-        return Claim(self._version, released)
+        self._valid_until_ms = -1
+        return last
 
     def on_written(
         self, claim: Claim, version: int, started_ms: int, now_ms: int
@@ -235,7 +239,7 @@
         before = self.term
         self._version = version
         self.term = claim.term
-        if claim.term.released:
+        if self._stopping:
             return
         if before is None or before.token != claim.term.token:
             self._orders_from_ms = self._first_order_ms(before, now_ms)
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 import signal
@@ -39,6 +40,8 @@
 # Left of the grace at the end, for the last bytes.
 _STOP_MARGIN_MS = 500
 _STOP_POLL_MS = 50
+# Bound on the last write of the lease row, within that margin.
+_LAST_WRITE_MS = 200
 
 
 class Instance:
@@ -203,19 +206,20 @@
         logger.info("stopping", extra={"open": self.gateway.open_count})
         self._stopping = True
         self.gateway.stop(ends_ms)
-        release = asyncio.create_task(self._control.lease_keeper.release())
         await loops.sleep(min(_LAME_DUCK_MS, grace_ms // 2))
         self.gateway.refuse_waiting()
         self._control.link.report(leaving=True)
         while self._clock.now_ms() < ends_ms:
             for connection in list(self._connections):
                 connection.close_if_idle()
-            if not self._connections and release.done():
+            if not self._connections:
                 break
             await loops.sleep(_STOP_POLL_MS)
         cut = self.gateway.open_count
         self.gateway.end_all()
-        await asyncio.sleep(0)
+        with contextlib.suppress(TimeoutError):
+            async with loops.timeout(_LAST_WRITE_MS):
+                await self._control.lease_keeper.finish()
         for task in self._tasks:
             task.remove_done_callback(_report_end)
             task.cancel()
