Let engines work for models that can be loaded now

An engine without room for a large model, all of whose models were in use, was kept for it for as long as their runs went on; small models that would have fitted were not loaded. And 31 of 40 waited-for models had a copy, mostly on engines that loaded another one from the store for six seconds. Now such an engine is not kept, and none begins a load from the store that is worth less than what waits for its copies; overdue models go first all the same. Of engines that could begin alike, the one whose copies are waited for least does it.

--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from tanagerloft.decisions import model_orders
@@ -27,6 +28,8 @@
 _BARE_SHARE = 0.2
 # Time that an unload of an idle model takes, with the way of the order.
 _UNLOAD_MS = 50.0
+# Begins of a long load that differ by less than this share of it are alike.
+_LONG_LOAD_STEP = 0.1
 # Time that the runs of a model take until it can be dropped.
 _RUN_MS = 2_000.0
 
@@ -35,7 +38,6 @@
     """An engine that could load a model, compared by when it would have it."""
 
     ready_ms: float
-    copies: int
     target_id: str
     engine: model_orders.Engine
 
@@ -88,6 +90,7 @@
             for engine in self.engines
         }
         self._victims: dict[str, str | None] = {}
+        self._kept_from_others: dict[str, float] = {}
         self._taken: set[str] = set()
         # When each of the loads that the store takes at once will be done.
         under_way = [
@@ -143,6 +146,10 @@
         used_mb = self._held_mb[engine.target_id]
         return used_mb + self._models[model].size_mb <= engine.room_mb
 
+    def can_make_room(self, engine: model_orders.Engine, model: str) -> bool:
+        """Returns whether a model fits, or another one can be dropped."""
+        return self.has_room(engine, model) or self.victim(engine) is not None
+
     def victim(self, engine: model_orders.Engine) -> str | None:
         """Returns the idle model with the least use, None if all are used."""
         if engine.target_id not in self._victims:
@@ -185,15 +192,23 @@
         def first(engines: Iterable[model_orders.Engine]) -> Option | None:
             options = (
                 Option(
-                    self._ready_in_ms(engine, model),
-                    len(engine.copies.all()),
-                    engine.target_id,
-                    engine,
+                    self._ready_in_ms(engine, model), engine.target_id, engine
                 )
                 for engine in engines
                 if accept(engine)
             )
-            return min(options, default=None)
+            return min(options, default=None, key=rank)
+
+        def rank(option: Option) -> tuple[float, float, str]:
+            if not self.from_store(option.engine, model):
+                return option.ready_ms, 0.0, option.target_id
+            # Little is lost by a long load that begins somewhat later.
+            step_ms = _LONG_LOAD_STEP * self._models[model].load_ms
+            return (
+                option.ready_ms // step_ms * step_ms,
+                self.kept_from_others(option.engine),
+                option.target_id,
+            )
 
         near = first(self.near(model))
         store_ms = min(self._lanes) + self._models[model].load_ms
@@ -201,6 +216,25 @@
             return near
         return first(self.engines)
 
+    def note_waiting(self, worth: Mapping[str, float]) -> None:
+        """Takes in the worth of loading each model that no engine holds."""
+        self._kept_from_others.clear()
+        for model, value in worth.items():
+            near = self.near(model)
+            for engine in near:
+                target_id = engine.target_id
+                self._kept_from_others[target_id] = self._kept_from_others.get(
+                    target_id, 0.0
+                ) + value / len(near)
+
+    def kept_from_others(self, engine: model_orders.Engine) -> float:
+        """Returns the worth of what waits for an engine's copies.
+
+        Load answered: each copy is on one or two engines, and an engine that
+        loads from the store for seconds loads nothing else meanwhile.
+        """
+        return self._kept_from_others.get(engine.target_id, 0.0)
+
     def _find_victim(self, engine: model_orders.Engine) -> str | None:
         choices = []
         for name in engine.models:
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -78,9 +78,10 @@
         overdue = self._passed_over.next(
             usage, absent, pool.loading, now_ms, weight_store.at_once
         )
+        round_.note_waiting(absent)
         for model in overdue:
             del absent[model]
-            round_.place_model(model)
+            round_.place_model(model, overdue=True)
         for demand in sorted(absent.values(), key=round_.urgency):
             round_.place_model(demand.model)
         for name in usage.recent:
@@ -115,28 +116,42 @@
         self._replica_requests = min(self._replica_requests, _REPLICA_REQUESTS)
         self.orders: list[model_orders.Order] = []
         self.later_ms: dict[str, int] = {}
+        self._worth: dict[str, float] = {}
 
     def urgency(self, demand: model_orders.Demand) -> tuple[float, str]:
         """Returns the rank of a demand, the most urgent the least.
 
         What counts is the worth of a load for each second that it takes.
         """
-        model = self._models[demand.model]
-        load_ms = min(
-            (
-                engine.copies.load_ms(model)
-                for engine in self._pool.near(demand.model)
-            ),
-            default=model.load_ms,
-        )
-        worth = model_demands.worth(demand, self._usage, load_ms)
-        return (-worth / load_ms, demand.model)
+        load_ms = self._least_load_ms(demand.model)
+        return (-self._worth[demand.model] / load_ms, demand.model)
 
-    def place_model(self, model: str) -> None:
+    def note_waiting(self, absent: dict[str, model_orders.Demand]) -> None:
+        """Takes in what is asked for and held by no engine."""
+        self._worth = {
+            name: model_demands.worth(
+                demand, self._usage, self._least_load_ms(name)
+            )
+            for name, demand in absent.items()
+        }
+        self._pool.note_waiting(self._worth)
+
+    def _least_load_ms(self, name: str) -> float:
+        model = self._models[name]
+        near = self._pool.near(name)
+        times = (engine.copies.load_ms(model) for engine in near)
+        return min(times, default=model.load_ms)
+
+    def place_model(self, model: str, overdue: bool = False) -> None:
         """Loads a waited-for model at the engine that has it soonest.
 
         The engine is kept for it even while it is busy, so that a model that
-        is waited for less does not take the place.
+        is waited for less does not take the place. An engine without room,
+        all of whose models are in use, is not kept: what fits goes there.
+
+        Args:
+            model: The model.
+            overdue: Whether it goes before all others.
         """
         pool = self._pool
         loading = pool.loading.get(model)
@@ -148,9 +163,15 @@
             return
         engine = soonest.engine
         self.later_ms[model] = int(soonest.ready_ms)
-        pool.note_load(soonest, model)
-        if pool.from_store(engine, model) and not self._may_load_long(engine):
+        if not engine.busy and not pool.can_make_room(engine, model):
             return
+        pool.note_load(soonest, model)
+        if pool.from_store(engine, model):
+            if not self._may_load_long(engine):
+                return
+            kept = pool.kept_from_others(engine)
+            if not overdue and self._worth[model] < kept:
+                return
         if pool.is_free(engine):
             self._load(engine, model)
         pool.take(engine)
@@ -169,9 +190,8 @@
             return
 
         def fitting(engine: model_orders.Engine) -> bool:
-            return model not in engine.models and (
-                pool.has_room(engine, model) or pool.victim(engine) is not None
-            )
+            held = model in engine.models
+            return not held and pool.can_make_room(engine, model)
 
         soonest = pool.soonest(model, fitting)
         if soonest is None:
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -242,3 +242,62 @@
     engine = _engine("a", copies=_on_disk())
     store = _PLENTY._replace(under_way=4)
     assert not _plan([engine], [], _usage({"m1": 9.0}), store).orders
+
+
+def test_an_engine_whose_copies_are_waited_for_loads_nothing_long():
+    """Seen on gcd-vigia: 31 of 40 waited-for models had copies somewhere.
+
+    Most of those were on engines that loaded another one from the store.
+    """
+    full = {"m0": 1}
+    engines = [
+        _engine("a", ["m0"], running=full, copies=_on_disk("m1", "m2")),
+        _engine("b", ["m0"], running=full, copies=_on_disk("m3")),
+    ]
+    engines = [engine._replace(room_mb=_MB * 2) for engine in engines]
+    held_back = [_demand("m1", requests=2), _demand("m2", requests=2)]
+    # Both engines are about to load a copy for those who wait for it.
+    busy = [engines[0]._replace(busy=True, busy_ms=300), engines[1]]
+    plan = _plan(busy, [*held_back, _demand("m7", requests=2)])
+    assert plan.orders == [
+        model_orders.Order(model_orders.Verb.LOAD, "b", "m7")
+    ]
+    # Where each engine is waited for more, nobody loads long.
+    waited = [*held_back, _demand("m3", requests=9)]
+    blocked = [engine._replace(running={"m0": 1, "m3": 1}) for engine in busy]
+    blocked[1] = blocked[1]._replace(models={"m0": _NONE, "m8": _NONE})
+    blocked[1] = blocked[1]._replace(running={"m0": 1, "m8": 1})
+    plan = _plan(blocked, [*waited, _demand("m7", requests=2)], count=9)
+    assert plan.orders == []
+
+
+def test_an_overdue_model_is_loaded_from_the_store_whoever_waits():
+    engine = _engine("a", copies=_on_disk("m1"), busy=False)
+    missed = {"m7": model_orders.Missed(5.0, _NOW_MS - 60_000)}
+    demands = [_demand("m1", requests=9)]
+    plan = _plan([engine], demands, _usage(missed=missed))
+    assert plan.orders == [
+        model_orders.Order(model_orders.Verb.LOAD, "a", "m7")
+    ]
+
+
+def test_an_engine_full_of_models_in_use_takes_what_fits():
+    """Seen on gcd-vigia, scale-1: five of eight engines idle, 36 models waited.
+
+    Each had room for a small model and was kept for a large one, until runs
+    of models in steady use should end.
+    """
+    models = {
+        "large": types.Model("large", 100_000, 6_000, 400, 500, 0.0, 0),
+        "small": types.Model("small", 50_000, 6_000, 300, 400, 0.0, 0),
+        "used": types.Model("used", 150_000, 6_000, 400, 500, 0.0, 0),
+    }
+    engine = _engine(
+        "a", ["used"], running={"used": 3}, copies=_on_disk("large", "small")
+    )
+    demands = [_demand("large", requests=9), _demand("small")]
+    plan = model_plan.ModelPlan(models)
+    planned = plan.plan([engine], demands, _usage(), _PLENTY, _NOW_MS)
+    load = model_orders.Order(model_orders.Verb.LOAD, "a", "small")
+    assert planned.orders == [load]
+    assert planned.later_ms["large"] > 1_000
