Bound the whole call that carries an order; split grants by side and by owner

Cause: opening a connection and the exchange on it had 0.8 s each, so an order could reach an engine 1.35 s after the term of a holder that was lost meanwhile, and within the turn of its successor. The call as a whole has 0.8 s now, and the margins of the two holders add up to that.

Buckets of the holder (token_grants, account_grants) and tokens at an instance (account_tokens) are modules of their own; the behaviour is the same.

--- /dev/null
+++ b/tanagerloft/coordination/account_grants.py
@@ -0,0 +1,112 @@
+"""The holder's buckets of accounts, and what it promises of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from tanagerloft.coordination import messages
+from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import token_grants
+from tanagerloft.fleet import types
+
+
+class AccountGrants:
+    """Grants tokens to instances while the lease holds.
+
+    Args:
+        lease: The lease's state.
+        now_ms: Clock.
+        tolerance: By how much accounts may exceed their limits.
+
+    Attributes:
+        withheld_from: Instances that wait for tokens which are promised to the
+            next holder.
+    """
+
+    def __init__(
+        self,
+        lease: order_lease.OrderLease,
+        now_ms: Callable[[], int],
+        tolerance: token_grants.Tolerance,
+    ):
+        self._lease = lease
+        self._now_ms = now_ms
+        self._tolerance = tolerance
+        self._ledger: token_grants.GrantLedger | None = None
+        self._ledger_token = 0
+        self._limits: dict[str, token_grants.Limit] = {}
+        self.withheld_from: set[str] = set()
+
+    def configure(self, configuration: types.Configuration) -> None:
+        """Takes in the limits of a new configuration."""
+        self._limits = {}
+        for account in configuration.accounts.values():
+            limit = token_grants.Limit(
+                account.rate_tokens_per_s, account.burst_tokens
+            )
+            if limit.rate_tokens_per_s > 0:
+                limit = token_grants.stretch(limit, self._tolerance)
+            self._limits[account.name] = limit
+        if self._ledger is not None:
+            self._ledger.configure(self._limits, self._now_ms())
+
+    def grant(
+        self, report: messages.Report, process: str
+    ) -> dict[str, token_grants.Grant]:
+        """Returns the grants that a report asks for, by account.
+
+        It leaves out accounts whose tokens are promised to the next holder;
+        they can be granted once a new promise is written.
+
+        Args:
+            report: The report.
+            process: Identity of the process that sent it.
+        """
+        now_ms = self._now_ms()
+        ledger = self._current_ledger(now_ms)
+        grants = {}
+        for account, need in report.needs.items():
+            grant = ledger.grant(process, account, need, now_ms)
+            if isinstance(grant, token_grants.Withheld):
+                self.withheld_from.add(report.instance)
+            else:
+                grants[account] = grant
+        return grants
+
+    def next_promises(self, term: order_lease.Term) -> dict[str, float]:
+        """Returns what to write of the buckets with a claim or a renewal."""
+        if self._ledger is not None and self._is_current(term):
+            return self._ledger.propose(self._now_ms())
+        return token_grants.promise_on(term.promises)
+
+    def on_promised(self, term: order_lease.Term) -> None:
+        """Takes in that the row holds the promises of a term."""
+        if self._ledger is not None and self._is_current(term):
+            self._ledger.on_promised(term.promises)
+
+    def last_promises(self) -> dict[str, float]:
+        """Returns what a holder that grants no more leaves."""
+        term = self._lease.term
+        if self._ledger is not None and self._is_current(term):
+            return self._ledger.last_levels(self._now_ms())
+        return term.promises if term is not None else {}
+
+    def _is_current(self, term: order_lease.Term | None) -> bool:
+        return term is not None and term.token == self._ledger_token
+
+    def _current_ledger(self, now_ms: int) -> token_grants.GrantLedger:
+        """Returns the buckets of this term.
+
+        A takeover begins with what the holder before has promised.
+        """
+        term = self._lease.term
+        assert term is not None
+        if self._ledger is None or not self._is_current(term):
+            first = term.token == 1
+            self._ledger = token_grants.GrantLedger(
+                None if first else self._lease.inherited, self._tolerance
+            )
+            self._ledger.on_promised(term.promises)
+            self._ledger.configure(self._limits, now_ms)
+            self._ledger_token = term.token
+        return self._ledger
--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -8,10 +8,10 @@
 
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import account_tokens
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import target_notices
-from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 from tanagerloft.util import loops
 
@@ -86,7 +86,7 @@
         self._sequence = 0
         self._sent_ms: dict[int, int] = {}
         self._used_ms: dict[str, int] = {}
-        self._accounts: dict[str, token_grants.GrantAccount] = {}
+        self._accounts: dict[str, account_tokens.GrantAccount] = {}
         self._used: dict[str, int] = {}
         self._soon: asyncio.TimerHandle | None = None
         self._heard_sequence = 0
@@ -107,7 +107,7 @@
         }
         for name in self._rates:
             if name not in self._accounts:
-                self._accounts[name] = token_grants.GrantAccount(_SILENCE_MS)
+                self._accounts[name] = account_tokens.GrantAccount(_SILENCE_MS)
         self._share_rates()
 
     def _share_rates(self) -> None:
@@ -124,7 +124,7 @@
         self,
         account: types.Account,
         cost_tokens: float,
-        done: Callable[[token_grants.Outcome], None],
+        done: Callable[[account_tokens.Outcome], None],
     ) -> bool:
         """Takes tokens of an account; see ``GrantAccount.ask``."""
         if account.rate_tokens_per_s <= 0:
@@ -144,7 +144,7 @@
     def forget(
         self,
         account: types.Account,
-        done: Callable[[token_grants.Outcome], None],
+        done: Callable[[account_tokens.Outcome], None],
     ) -> None:
         """Ends a wait for tokens."""
         grants = self._accounts.get(account.name)
--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -7,9 +7,10 @@
 
 from typing import NamedTuple
 
-# Time for which an order may be on its way. A holder gives none so shortly
-# before its term ends, and the next one waits as much longer than the turn.
-_ORDER_WAY_MS = 250
+# Half of the time for which an order may be on its way: the call that carries
+# it ends after twice as long. A holder gives none so shortly before its term
+# ends, and the next one waits as much longer than the turn.
+ORDER_WAY_MS = 400
 # Renewals that fall into the time for which one is valid.
 _RENEWALS = 4
 # A holder whose last renewal is older than this share of its time cannot renew.
@@ -147,7 +148,7 @@
             and not self._stopping
             and self._orders_from_ms
             <= now_ms
-            < self._valid_until_ms - _ORDER_WAY_MS
+            < self._valid_until_ms - ORDER_WAY_MS
         )
 
     def orders_in_ms(self, now_ms: int) -> int:
@@ -258,7 +259,7 @@
             return self._seen_ms + self._turn_ms
         if before.token == self._free_token:
             return self._free_since_ms + self._turn_ms
-        return self.free_at_ms + self._turn_ms + _ORDER_WAY_MS
+        return self.free_at_ms + self._turn_ms + ORDER_WAY_MS
 
     def _claim(self, token: int, settled: bool) -> Claim:
         assert self._version is not None
--- a/tanagerloft/decisions/token_grants.py
+++ b/tanagerloft/decisions/token_grants.py
@@ -3,17 +3,14 @@
 Load answered: an account whose requests reach instances unevenly, or that
 sends several times its rate. The holder of the order lease keeps one bucket an
 account and grants tokens; instances count what they were granted and what they
-used since their start. Both only ever rise, so that lost, repeated and
-reordered messages change nothing.
+used since their start, see ``account_tokens``. Both only ever rise, so that
+lost, repeated and reordered messages change nothing.
 """
 
-from collections.abc import Callable
 from collections.abc import Mapping
 from typing import NamedTuple
 
 _MS_PER_S = 1_000
-# A holder that is lost has a successor that answers within about this time.
-_UNCONFIRMED_RETRY_MS = 1_000
 
 
 class Limit(NamedTuple):
@@ -236,133 +233,3 @@
         name: float(int(level * _PROMISED_SHARE))
         for name, level in promised.items()
     }
-
-
-class Outcome(NamedTuple):
-    """End of a wait for tokens.
-
-    Attributes:
-        admitted: Whether the tokens are there.
-        retry_ms: When to come back, if not.
-        confirmed: Whether the holder has said so; what is left of the account's
-            limit is not known otherwise.
-    """
-
-    admitted: bool
-    retry_ms: int
-    confirmed: bool
-
-
-class _Waiting(NamedTuple):
-    cost_tokens: float
-    asked_seq: int
-    since_ms: int
-    done: Callable[[Outcome], None]
-
-
-class GrantAccount:
-    """Tokens of one account, at an instance.
-
-    Args:
-        silence_ms: Time without an answer of the holder after which the
-            instance goes on by itself.
-
-    Attributes:
-        fallback_tokens_per_s: Rate at which it then does: its share of the
-            account's rate, 0 while that is not known.
-    """
-
-    def __init__(self, silence_ms: int):
-        self.fallback_tokens_per_s = 0.0
-        self._silence_ms = silence_ms
-        self._used = 0.0
-        self._granted = 0.0
-        self._waiting: list[_Waiting] = []
-        self._fallback_ms: int | None = None
-
-    def ask(
-        self,
-        cost_tokens: float,
-        next_seq: int,
-        now_ms: int,
-        done: Callable[[Outcome], None],
-    ) -> bool:
-        """Takes tokens, now or after the next answer of the holder.
-
-        Args:
-            cost_tokens: Tokens wanted.
-            next_seq: Number of the next report, which will tell the need.
-            now_ms: Reading of the clock.
-            done: Told the outcome, unless the tokens are there now.
-
-        Returns:
-            Whether the tokens were there now.
-        """
-        if not self._waiting and self._used + cost_tokens <= self._granted:
-            self._used += cost_tokens
-            return True
-        self._waiting.append(_Waiting(cost_tokens, next_seq, now_ms, done))
-        return False
-
-    def give_back(self, cost_tokens: float) -> None:
-        """Returns tokens of a request that did not run."""
-        self._used -= cost_tokens
-
-    def forget(self, done: Callable[[Outcome], None]) -> None:
-        """Ends a wait without an outcome."""
-        self._waiting = [item for item in self._waiting if item.done != done]
-
-    @property
-    def waits(self) -> bool:
-        """Whether a request waits for tokens."""
-        return bool(self._waiting)
-
-    def need(self) -> Need:
-        """Returns what to tell the holder."""
-        waiting = sum(item.cost_tokens for item in self._waiting)
-        return Need(self._used + waiting, self._granted)
-
-    def on_grant(self, grant: Grant, echoed_seq: int, now_ms: int) -> None:
-        """Takes in an answer of the holder to report ``echoed_seq``."""
-        self._granted = max(self._granted, grant.granted_tokens)
-        self._fallback_ms = None
-        self._admit()
-        refused = [
-            item for item in self._waiting if item.asked_seq <= echoed_seq
-        ]
-        self._waiting = self._waiting[len(refused) :]
-        for item in refused:
-            item.done(Outcome(False, max(1, grant.retry_ms), confirmed=True))
-
-    def on_silence(self, now_ms: int) -> None:
-        """Goes on alone when the holder has not answered for a while."""
-        if not self._waiting:
-            return
-        oldest_ms = self._waiting[0].since_ms
-        if now_ms - oldest_ms < self._silence_ms:
-            return
-        since_ms = self._fallback_ms
-        if since_ms is None:
-            since_ms = oldest_ms
-        self._fallback_ms = now_ms
-        elapsed_ms = now_ms - since_ms
-        # Reported to the next holder with the need, which then counts them.
-        self._granted += self.fallback_tokens_per_s * elapsed_ms / _MS_PER_S
-        self._admit()
-        overdue = [
-            item
-            for item in self._waiting
-            if now_ms - item.since_ms >= 2 * self._silence_ms
-        ]
-        self._waiting = self._waiting[len(overdue) :]
-        for item in overdue:
-            item.done(Outcome(False, _UNCONFIRMED_RETRY_MS, confirmed=False))
-
-    def _admit(self) -> None:
-        while self._waiting:
-            item = self._waiting[0]
-            if self._used + item.cost_tokens > self._granted:
-                return
-            self._waiting.pop(0)
-            self._used += item.cost_tokens
-            item.done(Outcome(True, 0, confirmed=True))
--- a/tanagerloft/gateway/gateway.py
+++ b/tanagerloft/gateway/gateway.py
@@ -7,7 +7,7 @@
 
 from tanagerloft.coordination import configuration as configuration_lib
 from tanagerloft.coordination import fleet_link
-from tanagerloft.decisions import token_grants
+from tanagerloft.decisions import account_tokens
 from tanagerloft.fleet import types
 from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import dialect as dialect_lib
@@ -161,7 +161,7 @@
             self._start(context)
             return
 
-        def decided(outcome: token_grants.Outcome) -> None:
+        def decided(outcome: account_tokens.Outcome) -> None:
             context.responder.on_gone = None
             if outcome.admitted:
                 context.charged = True
--- a/tanagerloft/net/http_client.py
+++ b/tanagerloft/net/http_client.py
@@ -77,27 +77,36 @@
     """Sends a request and waits for its whole answer.
 
     A connection whose exchange failed is closed, so that one that has gone
-    silent is not used twice.
+    silent is not used twice, and nothing of a request is sent after its time.
+
+    Args:
+        pool: Connections.
+        address: Where to.
+        data: The request.
+        timeout_ms: Bound on all of it, opening a connection included.
     """
     connection = pool.take_idle(address)
-    if connection is None:
-        opened = await pool.connect(address, min(timeout_ms, 1_000))
-        if isinstance(opened, target_connection.Loss):
-            return NoAnswer(False, opened.value)
-        connection = opened
-    collector = _Collector()
-    connection.send(data, collector)
     try:
         async with loops.timeout(timeout_ms):
+            if connection is None:
+                opened = await pool.connect(address)
+                if isinstance(opened, target_connection.Loss):
+                    return NoAnswer(False, opened.value)
+                connection = opened
+            collector = _Collector()
+            connection.send(data, collector)
             answer = await collector.done
         if isinstance(answer, NoAnswer):
             connection.cancel()
         return answer
     except TimeoutError:
+        if connection is None:
+            return NoAnswer(False, "timeout")
         connection.cancel()
         return NoAnswer(True, "timeout")
     except asyncio.CancelledError:
-        connection.cancel()
+        if connection is not None:
+            connection.cancel()
         raise
 
 
--- a/tanagerloft/platform/orders.py
+++ b/tanagerloft/platform/orders.py
@@ -7,6 +7,7 @@
 from tanagerloft.coordination import engine_keeper
 from tanagerloft.coordination import errors
 from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
 from tanagerloft.net import connection_pool
@@ -16,7 +17,7 @@
 
 # Engines answer within milliseconds; an order that takes this long is one that
 # is carried out late, and is repeated as it was.
-_ORDER_TIMEOUT_MS = 800
+_ORDER_TIMEOUT_MS = 2 * order_lease.ORDER_WAY_MS
 _REPORT_TIMEOUT_MS = 500
 # Bytes of an answer that go to the log.
 _DETAIL_BYTES = 100
