Keep an engine for an overdue model until there is room for it

Found by reading: the rule that an engine without room is not kept held for overdue models too, so small models could fill each gap and a large one never came. A test plays it and failed first. Names and doc comments of the learnt number of loads say evidence where they spoke of weights and speaking.

--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -122,8 +122,8 @@
         """Takes in that an engine begins to load from the weight store."""
         self.follow_store_loads()
         state.store_load = model.name
-        beside = self.store_loads() + 1
-        self.lanes.begin(state.target_id, model.load_ms, beside)
+        concurrent = self.store_loads() + 1
+        self.lanes.begin(state.target_id, model.load_ms, concurrent)
         self.follow_store_loads()
 
     def forget_store_load(self, state: EngineState) -> None:
--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -90,7 +90,7 @@
             for engine in self.engines
         }
         self._victims: dict[str, str | None] = {}
-        self._kept_from_others: dict[str, float] = {}
+        self._waiting_copies_worth: dict[str, float] = {}
         self._taken: set[str] = set()
         # When each of the loads that the store takes at once will be done.
         under_way = [
@@ -206,7 +206,7 @@
             step_ms = _LONG_LOAD_STEP * self._models[model].load_ms
             return (
                 option.ready_ms // step_ms * step_ms,
-                self.kept_from_others(option.engine),
+                self.waiting_copies_worth(option.engine),
                 option.target_id,
             )
 
@@ -218,22 +218,23 @@
 
     def note_waiting(self, worth: Mapping[str, float]) -> None:
         """Takes in the worth of loading each model that no engine holds."""
-        self._kept_from_others.clear()
+        self._waiting_copies_worth.clear()
         for model, value in worth.items():
             near = self.near(model)
             for engine in near:
                 target_id = engine.target_id
-                self._kept_from_others[target_id] = self._kept_from_others.get(
-                    target_id, 0.0
-                ) + value / len(near)
+                self._waiting_copies_worth[target_id] = (
+                    self._waiting_copies_worth.get(target_id, 0.0)
+                    + value / len(near)
+                )
 
-    def kept_from_others(self, engine: model_orders.Engine) -> float:
+    def waiting_copies_worth(self, engine: model_orders.Engine) -> float:
         """Returns the worth of what waits for an engine's copies.
 
         Load answered: each copy is on one or two engines, and an engine that
         loads from the store for seconds loads nothing else meanwhile.
         """
-        return self._kept_from_others.get(engine.target_id, 0.0)
+        return self._waiting_copies_worth.get(engine.target_id, 0.0)
 
     def _find_victim(self, engine: model_orders.Engine) -> str | None:
         choices = []
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -126,7 +126,8 @@
 
         The engine is kept for it even while it is busy, so that a model that
         is waited for less does not take the place. An engine without room,
-        all of whose models are in use, is not kept: what fits goes there.
+        all of whose models are in use, is kept for an overdue model only:
+        otherwise what fits goes there.
 
         Args:
             model: The model.
@@ -142,13 +143,14 @@
             return
         engine = soonest.engine
         self.later_ms[model] = int(soonest.ready_ms)
-        if not engine.busy and not pool.can_make_room(engine, model):
+        starts = engine.busy or pool.can_make_room(engine, model)
+        if not starts and not overdue:
             return
         pool.note_load(soonest, model)
         if pool.from_store(engine, model):
             if not self._may_load_long(engine):
                 return
-            kept = pool.kept_from_others(engine)
+            kept = pool.waiting_copies_worth(engine)
             if not overdue and self._worth[model] < kept:
                 return
         if pool.is_free(engine):
--- a/tanagerloft/decisions/store_lanes.py
+++ b/tanagerloft/decisions/store_lanes.py
@@ -8,7 +8,7 @@
 how many are under way. A store may share its speed at each moment, or slow down
 only loads that begin while too many are under way; which one it does is not
 told. So a load that was still under way when it should have been done either
-way, or was done before it could be either way, speaks against that number.
+way, or was done before it could be either way, is evidence against that number.
 Loads need not begin together, and none need be late by much.
 """
 
@@ -22,10 +22,10 @@
 # way of its order, and a part of its time for what is not known of others.
 _SLACK_MS = 100.0
 _SLACK_SHARE = 0.02
-# Excess, as a share of a load's time, from which on a load speaks with its
-# whole weight.
+# A difference of this share of a load's time is evidence of 1, the most that
+# one load gives.
 _WHOLE_EXCESS_SHARE = 0.1
-# Weight against a number from which on it is not used, and the time in which
+# Evidence against a number from which on it is not used, and the time in which
 # it fades to a half: the store may have become faster.
 _EXCLUDED_FROM = 0.5
 _FADE_HALF_MS = 60_000.0
@@ -39,37 +39,41 @@
     Args:
         load_ms: Time that it takes at full speed.
         began: Progress of loads at its begin, by number.
-        beside: Loads under way at its begin, itself included.
+        concurrent: Loads under way at its begin, itself included.
 
     Attributes:
         load_ms: Time that it takes at full speed.
         began: Progress of loads at its begin, by number.
-        beside: Loads under way at its begin, itself included.
-        spoken: Weight that it has already given against each number.
+        concurrent: Loads under way at its begin, itself included.
+        counted: Evidence that it has already given against each number.
         lasted_ms: Time since its begin.
         sum_ms: Time that all loads have been under way since then.
     """
 
-    def __init__(self, load_ms: float, began: list[float], beside: int):
+    def __init__(self, load_ms: float, began: list[float], concurrent: int):
         self.load_ms = load_ms
         self.began = began
-        self.beside = beside
-        self.spoken = [0.0] * len(began)
+        self.concurrent = concurrent
+        self.counted = [0.0] * len(began)
         self.lasted_ms = 0
         self.sum_ms = 0
 
-    def surely_under_way(self) -> int:
+    def sustained_loads(self) -> int:
         """Returns how many were under way at its begin and most of its time."""
         mean = self.sum_ms / max(1, self.lasted_ms)
-        return min(self.beside, int(mean + _MOST_OF_THE_TIME))
+        return min(self.concurrent, int(mean + _MOST_OF_THE_TIME))
 
 
 class StoreLanes:
-    """Loads from the weight store that are worth having under way at once."""
+    """Loads from the weight store that are worth having under way at once.
+
+    Lists have an entry for each number that the store may take, the first for
+    one load.
+    """
 
     def __init__(self):
         self._tried = _FIRST_AT_ONCE - 1
-        self._against = [0.0] * _MAX_AT_ONCE
+        self._evidence = [0.0] * _MAX_AT_ONCE
         self._progress = [0.0] * _MAX_AT_ONCE
         self._under_way = 0
         self._at_ms: int | None = None
@@ -84,11 +88,11 @@
         fitting = [
             number
             for number in range(1, most + 1)
-            if self._against[number - 1] < _EXCLUDED_FROM
+            if self._evidence[number - 1] < _EXCLUDED_FROM
         ]
         if fitting:
             return fitting[-1]
-        return min(range(1, most + 1), key=lambda n: self._against[n - 1])
+        return min(range(1, most + 1), key=lambda n: self._evidence[n - 1])
 
     def advance(self, under_way: int, now_ms: int) -> None:
         """Counts the time since the last call.
@@ -103,23 +107,25 @@
             fades = 0.5 ** (elapsed_ms / _FADE_HALF_MS)
             for index in range(_MAX_AT_ONCE):
                 self._progress[index] += elapsed_ms * self._speed(index)
-                self._against[index] *= fades
+                self._evidence[index] *= fades
             for watch in self._watched.values():
                 watch.lasted_ms += elapsed_ms
                 watch.sum_ms += elapsed_ms * self._under_way
         self._at_ms = now_ms
         self._under_way = under_way
 
-    def begin(self, target_id: str, load_ms: float, beside: int) -> None:
+    def begin(self, target_id: str, load_ms: float, concurrent: int) -> None:
         """Takes in that an engine begins to load from the store.
 
         Args:
             target_id: The engine.
             load_ms: Time that the load takes at full speed.
-            beside: Loads that are believed to be under way with it, itself
+            concurrent: Loads that are believed to be under way with it, itself
                 included.
         """
-        self._watched[target_id] = _Watch(load_ms, list(self._progress), beside)
+        self._watched[target_id] = _Watch(
+            load_ms, list(self._progress), concurrent
+        )
 
     def forget(self, target_id: str) -> None:
         """Takes in that the load of an engine tells nothing."""
@@ -130,7 +136,7 @@
         watch = self._watched.get(target_id)
         if watch is not None:
             # Too high a number has it done by then.
-            self._speak(watch, ago_ms, later=True)
+            self._add_evidence(watch, ago_ms, later=True)
 
     def seen_done(self, target_id: str) -> None:
         """Takes in that a load is done by now."""
@@ -138,9 +144,9 @@
         if watch is None:
             return
         # Too low a number does not have it done yet.
-        self._speak(watch, 0.0, later=False)
-        tried = min(watch.surely_under_way(), _MAX_AT_ONCE)
-        if tried and self._against[tried - 1] < _EXCLUDED_FROM:
+        self._add_evidence(watch, 0.0, later=False)
+        tried = min(watch.sustained_loads(), _MAX_AT_ONCE)
+        if tried and self._evidence[tried - 1] < _EXCLUDED_FROM:
             self._tried = max(self._tried, tried)
 
     def left_ms(self, target_id: str) -> float | None:
@@ -180,36 +186,41 @@
         at_once = max(1, min(at_once, _MAX_AT_ONCE))
         if at_once != self.at_once():
             self._tried = at_once - 1
-            self._against = [0.0] * _MAX_AT_ONCE
+            self._evidence = [0.0] * _MAX_AT_ONCE
 
     def _speed(self, index: int) -> float:
         """Returns the speed of a load if the store takes ``index + 1``."""
         return min(1.0, (index + 1) / max(1, self._under_way))
 
-    def _speak(self, watch: _Watch, ago_ms: float, later: bool) -> None:
-        """Lets a load speak against numbers.
+    def _add_evidence(self, watch: _Watch, ago_ms: float, later: bool) -> None:
+        """Compares a load with what each number lets expect.
 
-        What speaks against all of them alike, as an engine that is slow by
+        Evidence against all of them alike, as of an engine that is slow by
         itself, tells nothing.
+
+        Args:
+            watch: The load.
+            ago_ms: Age of what is known of it.
+            later: Whether it was still under way then; else it was done.
         """
         slack_ms = _SLACK_MS + _SLACK_SHARE * watch.load_ms
         whole_ms = _WHOLE_EXCESS_SHARE * watch.load_ms
-        weights = []
+        scores = []
         for index in range(_MAX_AT_ONCE):
             done_ms = self._done_ms(watch, index, ago_ms)
             excess_ms = watch.load_ms - max(done_ms)
             if later:
                 excess_ms = min(done_ms) - watch.load_ms
             excess_ms -= slack_ms
-            weights.append(min(1.0, max(0.0, excess_ms / whole_ms)))
-        least = min(weights)
-        for index, weight in enumerate(weights):
-            told = weight - least - watch.spoken[index]
+            scores.append(min(1.0, max(0.0, excess_ms / whole_ms)))
+        least = min(scores)
+        for index, score in enumerate(scores):
+            told = score - least - watch.counted[index]
             if told > 0:
-                self._against[index] += told
-                watch.spoken[index] += told
+                self._evidence[index] += told
+                watch.counted[index] += told
 
 
 def _own_speed(watch: _Watch, index: int) -> float:
     """Returns a load's speed if what was under way at its begin sets it."""
-    return min(1.0, (index + 1) / watch.beside)
+    return min(1.0, (index + 1) / watch.concurrent)
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -301,3 +301,25 @@
     load = model_orders.Order(model_orders.Verb.LOAD, "a", "small")
     assert planned.orders == [load]
     assert planned.later_ms["large"] > 1_000
+
+
+def test_an_overdue_model_keeps_an_engine_until_there_is_room():
+    """Otherwise small models would fill each gap, and it never came."""
+    models = {
+        "large": types.Model("large", 100_000, 6_000, 400, 500, 0.0, 0),
+        "small": types.Model("small", 50_000, 6_000, 300, 400, 0.0, 0),
+        "used": types.Model("used", 150_000, 6_000, 400, 500, 0.0, 0),
+    }
+    engine = _engine(
+        "a", ["used"], running={"used": 3}, copies=_on_disk("large", "small")
+    )
+    missed = {"large": model_orders.Missed(5.0, _NOW_MS - 60_000)}
+    plan = model_plan.ModelPlan(models)
+    demands = [_demand("small", requests=9)]
+    usage = _usage(missed=missed)
+    planned = plan.plan([engine], demands, usage, _PLENTY, _NOW_MS)
+    assert planned.orders == []
+    idle = [engine._replace(running={})]
+    planned = plan.plan(idle, demands, usage, _PLENTY, _NOW_MS)
+    drop = model_orders.Order(model_orders.Verb.UNLOAD, "a", "used")
+    assert planned.orders == [drop]
--- a/tests/decisions/test_store_lanes.py
+++ b/tests/decisions/test_store_lanes.py
@@ -136,7 +136,7 @@
 def test_one_load_alone_tells_nothing_of_more():
     lanes = store_lanes.StoreLanes()
     lanes.advance(0, 0)
-    lanes.begin("e", _LOAD_MS, beside=1)
+    lanes.begin("e", _LOAD_MS, concurrent=1)
     lanes.advance(1, 0)
     lanes.advance(0, 3 * _LOAD_MS)
     lanes.seen_loading("e", 0)
@@ -168,7 +168,7 @@
     lanes.on_told(2)
     lanes.advance(0, 0)
     for index in range(4):
-        lanes.begin(f"e{index}", _LOAD_MS, beside=4)
+        lanes.begin(f"e{index}", _LOAD_MS, concurrent=4)
     lanes.advance(4, 0)
     assert lanes.left_ms("e0") == 2 * _LOAD_MS
     lanes.advance(4, _LOAD_MS)
