Bound how often a pressed holder renews its lease

Each report that asked for tokens promised to the next holder led to a write of the lease row at once; a crowd of small requests on an account with a small bucket could have made dozens of writes a second. Renewals are 50 ms apart at least. Found by reading; the test failed first.

--- a/tanagerloft/coordination/lease_keeper.py
+++ b/tanagerloft/coordination/lease_keeper.py
@@ -25,6 +25,9 @@
 _MISSED_REPORTS = 2.5
 _MAX_SILENT_MS = 2_500
 _TICK_MS = 100
+# Least time between two renewals, below the time after which an instance that
+# waits for tokens goes on alone.
+_RENEW_PAUSE_MS = 50
 # Time between two readings by one instance while the lease may be free.
 _READ_MS = 500
 # A small instance leaves a free lease to larger ones for so long: one reading
@@ -96,6 +99,7 @@
         self._leave_ms = _LEAVE_TO_OTHERS_MS if small else 0
         self._promises = promises
         self._free_since_ms: int | None = None
+        self._renewed_ms = 0
         self._renew_due_ms = 0
         self._read_due_ms = 0
         self._read_ms: int | None = None
@@ -114,6 +118,7 @@
             now_ms = self._now_ms()
             if self._lease.mine and not self._lease.given_up:
                 if now_ms >= self._renew_due_ms:
+                    self._renewed_ms = now_ms
                     self._renew_due_ms = now_ms + self._lease.renew_ms
                     await self._claim()
             elif not self._lease.known or (
@@ -133,9 +138,14 @@
             self._read_due_ms = min(self._read_due_ms, free_ms)
 
     def renew_soon(self) -> None:
-        """Makes the holder write its row again now."""
-        self._renew_due_ms = 0
-        self._wake.set()
+        """Makes the holder write its row again soon.
+
+        A crowd of requests that wait for one write makes no crowd of writes.
+        """
+        soon_ms = self._renewed_ms + _RENEW_PAUSE_MS
+        if soon_ms < self._renew_due_ms:
+            self._renew_due_ms = soon_ms
+            loops.call_later(max(0, soon_ms - self._now_ms()), self._wake.set)
 
     def _may_be_free(self, now_ms: int) -> bool:
         return (
--- a/tests/coordination/test_lease_keeper.py
+++ b/tests/coordination/test_lease_keeper.py
@@ -227,3 +227,30 @@
         task.cancel()
 
     asyncio.run(asyncio.wait_for(play(), 60))
+
+
+def test_a_holder_that_is_pressed_renews_sooner_but_not_all_the_time():
+    async def play():
+        store = _Store()
+        clock = [10_000]
+        lease = _lease("a")
+        keeper = _keeper(store, lease, lambda: clock[0])
+        task = asyncio.get_running_loop().create_task(keeper.follow())
+        while not lease.mine:
+            await asyncio.sleep(0.01)
+        clock[0] += 1
+        await asyncio.sleep(0.15)
+        written = store.version
+        clock[0] += 100
+        for _ in range(20):
+            keeper.renew_soon()
+        while store.version == written:
+            await asyncio.sleep(0.01)
+        for _ in range(20):
+            keeper.renew_soon()
+            await asyncio.sleep(0.005)
+        # The clock stands still, so nothing is due again.
+        assert store.version == written + 1
+        task.cancel()
+
+    asyncio.run(asyncio.wait_for(play(), 60))
