--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -281,12 +281,8 @@
     ]
 
 
-def test_an_engine_full_of_models_in_use_takes_what_fits():
-    """Seen on gcd-vigia, scale-1: five of eight engines idle, 36 models waited.
-
-    Each had room for a small model and was kept for a large one, until runs
-    of models in steady use should end.
-    """
+def _engine_full_of_models_in_use():
+    """Returns an engine with room for a small model only, and a plan."""
     models = {
         "large": types.Model("large", 100_000, 6_000, 400, 500, 0.0, 0),
         "small": types.Model("small", 50_000, 6_000, 300, 400, 0.0, 0),
@@ -295,8 +291,17 @@
     engine = _engine(
         "a", ["used"], running={"used": 3}, copies=_on_disk("large", "small")
     )
+    return engine, model_plan.ModelPlan(models)
+
+
+def test_an_engine_full_of_models_in_use_takes_what_fits():
+    """Seen on gcd-vigia, scale-1: five of eight engines idle, 36 models waited.
+
+    Each had room for a small model and was kept for a large one, until runs
+    of models in steady use should end.
+    """
+    engine, plan = _engine_full_of_models_in_use()
     demands = [_demand("large", requests=9), _demand("small")]
-    plan = model_plan.ModelPlan(models)
     planned = plan.plan([engine], demands, _usage(), _PLENTY, _NOW_MS)
     load = model_orders.Order(model_orders.Verb.LOAD, "a", "small")
     assert planned.orders == [load]
@@ -305,16 +310,8 @@
 
 def test_an_overdue_model_keeps_an_engine_until_there_is_room():
     """Otherwise small models would fill each gap, and it never came."""
-    models = {
-        "large": types.Model("large", 100_000, 6_000, 400, 500, 0.0, 0),
-        "small": types.Model("small", 50_000, 6_000, 300, 400, 0.0, 0),
-        "used": types.Model("used", 150_000, 6_000, 400, 500, 0.0, 0),
-    }
-    engine = _engine(
-        "a", ["used"], running={"used": 3}, copies=_on_disk("large", "small")
-    )
+    engine, plan = _engine_full_of_models_in_use()
     missed = {"large": model_orders.Missed(5.0, _NOW_MS - 60_000)}
-    plan = model_plan.ModelPlan(models)
     demands = [_demand("small", requests=9)]
     usage = _usage(missed=missed)
     planned = plan.plan([engine], demands, usage, _PLENTY, _NOW_MS)
