--- a/tests/decisions/test_order_lease.py
+++ b/tests/decisions/test_order_lease.py
@@ -90,14 +90,19 @@
     assert other.may_order(4_000)
 
 
+def _assert_goes_on_at_once(row: _Row, now_ms: int) -> None:
+    """The first holder, started again, orders without a turn."""
+    again = _lease("a", "2")
+    row.read(again, now_ms)
+    assert row.write(again, again.next_claim(now_ms), now_ms)
+    assert again.may_order(now_ms)
+    assert again.term.token == 2
+
+
 def test_a_restarted_holder_goes_on_with_a_higher_token():
     row = _Row()
     _first_holder(row)
-    again = _lease("a", "2")
-    row.read(again, 600)
-    assert row.write(again, again.next_claim(600), 600)
-    assert again.may_order(600)
-    assert again.term.token == 2
+    _assert_goes_on_at_once(row, 600)
 
 
 def test_a_holder_restarted_in_its_turn_waits_again():
@@ -183,11 +188,7 @@
     assert not stopping.leads(5_000)
     assert not stopping.is_valid(5_000)
     assert stopping.next_claim(5_000) is None
-    started = _lease("a", "2")
-    row.read(started, 5_600)
-    assert row.write(started, started.next_claim(5_600), 5_600)
-    assert started.may_order(5_600)
-    assert started.term.token == 2
+    _assert_goes_on_at_once(row, 5_600)
 
 
 def test_another_takes_over_from_an_instance_that_stops_for_good():
