--- a/tanagerloft/cmd/explain.py
+++ b/tanagerloft/cmd/explain.py
@@ -8,6 +8,7 @@
 
 from tanagerloft.cmd import exits
 from tanagerloft.util import log_lines
+from tanagerloft.util import log_models
 from tanagerloft.util import log_summary
 
 
@@ -17,16 +18,23 @@
     is_flag=True,
     help="Count what became of all requests; no REQUEST_ID is given then.",
 )
+@click.option(
+    "--models",
+    is_flag=True,
+    help="Tell which models were never served, and why.",
+)
 @click.argument("arguments", nargs=-1, metavar="[REQUEST_ID] [FILE]...")
-def explain(summary: bool, arguments: tuple[str, ...]) -> None:
+def explain(summary: bool, models: bool, arguments: tuple[str, ...]) -> None:
     """Print the path of REQUEST_ID from log FILEs, or standard input."""
     request_id, names = "", arguments
-    if not summary:
+    if not summary and not models:
         if not arguments:
             exits.fail("REQUEST_ID is missing", exits.INVALID)
         request_id, names = arguments[0], arguments[1:]
     lines = itertools.chain(*_open(names))
-    if summary:
+    if models:
+        told = log_models.table(lines)
+    elif summary:
         told = log_summary.table(lines)
     else:
         told = map(log_lines.describe, log_lines.path_of(request_id, lines))
--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -10,6 +10,7 @@
 from tanagerloft.coordination import fleet_loads
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import order_sender
+from tanagerloft.coordination import plan_log
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import arrival_times
 from tanagerloft.decisions import model_orders
@@ -21,8 +22,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Time between lines of the log on what is waited for.
-_TELL_PLAN_MS = 1_000
 # Time in which a model that has been loaded gets its first request.
 _FIRST_USE_MS = 500
 # Engines whose room is not told get no loads.
@@ -64,8 +63,8 @@
         self._arrivals: dict[str, arrival_times.ArrivalTimes] = {}
         self._services: dict[str, types.Service] = {}
         self._paces = weight_store.TermPaces()
-        self._tell_plan_ms = 0
         self.usage = model_usage.ModelUsage()
+        self._log = plan_log.PlanLog(self.states, self.usage)
         self.later_ms: dict[str, int] = {}
         self._sender = order_sender.OrderSender(
             lease, self.states, send_order, now_ms
@@ -120,11 +119,12 @@
             for arrivals in self._arrivals.values():
                 arrivals.forget()
             return
+        self._log.term(self._lease.term)
         for service, plan in self._plans.items():
-            orders = self._plan_service(service, plan, reports, loads, now_ms)
-            for order in orders:
+            planned = self._plan_service(service, plan, reports, loads, now_ms)
+            for order in planned.orders:
                 if self._lease.may_order(now_ms):
-                    self._give(order, now_ms)
+                    self._give(order, planned.purposes[order], now_ms)
 
     def _models(self, service: str) -> dict[str, types.Model]:
         known = self._services.get(service)
@@ -157,7 +157,7 @@
         reports: list[messages.Report],
         loads: fleet_loads.FleetLoads,
         now_ms: int,
-    ) -> list[model_orders.Order]:
+    ) -> model_plan.Plan:
         engines = [
             self._engine(entry, loads.running, now_ms)
             for entry in self._directory.entries.values()
@@ -186,25 +186,9 @@
             now_ms,
         )
         self.later_ms.update(expected_ms)
-        if planned.later_ms and now_ms >= self._tell_plan_ms:
-            self._tell_plan_ms = now_ms + _TELL_PLAN_MS
-            logger.info(
-                "models waited for",
-                extra={
-                    "service": service,
-                    "later_ms": expected_ms,
-                    "busy_ms": {
-                        engine.target_id: engine.busy_ms
-                        for engine in engines
-                        if engine.busy
-                    },
-                    "idle": [e.target_id for e in engines if not e.busy],
-                    "store_loads": store.under_way,
-                    "store_left": store.loads_left,
-                    "store_at_once": store.at_once,
-                },
-            )
-        return planned.orders
+        if planned.later_ms:
+            self._log.waits(service, expected_ms, engines, store, now_ms)
+        return planned
 
     def _engine(
         self,
@@ -241,7 +225,12 @@
     def _room(self, service: str) -> types.EngineRoom:
         return self._services[service].room or _NO_ROOM
 
-    def _give(self, order: model_orders.Order, now_ms: int) -> None:
+    def _give(
+        self,
+        order: model_orders.Order,
+        purpose: model_orders.Purpose,
+        now_ms: int,
+    ) -> None:
         entry = self._directory.entries.get(order.target_id)
         state = self.states.by_target.get(order.target_id)
         if entry is None or state is None:
@@ -259,5 +248,7 @@
             if order.model not in orders.copies:
                 self._pace(entry.service, now_ms).take(now_ms)
                 self.states.note_store_load(state, shapes[order.model])
+        if not order.adapter:
+            self._log.choice(order, purpose, now_ms)
         orders.give(order, takes_ms, now_ms)
         self._sender.start(entry, state, order)
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -34,6 +34,8 @@
         orders: Account of the orders to it.
         store_load: Model that it loads from the weight store, until it is
             known how long that took; empty for none.
+        store_load_ms: When that load was ordered.
+        told_models: Whether the log tells what it held at first.
     """
 
     def __init__(self, entry: types.TargetEntry):
@@ -43,6 +45,8 @@
         self.report_due_ms = 0
         self.polling = False
         self.store_load = ""
+        self.store_load_ms = 0
+        self.told_models = False
 
     def told(self) -> model_marks.Models | None:
         """Returns what instances are told that it holds."""
@@ -90,8 +94,9 @@
 
     def forget(self) -> None:
         """Forgets all engines: another holder may give them orders."""
-        for target_id in self.by_target:
-            self.lanes.forget(target_id)
+        for state in self.by_target.values():
+            self._end_store_load(state, "holder changes")
+            self.lanes.forget(state.target_id)
         self.by_target.clear()
 
     def told_models(self) -> dict[str, model_marks.Models | None]:
@@ -122,13 +127,14 @@
         """Takes in that an engine begins to load from the weight store."""
         self.follow_store_loads()
         state.store_load = model.name
+        state.store_load_ms = self._now_ms()
         concurrent = self.store_loads() + 1
         self.lanes.begin(state.target_id, model.load_ms, concurrent)
         self.follow_store_loads()
 
     def forget_store_load(self, state: EngineState) -> None:
         """Takes in that a load has not begun, or may begin at any time."""
-        state.store_load = ""
+        self._end_store_load(state, "not begun, or later")
         self.lanes.forget(state.target_id)
 
     def follow_store_loads(self) -> None:
@@ -149,13 +155,16 @@
         """Follows the entries of the engines of some services."""
         entries = self._directory.entries
         for target_id in set(self.by_target) - set(entries):
-            del self.by_target[target_id]
+            gone = self.by_target.pop(target_id)
+            self._end_store_load(gone, "engine gone")
             self.lanes.forget(target_id)
         for target_id, entry in entries.items():
             if entry.service not in services:
                 continue
             state = self.by_target.get(target_id)
             if state is None or state.born_ms != entry.born_ms:
+                if state is not None:
+                    self._end_store_load(state, "engine restarted")
                 self.lanes.forget(target_id)
                 self.by_target[target_id] = EngineState(entry)
                 self._placed(entry)
@@ -188,6 +197,9 @@
             return
         self.follow_store_loads()
         late = state.orders.on_report(report, asked_ms)
+        if state.orders.known and not state.told_models:
+            state.told_models = True
+            _tell_engine(state, report)
         self._follow_load(state, report, asked_ms)
         if late:
             logger.info(
@@ -211,7 +223,36 @@
             return
         if state.store_load in report.models:
             self.lanes.seen_done(state.target_id)
-            state.store_load = ""
+            self._end_store_load(state, "done")
         elif report.busy:
             age_ms = self._now_ms() - asked_ms + engine_orders.REPORT_LAG_MS
             self.lanes.seen_loading(state.target_id, age_ms)
+
+    def _end_store_load(self, state: EngineState, outcome: str) -> None:
+        """Stops following a load from the weight store, if there is one."""
+        if not state.store_load:
+            return
+        logger.info(
+            "store load ended",
+            extra={
+                "target": state.target_id,
+                "model": state.store_load,
+                "outcome": outcome,
+                "took_ms": self._now_ms() - state.store_load_ms,
+                "store_at_once": self.lanes.at_once(),
+            },
+        )
+        state.store_load = ""
+
+
+def _tell_engine(state: EngineState, report: types.TargetReport) -> None:
+    logger.info(
+        "engine known",
+        extra={
+            "target": state.target_id,
+            "born_ms": state.born_ms,
+            "models": sorted(report.models),
+            "in_memory": sorted(report.in_memory),
+            "on_disk": sorted(report.on_disk),
+        },
+    )
--- /dev/null
+++ b/tanagerloft/coordination/plan_log.py
@@ -0,0 +1,135 @@
+"""Log lines on what the holder plans, and on what speaks for it."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from tanagerloft.decisions import model_orders
+
+if TYPE_CHECKING:
+    from tanagerloft.coordination import engine_states
+    from tanagerloft.decisions import model_usage
+    from tanagerloft.decisions import order_lease
+
+logger = logging.getLogger(__name__)
+
+# Time between lines on what is waited for.
+_WAITS_MS = 1_000
+# Models in such a line that have been missed for longest.
+_MAX_TOLD_MISSED = 20
+
+
+class PlanLog:
+    """Writes the lines of one keeper of engines.
+
+    Args:
+        states: States of the engines.
+        usage: Use of models over the fleet.
+    """
+
+    def __init__(
+        self,
+        states: engine_states.EngineStates,
+        usage: model_usage.ModelUsage,
+    ):
+        self._states = states
+        self._usage = usage
+        self._waits_due_ms = 0
+        self._told_token = 0
+
+    def term(self, term: order_lease.Term | None) -> None:
+        """Tells once what a holder knows as it begins to plan."""
+        if term is None or term.token == self._told_token:
+            return
+        self._told_token = term.token
+        logger.info(
+            "planning begins",
+            extra={
+                "token": term.token,
+                "store_at_once": self._states.lanes.at_once(),
+                "missed": len(self._usage.usage({}).missed),
+            },
+        )
+
+    def waits(
+        self,
+        service: str,
+        expected_ms: dict[str, int],
+        engines: list[model_orders.Engine],
+        store: model_orders.WeightStore,
+        now_ms: int,
+    ) -> None:
+        """Tells now and then what is waited for, and why it is not there.
+
+        Args:
+            service: Name of the service.
+            expected_ms: Time until each model waited for will be there.
+            engines: Engines of the service.
+            store: What the weight store allows.
+            now_ms: Reading of the clock.
+        """
+        if now_ms < self._waits_due_ms:
+            return
+        self._waits_due_ms = now_ms + _WAITS_MS
+        logger.info(
+            "models waited for",
+            extra={
+                "service": service,
+                "later_ms": expected_ms,
+                "busy_ms": {
+                    engine.target_id: engine.busy_ms
+                    for engine in engines
+                    if engine.busy
+                },
+                "idle": [e.target_id for e in engines if not e.busy],
+                "store_loads": store.under_way,
+                "store_left": store.loads_left,
+                "store_at_once": store.at_once,
+                "missed": self._longest_missed(now_ms),
+            },
+        )
+
+    def choice(
+        self,
+        order: model_orders.Order,
+        purpose: model_orders.Purpose,
+        now_ms: int,
+    ) -> None:
+        """Tells what speaks for loading or dropping a model."""
+        usage = self._usage.usage({})
+        states = self._states.by_target
+        missed = usage.missed.get(order.model)
+        used_ms = usage.last_used_ms.get(order.model)
+        logger.info(
+            "order chosen",
+            extra={
+                "target": order.target_id,
+                "verb": order.verb.value,
+                "model": order.model,
+                "purpose": purpose.value,
+                "from_store": states[order.target_id].store_load == order.model,
+                "holders": sum(
+                    order.model in one.orders.usable()
+                    for one in states.values()
+                ),
+                "copies": sum(
+                    order.model in one.orders.copies for one in states.values()
+                ),
+                "missed_requests": round(missed.requests, 1) if missed else 0,
+                "missed_ms": now_ms - missed.since_ms if missed else None,
+                "unused_ms": None if used_ms is None else now_ms - used_ms,
+                "store_loads": self._states.store_loads(),
+            },
+        )
+
+    def _longest_missed(self, now_ms: int) -> dict[str, tuple[float, int]]:
+        """Returns requests and time since the first, by missed model."""
+        missed = sorted(
+            self._usage.usage({}).missed.items(),
+            key=lambda item: item[1].since_ms,
+        )
+        return {
+            model: (round(one.requests, 1), now_ms - one.since_ms)
+            for model, one in missed[:_MAX_TOLD_MISSED]
+        }
--- a/tanagerloft/decisions/model_orders.py
+++ b/tanagerloft/decisions/model_orders.py
@@ -31,6 +31,23 @@
     adapter: str = ""
 
 
+class Purpose(enum.Enum):
+    """Why an order is given.
+
+    ``WAITED``: requests wait for the model. ``REFUSED``: only requests that
+    were refused have asked for it. ``OVERDUE``: it has been passed over for
+    long. ``REPLICA``: for one more engine with a model in use. ``AHEAD``:
+    before anybody asks. ``ADAPTER``: for an adapter that is waited for.
+    """
+
+    WAITED = "waited for"
+    REFUSED = "refused"
+    OVERDUE = "overdue"
+    REPLICA = "replica"
+    AHEAD = "ahead of demand"
+    ADAPTER = "adapter"
+
+
 class Demand(NamedTuple):
     """Requests that wait for a model or adapter, over all instances.
 
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -38,10 +38,12 @@
     Attributes:
         orders: Orders to give now.
         later_ms: Time until a waited-for model will be there, by model.
+        purposes: Why each order is given; an unload serves the load after it.
     """
 
     orders: list[model_orders.Order]
     later_ms: dict[str, int]
+    purposes: dict[model_orders.Order, model_orders.Purpose]
 
 
 class ModelPlan:
@@ -90,7 +92,7 @@
             if name in self._models:
                 round_.add_replica(name)
         round_.fetch_copies()
-        return Plan(round_.orders, round_.later_ms)
+        return Plan(round_.orders, round_.later_ms, round_.purposes)
 
 
 class _Round:
@@ -119,6 +121,7 @@
         )
         self._replica_requests = min(self._replica_requests, _REPLICA_REQUESTS)
         self.orders: list[model_orders.Order] = []
+        self.purposes: dict[model_orders.Order, model_orders.Purpose] = {}
         self.later_ms: dict[str, int] = {}
 
     def place_model(self, model: str, overdue: bool = False) -> None:
@@ -154,7 +157,12 @@
             if not overdue and self._worth[model] < kept:
                 return
         if pool.is_free(engine):
-            self._load(engine, model)
+            purpose = model_orders.Purpose.REFUSED
+            if overdue:
+                purpose = model_orders.Purpose.OVERDUE
+            elif model in self._wanted:
+                purpose = model_orders.Purpose.WAITED
+            self._load(engine, model, purpose)
         pool.take(engine)
 
     def add_replica(self, model: str) -> None:
@@ -182,7 +190,7 @@
         if pool.from_store(engine, model) and not spared:
             return
         if pool.is_free(engine):
-            self._load(engine, model)
+            self._load(engine, model, model_orders.Purpose.REPLICA)
 
     def fetch_copies(self) -> None:
         """Lets engines fetch models that no engine has a copy of.
@@ -208,7 +216,7 @@
                 and self._usage.recent.get(victim, 0.0) < _UNUSED_REQUESTS
             )
             if pool.has_room(engine, missing[0]) or unused:
-                self._load(engine, missing.pop(0))
+                self._load(engine, missing.pop(0), model_orders.Purpose.AHEAD)
 
     def place_adapter(self, model: str, adapter: str) -> None:
         """Loads an adapter where its model has the least to do."""
@@ -241,37 +249,47 @@
             engine.room_mb,
             engine.max_adapters,
         ):
-            self.orders.append(order)
+            self._give(order, model_orders.Purpose.ADAPTER)
             return
         victim = self._pool.idle_adapter(engine)
         if victim is not None:
-            self.orders.append(
-                model_orders.Order(
-                    model_orders.Verb.UNLOAD, engine.target_id, *victim
-                )
+            drop = model_orders.Order(
+                model_orders.Verb.UNLOAD, engine.target_id, *victim
             )
+            self._give(drop, model_orders.Purpose.ADAPTER)
+
+    def _give(
+        self, order: model_orders.Order, purpose: model_orders.Purpose
+    ) -> None:
+        self.orders.append(order)
+        self.purposes[order] = purpose
 
-    def _load(self, engine: model_orders.Engine, model: str) -> None:
+    def _load(
+        self,
+        engine: model_orders.Engine,
+        model: str,
+        purpose: model_orders.Purpose,
+    ) -> None:
         """Orders a load, or the unload that must come before it."""
         pool = self._pool
         pool.take(engine)
         if not pool.has_room(engine, model):
             victim = pool.victim(engine)
             if victim is not None:
-                self.orders.append(
-                    model_orders.Order(
-                        model_orders.Verb.UNLOAD, engine.target_id, victim
-                    )
+                drop = model_orders.Order(
+                    model_orders.Verb.UNLOAD, engine.target_id, victim
                 )
+                self._give(drop, purpose)
             return
         if pool.from_store(engine, model):
             if self._store_left <= 0:
                 return
             self._store_left -= 1
             self._store_under_way += 1
-        self.orders.append(
-            model_orders.Order(model_orders.Verb.LOAD, engine.target_id, model)
+        load = model_orders.Order(
+            model_orders.Verb.LOAD, engine.target_id, model
         )
+        self._give(load, purpose)
 
     def _may_load_long(self, engine: model_orders.Engine) -> bool:
         """Whether an engine may be kept from short loads by a long one."""
