--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -1,6 +1,7 @@
 """Engines of a made-up deployment that carry out what a keeper orders."""
 
 import asyncio
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -21,6 +22,12 @@
 _REPORT_LAG_MS = 200
 # Time between two requests for each subject in use.
 _USE_MS = 500
+# Aim and patience of callers, and time that their requests take.
+_AIM_MS = 300
+_PATIENCE_MS = 2_400
+_RUN_MS = 300
+# Instances tell of requests for so long.
+_USE_TOLD_MS = 2_000
 
 
 class _Seen(NamedTuple):
@@ -61,6 +68,8 @@
         now_ms: Reading of the clock.
         begun_ms: When each load from the weight store began.
         arrived: Models and adapters that have been loaded.
+        served: Models that callers came for, and were sent to in time.
+        under_way: Most loads from the weight store at a time.
         over_room: What engines were ordered to hold beyond their room.
     """
 
@@ -77,21 +86,39 @@
         self.arrived: set[str] = set()
         self.over_room: list[dict[str, frozenset[str]]] = []
         self._at_once = at_once
+        self.served: set[str] = set()
+        self._callers: list[tuple[str, int]] = []
+        self._runs: list[tuple[str, str, int]] = []
+        self.under_way = 0
         self._used: dict[str, int] = {}
+        self._used_ms: dict[str, int] = {}
         self._engines = {
             f"e{n}": _Engine(models) for n, models in enumerate(held)
         }
-        lease = lease or engines.held_lease(self.now_ms)
-        directory = targets.TargetDirectory(
+        self._directory = targets.TargetDirectory(
             lambda key, _value: engines.entry(key), lambda: self.now_ms, "dc"
         )
         rows = tuple(store_lib.Row(name, b"", 1) for name in self._engines)
-        directory.table.on_rows(store_lib.Snapshot(rows, 1), whole=True)
-        self.keeper = engine_keeper.EngineKeeper(
-            lease, directory, self._order, self._report, lambda: self.now_ms
-        )
+        self._directory.table.on_rows(store_lib.Snapshot(rows, 1), whole=True)
+        self.keeper = self._new_keeper(lease or engines.held_lease(self.now_ms))
         self.configure(service)
 
+    def _new_keeper(
+        self, lease: order_lease.OrderLease
+    ) -> engine_keeper.EngineKeeper:
+        return engine_keeper.EngineKeeper(
+            lease,
+            self._directory,
+            self._order,
+            self._report,
+            lambda: self.now_ms,
+        )
+
+    def change_holder(self) -> None:
+        """Lets another instance take the lease from a lost holder."""
+        self.keeper = self._new_keeper(engines.taken_lease(self.now_ms))
+        self.configure(self.service)
+
     def configure(self, service: types.Service) -> None:
         """Gives the keeper a new configuration."""
         self.service = service
@@ -120,6 +147,7 @@
         for_ms: int,
         waited: dict[str, int],
         refused: Iterable[str] = (),
+        asked: Collection[str] = (),
     ) -> None:
         """Lets time pass while callers wait.
 
@@ -127,24 +155,72 @@
             for_ms: How long.
             waited: Requests that wait, by model or model and adapter.
             refused: Models that are asked for by callers that do not wait.
+            asked: Models that one caller each asks for, who waits unless the
+                keeper tells that it would be in vain.
         """
+        for model in asked:
+            self._count(model)
+            self._callers.append((model, self.now_ms))
         until_ms = self.now_ms + for_ms
         while self.now_ms < until_ms:
             self.now_ms += _STEP_MS
             self._advance()
-            reports = [self._instance_report(waited)]
+            report = self._call(self._instance_report(waited))
             self._use({*filter(self.holds, waited), *refused})
             self.keeper.follow(self.now_ms)
             loads = fleet_loads.FleetLoads()
-            self.keeper.plan(reports, loads, self.now_ms)
+            loads.put(report)
+            self.keeper.plan([report], loads, self.now_ms)
             for _ in range(4):
                 await asyncio.sleep(0)
 
     def _use(self, subjects: Iterable[str]) -> None:
         if self.now_ms % _USE_MS == 0:
             for subject in subjects:
-                self._used[subject] = self._used.get(subject, 0) + 1
-        self.keeper.usage.note_counts("i", self._used, self.now_ms)
+                self._count(subject)
+        oldest_ms = self.now_ms - _USE_TOLD_MS
+        told = {
+            subject: self._used[subject]
+            for subject, at_ms in self._used_ms.items()
+            if at_ms >= oldest_ms
+        }
+        self.keeper.usage.note_counts("i", told, self.now_ms)
+
+    def _count(self, subject: str) -> None:
+        self._used[subject] = self._used.get(subject, 0) + 1
+        self._used_ms[subject] = self.now_ms
+
+    def _call(self, report: messages.Report) -> messages.Report:
+        """Sends callers to their models, adds those who wait to a report."""
+        waiting = []
+        waited: dict[str, list[int]] = {}
+        for model, at_ms in self._callers:
+            left_ms = at_ms + _PATIENCE_MS - self.now_ms
+            holder = next(
+                (k for k, e in self._engines.items() if model in e.now.held), ""
+            )
+            if holder:
+                self.served.add(model)
+                self._runs.append((holder, model, self.now_ms + _RUN_MS))
+            elif self.keeper.later_ms.get(model, 0) <= left_ms:
+                waiting.append((model, at_ms))
+                waited.setdefault(model, []).append(left_ms)
+        self._callers = waiting
+        self._runs = [one for one in self._runs if one[2] > self.now_ms]
+        in_flight: dict[str, dict[str, int]] = {}
+        for holder, model, _ in self._runs:
+            in_flight.setdefault(holder, {})[model] = 1
+        more = [
+            messages.Waited(
+                self.service.name,
+                model,
+                "",
+                [left - _PATIENCE_MS + _AIM_MS for left in lefts],
+                lefts,
+            )
+            for model, lefts in waited.items()
+        ]
+        return report._replace(waited=report.waited + more, in_flight=in_flight)
 
     def _instance_report(self, waited: dict[str, int]) -> messages.Report:
         return engines.instance_report(
@@ -220,6 +296,7 @@
             other.now.loading not in ("", *other.now.on_disk)
             for other in self._engines.values()
         )
+        self.under_way = max(self.under_way, under_way)
         return int(model.load_ms * max(1.0, under_way / self._at_once))
 
     def _check(self, held: dict[str, frozenset[str]]) -> None:
