Count loads that are not seen to be done as under way

Cause: a load counts as done when it should be, so that requests reach it at once. It also made room for the next one then. Where the store takes two loads and the program begins with four, all four were still under way and four more began: eight at a time, each up to 31 s, lost when engines or holders change. Now such a load makes room once a report shows it, or at once if as many loads have been seen to go at full speed. The new test failed before (0 loads counted where 1 is under way).

--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -62,6 +62,10 @@
         loading = self.orders.loading
         return bool(loading) and loading not in self.orders.copies
 
+    def should_be_done(self) -> bool:
+        """Returns whether a load that should be done is not seen to be."""
+        return bool(self.store_load) and not self.loads_from_store()
+
 
 class EngineStates:
     """States of all engines by target.
@@ -121,14 +125,19 @@
 
     def store_loads(self) -> int:
         """Returns the number of loads from the weight store under way."""
-        return sum(s.loads_from_store() for s in self.by_target.values())
+        return sum(
+            state.loads_from_store()
+            or state.should_be_done()
+            and not self.lanes.is_on_time(state.target_id)
+            for state in self.by_target.values()
+        )
 
     def note_store_load(self, state: EngineState, model: types.Model) -> None:
         """Takes in that an engine begins to load from the weight store."""
         self.follow_store_loads()
+        concurrent = self.store_loads() + 1
         state.store_load = model.name
         state.store_load_ms = self._now_ms()
-        concurrent = self.store_loads() + 1
         self.lanes.begin(state.target_id, model.load_ms, concurrent)
         self.follow_store_loads()
 
--- a/tanagerloft/decisions/store_lanes.py
+++ b/tanagerloft/decisions/store_lanes.py
@@ -73,6 +73,7 @@
 
     def __init__(self):
         self._tried = _FIRST_AT_ONCE - 1
+        self._proved = 0
         self._evidence = [0.0] * _MAX_AT_ONCE
         self._progress = [0.0] * _MAX_AT_ONCE
         self._under_way = 0
@@ -148,6 +149,19 @@
         tried = min(watch.sustained_loads(), _MAX_AT_ONCE)
         if tried and self._evidence[tried - 1] < _EXCLUDED_FROM:
             self._tried = max(self._tried, tried)
+            self._proved = max(self._proved, tried)
+
+    def is_on_time(self, target_id: str) -> bool:
+        """Returns whether a load can be counted as done when it should be.
+
+        It can if as many loads as at its begin have been seen to go at full
+        speed. Else each of them would make room for another one while it is
+        still under way.
+        """
+        watch = self._watched.get(target_id)
+        if watch is None or not 0 < watch.concurrent <= self._proved:
+            return False
+        return self._evidence[watch.concurrent - 1] < _EXCLUDED_FROM
 
     def left_ms(self, target_id: str) -> float | None:
         """Returns how long a load will still take, by what has been learnt.
--- a/tests/coordination/test_engine_states.py
+++ b/tests/coordination/test_engine_states.py
@@ -85,3 +85,35 @@
         assert not play.states.by_target["e1"].orders.known
 
     asyncio.run(run())
+
+
+def test_loads_that_are_not_seen_to_be_done_make_no_room_for_others():
+    async def run():
+        play = _Play()
+        await play.poll()
+        state = play.states.by_target["e1"]
+        order = model_orders.Order(model_orders.Verb.LOAD, "e1", "m")
+
+        def load():
+            play.states.note_store_load(state, _MODEL)
+            state.orders.give(order, 6_000, play.now_ms)
+            accepted = order_progress.Result.ACCEPTED
+            state.orders.on_answer(order, accepted, play.now_ms)
+            play.now_ms += 6_100
+            play.states.follow_store_loads()
+            assert state.orders.on_time(play.now_ms)
+            assert state.told() == {"m": []}
+
+        load()
+        assert play.states.store_loads() == 1
+        play.now_ms += 600
+        play.report = engines.report(["m"], order_sequence=1)
+        await play.poll()
+        assert play.states.store_loads() == 0
+        # One at a time has been seen to go at full speed.
+        play.report = engines.report(order_sequence=2)
+        play.now_ms += 600
+        load()
+        assert play.states.store_loads() == 0
+
+    asyncio.run(run())
