Count loads of a holder before as under way

Cause: a holder that follows another one, or that could not renew for a moment, knows nothing of the loads under way and fills the store anew. Now an engine that has an order which the holder does not know of counts as loading, as long as it says so.

--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -38,10 +38,10 @@
         told_models: Whether the log tells what it held at first.
     """
 
-    def __init__(self, entry: types.TargetEntry):
+    def __init__(self, entry: types.TargetEntry, now_ms: int):
         self.target_id = entry.target_id
         self.born_ms = entry.born_ms
-        self.orders = engine_orders.EngineOrders(entry.models)
+        self.orders = engine_orders.EngineOrders(entry.models, now_ms)
         self.report_due_ms = 0
         self.polling = False
         self.store_load = ""
@@ -124,9 +124,14 @@
         return min((most_ms, *(ms for ms in times if ms is not None)))
 
     def store_loads(self) -> int:
-        """Returns the number of loads from the weight store under way."""
+        """Returns the number of loads from the weight store under way.
+
+        They include those that a holder before may have ordered.
+        """
+        now_ms = self._now_ms()
         return sum(
             state.loads_from_store()
+            or state.orders.may_load_unseen(now_ms)
             or state.should_be_done()
             and not self.lanes.is_on_time(state.target_id)
             for state in self.by_target.values()
@@ -154,7 +159,12 @@
         """
         now_ms = self._now_ms()
         loading = [s for s in self.by_target.values() if s.store_load]
-        self.lanes.advance(len(loading), now_ms)
+        unseen = sum(
+            state.orders.may_load_unseen(now_ms)
+            for state in self.by_target.values()
+            if not state.store_load
+        )
+        self.lanes.advance(len(loading) + unseen, now_ms)
         for state in loading:
             left_ms = self.lanes.left_ms(state.target_id)
             if left_ms and state.orders.loading == state.store_load:
@@ -175,7 +185,7 @@
                 if state is not None:
                     self._end_store_load(state, "engine restarted")
                 self.lanes.forget(target_id)
-                self.by_target[target_id] = EngineState(entry)
+                self.by_target[target_id] = EngineState(entry, self._now_ms())
                 self._placed(entry)
 
     def poll_reports(self, now_ms: int) -> None:
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -21,6 +21,9 @@
 # An order without an answer is sent again after this time, as it was: only one
 # of the two can be carried out, for both name the orders before them.
 _REPEAT_MS = 300
+# An engine whose orders are not known is believed to load for so long after
+# its last word: some reports that got lost.
+_UNSEEN_MS = 2_000
 # A guess of what is left of a load that takes longer than it should.
 _LATE_MS = 500
 # An engine that is busy with an unload is tried again after this time, and
@@ -34,15 +37,18 @@
 
     Args:
         models: What its entry in the list says that it holds.
+        created_ms: Reading of the clock now.
     """
 
-    def __init__(self, models: dict[str, frozenset[str]]):
+    def __init__(self, models: dict[str, frozenset[str]], created_ms: int = 0):
         self._held = held_models.HeldModels(models)
         self._pending: progress.Pending | None = None
         self._last_done: progress.Pending | None = None
         self._awaiting = False
         self._blocked = True
         self._blocked_ms: int | None = None
+        self._reported_ms: int | None = None
+        self._created_ms = created_ms
         self._verify = True
         self._changed_ms = -1
         self._before_ms = -1
@@ -62,6 +68,19 @@
         """Whether a report has told what it holds and that it is idle."""
         return not self._blocked
 
+    def may_load_unseen(self, now_ms: int) -> bool:
+        """Returns whether it may carry out a load that this account lacks.
+
+        A holder that follows another one does not know what that one ordered.
+        An engine that says nothing for a time counts no more: it may be gone.
+        """
+        if not self._blocked or self._pending is not None:
+            return False
+        heard_ms = self._created_ms
+        if self._reported_ms is not None:
+            heard_ms = self._reported_ms
+        return now_ms - heard_ms < _UNSEEN_MS
+
     @property
     def loading(self) -> str:
         """Model under way, empty for none."""
@@ -239,6 +258,7 @@
             The model whose load turns out to take longer than it should, empty
             for none.
         """
+        self._reported_ms = asked_ms
         seen_ms = asked_ms - REPORT_LAG_MS
         if self._awaiting or seen_ms < self._changed_ms:
             return ""
