Rank loads from the store by the time that they take

Cause: a model counted by the time of a load from its copy, 0.4 s, also where the engine with that copy was busy for long and it was then loaded from the store in 7.8 s. So it went before models that no engine has, which were missed more. The new test failed before: m1, with a copy, was loaded in place of m2.

--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -216,6 +216,13 @@
             return near
         return first(self.engines)
 
+    def is_sooner_from_store(self, model: str) -> bool:
+        """Returns whether no engine would have it sooner from a copy."""
+        if model in self.loading:
+            return False
+        soonest = self.soonest(model)
+        return soonest is not None and self.from_store(soonest.engine, model)
+
     def note_waiting(self, worth: Mapping[str, float]) -> None:
         """Takes in the worth of loading each model that no engine holds."""
         self._waiting_copies_worth.clear()
--- a/tanagerloft/decisions/load_worth.py
+++ b/tanagerloft/decisions/load_worth.py
@@ -28,6 +28,7 @@
         usage: model_orders.Usage,
         absent: dict[str, model_orders.Demand],
     ):
+        self._models = models
         self._load_ms: dict[str, float] = {}
         self.by_model: dict[str, float] = {}
         for name, demand in absent.items():
@@ -43,3 +44,7 @@
         What counts is the worth of a load for each second that it takes.
         """
         return (-self.by_model[model] / self._load_ms[model], model)
+
+    def store_urgency(self, model: str) -> tuple[float, str]:
+        """Returns the rank of a model that is loaded from the weight store."""
+        return (-self.by_model[model] / self._models[model].load_ms, model)
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from tanagerloft.decisions import engine_pool
@@ -86,7 +88,7 @@
         for model in overdue:
             del absent[model]
             round_.place_model(model, overdue=True)
-        for model in sorted(absent, key=worth.urgency):
+        for model in _in_order(absent, worth, pool):
             round_.place_model(model)
         for name in usage.recent:
             if name in self._models:
@@ -95,6 +97,26 @@
         return Plan(round_.orders, round_.later_ms, round_.purposes)
 
 
+def _in_order(
+    absent: Iterable[str],
+    worth: load_worth.LoadWorth,
+    pool: engine_pool.EnginePool,
+) -> Iterator[str]:
+    """Returns models in the order of what their loads are worth.
+
+    Load answered: more models without a copy than the weight store carries. A
+    model whose engines with copies are busy for long would be loaded from the
+    store, ahead of those that have no copy, if its load counted as a short one.
+    """
+    long_loads = []
+    for model in sorted(absent, key=worth.urgency):
+        if pool.is_sooner_from_store(model):
+            long_loads.append(model)
+        else:
+            yield model
+    yield from sorted(long_loads, key=worth.store_urgency)
+
+
 class _Round:
     """One run of the planner."""
 
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -320,3 +320,20 @@
     planned = plan.plan(idle, demands, usage, _PLENTY, _NOW_MS)
     drop = model_orders.Order(model_orders.Verb.UNLOAD, "a", "used")
     assert planned.orders == [drop]
+
+
+def test_the_store_serves_models_without_a_copy_first():
+    # Seen on gcd-vigia-grown: copies on an engine that loaded for half a minute
+    # made their models go before those that no engine has.
+    engines = [
+        _engine("a", copies=_on_disk("m1"), busy=True, busy_ms=30_000),
+        _engine("b", copies=_on_disk("m5")),
+    ]
+    missed = {
+        "m1": model_orders.Missed(1.0, _NOW_MS - 1_000),
+        "m2": model_orders.Missed(4.0, _NOW_MS - 1_000),
+    }
+    store = _PLENTY._replace(at_once=1)
+    planned = _plan(engines, [], _usage(missed=missed), store)
+    load = model_orders.Order(model_orders.Verb.LOAD, "b", "m2")
+    assert planned.orders == [load]
