Read the row of the lease also if its version was heard of

Cause: the holder tells the version of its row; an instance that had heard of it took the same row, read from the store, as old, and kept the contents of an earlier one. So a successor began with outdated promises of tokens, and would with anything else that the row hands on. The new test failed before: promises {} where the row says acme 5.

--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -82,6 +82,7 @@
         self._valid_ms = valid_ms
         self._turn_ms = turn_ms
         self._version: int | None = None
+        self._read_version = -1
         self._seen_ms = 0
         self._valid_until_ms = -1
         self._orders_from_ms = 0
@@ -193,11 +194,13 @@
 
     def on_row(self, version: int, term: Term | None, now_ms: int) -> None:
         """Takes in the row as read from the store."""
-        if self._version is not None and version <= self._version:
+        # Of a version that was heard of, the contents are not known yet.
+        if version <= self._read_version or version < self.version:
             return
-        self._version = version
+        if version > self.version or not self.known:
+            self._seen_ms = now_ms
+        self._version = self._read_version = version
         self.term = term
-        self._seen_ms = now_ms
 
     def next_claim(self, now_ms: int) -> Claim | None:
         """Returns the write to make now: first claim, takeover or renewal.
@@ -238,7 +241,7 @@
     ) -> None:
         """Takes in a write that the store has acknowledged."""
         before = self.term
-        self._version = version
+        self._version = self._read_version = version
         self.term = claim.term
         if self._stopping:
             return
--- a/tests/decisions/test_order_lease.py
+++ b/tests/decisions/test_order_lease.py
@@ -202,3 +202,18 @@
     assert other.next_claim(free_ms - 1) is None
     assert row.write(other, other.next_claim(free_ms), free_ms)
     assert not other.may_order(free_ms + _TURN_MS - 1)
+
+
+def test_promises_are_read_of_a_version_that_was_heard_of():
+    row = _Row()
+    holder = _first_holder(row)
+    other = _lease("b")
+    row.read(other, 0)
+    claim = holder.next_claim(1_000)
+    left = claim._replace(term=claim.term._replace(promises={"acme": 5.0}))
+    assert row.write(holder, left, 1_000)
+    other.on_heard(1, row.version, 0, 1_000)
+    row.read(other, 1_000 + _VALID_MS)
+    assert other.term.promises == {"acme": 5.0}
+    # Reading what it has heard of makes it wait no longer.
+    assert other.next_claim(1_000 + _VALID_MS) is not None
