Hand on with the lease what a holder has learnt

Cause: who was refused for how long, and how many loads the store takes, lived in the memory of one process. Each change of the holder began with four loads at once, with nobody missed, and with all that instances had ever counted for the models of the last two seconds: those that happened to be asked for then went first. Now the row of the lease, which is written at each renewal anyway, holds the number, whether it is proved, and the 64 models missed for longest with their times; it outlives all processes. Counts of an instance that a holder hears of for the first time count once. The decay of counts no longer takes off the first ones.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -91,6 +91,24 @@
                     },
                 )
 
+    def learnt(self, now_ms: int) -> order_lease.Learnt:
+        """Returns what a holder that follows should know."""
+        lanes = self.states.lanes
+        return order_lease.Learnt(
+            lanes.at_once(), lanes.proved, self.usage.longest_missed(now_ms)
+        )
+
+    def inherit(self, learnt: order_lease.Learnt, at_ms: int) -> None:
+        """Takes in what the holder before has learnt.
+
+        Args:
+            learnt: What it has left.
+            at_ms: Reading of the clock when it had learnt that.
+        """
+        if learnt.store_at_once:
+            self.states.lanes.on_told(learnt.store_at_once, learnt.store_proved)
+        self.usage.inherit_missed(learnt.missed, at_ms)
+
     def follow(self, now_ms: int) -> None:
         """Follows the list of targets, reports and orders under way."""
         self.states.refresh(set(self._plans))
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -80,6 +80,7 @@
         self._marked_ms = 0
         self._arrived: set[tuple[str, str]] = set()
         self._leaving_targets: dict[str, int] = {}
+        self._begun_token = 0
         self._count = 0
         self._counted_ms = 0
         self._renew_soon: Callable[[], None] = lambda: None
@@ -121,8 +122,10 @@
             reply(self._last_view(report, now_ms))
             return
         heard = self._heard.get(report.instance)
-        if heard is None or heard.report.incarnation != report.incarnation:
-            self._engines.usage.forget(report.instance)
+        if heard is None:
+            pass
+        elif heard.report.incarnation != report.incarnation:
+            self._engines.usage.restarted(report.instance)
         elif heard.report.sequence >= report.sequence:
             return
         self._take(report, reply, now_ms)
@@ -145,12 +148,26 @@
         """Returns what a holder that grants no more leaves."""
         return self._grants.last_promises()
 
+    def learnt(self, term: order_lease.Term) -> order_lease.Learnt:
+        """Returns what to hand on with a term of what has been learnt.
+
+        A new holder hands on what it was left, until its term has begun.
+        """
+        if term.token != self._begun_token:
+            return term.learnt
+        return self._engines.learnt(self._now_ms())
+
     def on_promised(self, term: order_lease.Term) -> None:
         """Takes in that the row holds the promises of a term.
 
         Those who wait for tokens that were promised before get them now.
         """
         self._grants.on_promised(term)
+        if term.token != self._begun_token:
+            self._begun_token = term.token
+            self._engines.inherit(
+                self._lease.inherited_learnt, self._lease.inherited_ms
+            )
         waiting = self._grants.withheld_from & self._heard.keys()
         self._grants.withheld_from.clear()
         now_ms = self._now_ms()
@@ -172,6 +189,8 @@
             del self._heard[report.instance]
             self._loads.remove(report.instance)
         self._engines.usage.note_counts(report.instance, report.used, now_ms)
+        if report.leaving:
+            self._engines.usage.forget(report.instance)
         if report.waited:
             self._wake.set()
 
--- a/tanagerloft/coordination/lease_keeper.py
+++ b/tanagerloft/coordination/lease_keeper.py
@@ -49,8 +49,8 @@
     return processors < _HOLDER_PROCESSORS or link_mbps < _HOLDER_LINK_MBPS
 
 
-class Promises(Protocol):
-    """What the row of the lease tells of the buckets of accounts."""
+class Legacy(Protocol):
+    """What the row of the lease hands on to the next holder."""
 
     def next_promises(self, term: order_lease.Term) -> dict[str, float]:
         """Returns the promises to write with a term, and keeps to them."""
@@ -61,6 +61,9 @@
     def last_promises(self) -> dict[str, float]:
         """Returns the promises of a holder that grants no more."""
 
+    def learnt(self, term: order_lease.Term) -> order_lease.Learnt:
+        """Returns what to hand on with a term of what has been learnt."""
+
 
 class LeaseKeeper:
     """Reads, claims and renews the lease row.
@@ -74,7 +77,7 @@
         report_pause_ms: Returns the time between reports of this instance.
         jitter_ms: Delay by which this instance reads later than others.
         small: Whether it leaves a free lease to others for a while.
-        promises: What to write of the buckets of accounts.
+        legacy: What to hand on to the next holder.
     """
 
     def __init__(
@@ -87,7 +90,7 @@
         report_pause_ms: Callable[[], int],
         jitter_ms: int,
         small: bool,
-        promises: Promises,
+        legacy: Legacy,
     ):
         self._store = store
         self._lease = lease
@@ -97,7 +100,7 @@
         self._report_pause_ms = report_pause_ms
         self._jitter_ms = jitter_ms
         self._leave_ms = _LEAVE_TO_OTHERS_MS if small else 0
-        self._promises = promises
+        self._legacy = legacy
         self._free_since_ms: int | None = None
         self._renewed_ms = 0
         self._renew_due_ms = 0
@@ -168,7 +171,7 @@
         claim = self._lease.finish()
         if claim is None:
             return
-        claim = _promising(claim, self._promises.last_promises())
+        claim = self._handing_on(claim, self._legacy.last_promises())
         version = await self._store.write(
             TABLE, _KEY, _encode(claim.term), claim.expected_version
         )
@@ -199,7 +202,8 @@
         was_mine = self._lease.mine
         if not was_mine and self._leaves_to_others():
             return
-        claim = _promising(claim, self._promises.next_promises(claim.term))
+        promises = self._legacy.next_promises(claim.term)
+        claim = self._handing_on(claim, promises)
         started_ms = self._now_ms()
         version = await self._store.write(
             TABLE, _KEY, _encode(claim.term), claim.expected_version
@@ -216,13 +220,20 @@
             await self._read()
             return
         self._lease.on_written(claim, version, started_ms, self._now_ms())
-        self._promises.on_promised(claim.term)
+        self._legacy.on_promised(claim.term)
         if not was_mine:
             logger.info(
                 "lease taken",
                 extra={"token": claim.term.token, "version": version},
             )
 
+    def _handing_on(
+        self, claim: order_lease.Claim, promises: dict[str, float]
+    ) -> order_lease.Claim:
+        learnt = self._legacy.learnt(claim.term)
+        term = claim.term._replace(promises=promises, learnt=learnt)
+        return claim._replace(term=term)
+
     def _leaves_to_others(self) -> bool:
         now_ms = self._now_ms()
         if self._free_since_ms is None:
@@ -230,21 +241,19 @@
         return now_ms - self._free_since_ms < self._leave_ms
 
 
-def _promising(
-    claim: order_lease.Claim, promises: dict[str, float]
-) -> order_lease.Claim:
-    return claim._replace(term=claim.term._replace(promises=promises))
-
-
 def _encode(term: order_lease.Term) -> bytes:
-    return orjson.dumps(term._asdict())
+    learnt = {**term.learnt._asdict(), "missed": dict(term.learnt.missed)}
+    return orjson.dumps({**term._asdict(), "learnt": learnt})
 
 
 def _decode(value: bytes | None) -> order_lease.Term | None:
     if value is None:
         return None
     try:
-        return order_lease.Term(**orjson.loads(value))
+        term = order_lease.Term(**orjson.loads(value))
+        if isinstance(term.learnt, dict):
+            term = term._replace(learnt=order_lease.Learnt(**term.learnt))
+        return term
     except (TypeError, ValueError) as error:
         logger.error("lease row unreadable", extra={"reason": repr(error)})
         return None
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -102,11 +102,13 @@
         configuration: Version of the configuration in force.
         configuration_age_ms: Age of the proof that there is no newer one.
         store_at_once: Loads that the weight store takes at full speed.
+        store_proved: Loads at once that have been seen to go at full speed.
     """
 
     configuration: int
     configuration_age_ms: int
     store_at_once: int
+    store_proved: int
 
 
 class Proof(NamedTuple):
--- a/tanagerloft/coordination/plan_log.py
+++ b/tanagerloft/coordination/plan_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 from typing import TYPE_CHECKING
 
@@ -86,7 +87,12 @@
                 "store_loads": store.under_way,
                 "store_left": store.loads_left,
                 "store_at_once": store.at_once,
-                "missed": self._longest_missed(now_ms),
+                "missed": dict(
+                    itertools.islice(
+                        self._usage.longest_missed(now_ms).items(),
+                        _MAX_TOLD_MISSED,
+                    )
+                ),
             },
         )
 
@@ -122,14 +128,3 @@
                 "store_loads": self._states.store_loads(),
             },
         )
-
-    def _longest_missed(self, now_ms: int) -> dict[str, tuple[float, int]]:
-        """Returns requests and time since the first, by missed model."""
-        missed = sorted(
-            self._usage.usage({}).missed.items(),
-            key=lambda item: item[1].since_ms,
-        )
-        return {
-            model: (round(one.requests, 1), now_ms - one.since_ms)
-            for model, one in missed[:_MAX_TOLD_MISSED]
-        }
--- a/tanagerloft/decisions/model_usage.py
+++ b/tanagerloft/decisions/model_usage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import math
 
 from tanagerloft.decisions import model_orders
@@ -17,6 +18,9 @@
 # callers come back, and such a model may be asked for twice a minute.
 _MISSED_HALF_LIFE_MS = 30_000
 _MISSED_FLOOR = 0.3
+# Models that a holder hands on in each renewal of its lease, those missed for
+# longest: some two kilobytes.
+_MAX_HANDED_ON = 64
 # Recent requests that a model counts for which the platform has placed on two
 # engines or more, before there are any.
 _PLACED_TWICE_REQUESTS = 8.0
@@ -35,8 +39,12 @@
         self._recent_ms = 0
         self._placed: set[str] = set()
 
+    def restarted(self, instance: str) -> None:
+        """Takes in that an instance counts from the start again."""
+        self._seen[instance] = {}
+
     def forget(self, instance: str) -> None:
-        """Begins anew with an instance that has been restarted."""
+        """Forgets what an instance that leaves has counted."""
         self._seen.pop(instance, None)
 
     def note_counts(
@@ -49,9 +57,15 @@
             counts: Requests by model, or by model and adapter.
             now_ms: Reading of the clock.
         """
+        self._decay(now_ms)
+        # What an instance has counted before it is first heard of is known
+        # to the holder before; it tells only what it has counted lately.
+        heard_before = instance in self._seen
         seen = self._seen.setdefault(instance, {})
         for subject, count in counts.items():
             more = count - seen.get(subject, 0)
+            if not heard_before:
+                more = min(more, 1)
             if more > 0:
                 model = subject.partition("/")[0]
                 self._last_used_ms[model] = now_ms
@@ -62,7 +76,6 @@
                     requests=missed.requests + more
                 )
             seen[subject] = count
-        self._decay(now_ms)
 
     def note_placed(
         self, placed: Iterable[str], models: dict[str, types.Model]
@@ -92,6 +105,36 @@
         for model in models:
             self._missed.pop(model, None)
 
+    def longest_missed(self, now_ms: int) -> dict[str, tuple[float, int]]:
+        """Returns requests and time since the first, by missed model.
+
+        Args:
+            now_ms: Reading of the clock.
+        """
+        missed = sorted(self._missed.items(), key=lambda item: item[1].since_ms)
+        return {
+            model: (round(one.requests, 1), now_ms - one.since_ms)
+            for model, one in missed[:_MAX_HANDED_ON]
+        }
+
+    def inherit_missed(
+        self, missed: Mapping[str, tuple[float, int]], at_ms: int
+    ) -> None:
+        """Takes in which models the holder before has missed.
+
+        What this instance knows of an earlier term of its own is older.
+
+        Args:
+            missed: Requests and time since the first, by model.
+            at_ms: Reading of the clock when that was so.
+        """
+        self._seen.clear()
+        self._decay(at_ms)
+        self._missed = {
+            model: model_orders.Missed(requests, at_ms - since_ms)
+            for model, (requests, since_ms) in missed.items()
+        }
+
     def usage(self, in_flight: dict[str, int]) -> model_orders.Usage:
         """Returns the use of models for a plan."""
         return model_orders.Usage(
--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -5,6 +5,8 @@
 orders must be apart in time as well as in token.
 """
 
+from collections.abc import Mapping
+import types
 from typing import NamedTuple
 
 # Half of the time for which an order may be on its way: the call that carries
@@ -17,6 +19,22 @@
 _STRUGGLING_SHARE = 0.65
 
 
+class Learnt(NamedTuple):
+    """What a holder has learnt and leaves to the next one.
+
+    Attributes:
+        store_at_once: Loads that the weight store takes at full speed; 0 if
+            nothing has been learnt.
+        store_proved: Loads at once that have been seen to go at full speed.
+        missed: Requests for models that nobody has been served with, and the
+            time since the first of them in ms, by model.
+    """
+
+    store_at_once: int = 0
+    store_proved: int = 0
+    missed: Mapping[str, tuple[float, int]] = types.MappingProxyType({})
+
+
 class Term(NamedTuple):
     """Contents of the lease row.
 
@@ -29,6 +47,8 @@
         released: Whether the holder has handed the lease back. Rows of earlier
             versions of the program say so.
         promises: Tokens that the holder leaves in each account's bucket.
+        learnt: What the holder leaves of what it has learnt. Rows of earlier
+            versions of the program lack it.
     """
 
     holder: str
@@ -38,6 +58,7 @@
     settled: bool
     released: bool
     promises: dict[str, float]
+    learnt: Learnt = Learnt()
 
 
 class Claim(NamedTuple):
@@ -66,6 +87,8 @@
     Attributes:
         term: Contents of the row as last seen.
         inherited: Promises of the holder before this process' term.
+        inherited_learnt: What that holder had learnt.
+        inherited_ms: When it had, by the clock of this process.
     """
 
     def __init__(
@@ -92,6 +115,8 @@
         self._free_since_ms = 0
         self.term: Term | None = None
         self.inherited: dict[str, float] = {}
+        self.inherited_learnt = Learnt()
+        self.inherited_ms = 0
 
     @property
     def known(self) -> bool:
@@ -248,6 +273,9 @@
         if before is None or before.token != claim.term.token:
             self._orders_from_ms = self._first_order_ms(before, now_ms)
             self.inherited = before.promises if before is not None else {}
+            if before is not None:
+                self.inherited_learnt = before.learnt
+                self.inherited_ms = self._seen_ms
         self._seen_ms = now_ms
         self._valid_until_ms = started_ms + self._valid_ms
 
@@ -274,5 +302,6 @@
             settled=settled,
             released=False,
             promises=self.term.promises if self.term is not None else {},
+            learnt=self.term.learnt if self.term is not None else Learnt(),
         )
         return Claim(self._version, term)
--- a/tanagerloft/decisions/store_lanes.py
+++ b/tanagerloft/decisions/store_lanes.py
@@ -195,12 +195,28 @@
         own_ms = (watch.lasted_ms - ago_ms) * _own_speed(watch, index)
         return shared_ms, own_ms
 
-    def on_told(self, at_once: int) -> None:
-        """Takes in what the holder has learnt, for when this one follows."""
+    @property
+    def proved(self) -> int:
+        """Loads at once that have been seen to go at full speed."""
+        return self._proved
+
+    def on_told(self, at_once: int, proved: int) -> None:
+        """Takes in what the holder has learnt, for when this one follows.
+
+        Args:
+            at_once: Loads that it had under way at once.
+            proved: Loads at once that it has seen to go at full speed.
+        """
         at_once = max(1, min(at_once, _MAX_AT_ONCE))
-        if at_once != self.at_once():
-            self._tried = at_once - 1
-            self._evidence = [0.0] * _MAX_AT_ONCE
+        if at_once == self.at_once() and proved == self._proved:
+            return
+        self._proved = proved
+        self._tried = at_once - 1
+        self._evidence = [0.0] * _MAX_AT_ONCE
+        if proved >= at_once:
+            # Else it would have tried one more.
+            self._tried = at_once
+            self._evidence[at_once:] = [1.0] * (_MAX_AT_ONCE - at_once)
 
     def _speed(self, index: int) -> float:
         """Returns the speed of a load if the store takes ``index + 1``."""
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -179,6 +179,7 @@
             configuration=self.configuration.version,
             configuration_age_ms=now_ms - self.configuration.proved_ms,
             store_at_once=self._engines.states.lanes.at_once(),
+            store_proved=self._engines.states.lanes.proved,
         )
 
     def _tell_targets(self, since_version: int) -> messages.ToldList:
@@ -202,7 +203,9 @@
             known.configuration, known.configuration_age_ms, asked_ms
         )
         self.targets.on_told(told, asked_ms)
-        self._engines.states.lanes.on_told(known.store_at_once)
+        self._engines.states.lanes.on_told(
+            known.store_at_once, known.store_proved
+        )
 
     def _receive(self, data: bytes, address: tuple[str, int]) -> None:
         message = messages.decode(data)
--- a/tests/coordination/test_holder.py
+++ b/tests/coordination/test_holder.py
@@ -52,7 +52,7 @@
     keeper = engine_keeper.EngineKeeper(
         lease, directory, engine.order, engine.report, now_ms
     )
-    knowledge = messages.Knowledge(1, 0, 4)
+    knowledge = messages.Knowledge(1, 0, 4, 0)
     holder = holder_lib.Holder(
         lease,
         keeper,
--- a/tests/coordination/test_lease_keeper.py
+++ b/tests/coordination/test_lease_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import orjson
 import pytest
 
 from tanagerloft.coordination import errors
@@ -34,8 +35,13 @@
         return self.version
 
 
-class _NoPromises:
-    """A holder without accounts."""
+class _Legacy:
+    """A holder without accounts, which leaves what it is told to."""
+
+    left = order_lease.Learnt()
+
+    def learnt(self, _term):
+        return self.left
 
     def next_promises(self, term):
         return term.promises
@@ -64,7 +70,7 @@
         lambda: report_pause_ms,
         0,
         small,
-        _NoPromises(),
+        _Legacy(),
     )
 
 
@@ -254,3 +260,42 @@
         task.cancel()
 
     asyncio.run(asyncio.wait_for(play(), 60))
+
+
+def test_what_a_holder_has_learnt_is_read_by_the_next_one():
+    async def play():
+        store = _Store()
+        now_ms = 10_000
+        learnt = order_lease.Learnt(2, 2, {"m": (3.5, 900)})
+        first = _keeper(store, _lease("a"), lambda: now_ms)
+        first._legacy.left = learnt
+        lease = _lease("b")
+        second = _keeper(store, lease, lambda: now_ms)
+        for keeper, ms in ((first, 10_000), (second, 10_000), (second, 20_000)):
+            now_ms = ms
+            task = asyncio.get_running_loop().create_task(keeper.follow())
+            await asyncio.sleep(0.01)
+            task.cancel()
+        assert lease.mine
+        at_once, proved, missed = lease.inherited_learnt
+        assert (at_once, proved) == (2, 2)
+        assert {k: tuple(v) for k, v in missed.items()} == {"m": (3.5, 900)}
+        assert lease.inherited_ms <= 10_100
+
+    asyncio.run(play())
+
+
+def test_a_row_of_an_earlier_version_of_the_program_is_read():
+    async def play():
+        store = _Store()
+        old = order_lease.Term("o", "1", "o:1", 1, True, False, {})._asdict()
+        del old["learnt"]
+        store.value, store.version = orjson.dumps(old), 1
+        lease = order_lease.OrderLease("a", "1", "a:1", 3_000, 3_000)
+        keeper = _keeper(store, lease, lambda: 10_000)
+        task = asyncio.get_running_loop().create_task(keeper.follow())
+        await asyncio.sleep(0.01)
+        task.cancel()
+        assert lease.term.learnt == order_lease.Learnt()
+
+    asyncio.run(play())
--- a/tests/decisions/test_store_lanes.py
+++ b/tests/decisions/test_store_lanes.py
@@ -146,7 +146,7 @@
 
 def test_a_holder_that_follows_knows_what_the_one_before_has_learnt():
     lanes = store_lanes.StoreLanes()
-    lanes.on_told(2)
+    lanes.on_told(2, 0)
     assert lanes.at_once() == 2
     play = _Play(4, lanes)
     play.run(60_000)
@@ -158,14 +158,14 @@
     play.run(60_000)
     before = play.lanes.at_once()
     for _ in range(20):
-        play.lanes.on_told(play.lanes.at_once())
+        play.lanes.on_told(play.lanes.at_once(), play.lanes.proved)
         play.run(1_000)
     assert play.lanes.at_once() == before == 4
 
 
 def test_the_time_left_follows_from_what_is_under_way():
     lanes = store_lanes.StoreLanes()
-    lanes.on_told(2)
+    lanes.on_told(2, 0)
     lanes.advance(0, 0)
     for index in range(4):
         lanes.begin(f"e{index}", _LOAD_MS, concurrent=4)
@@ -176,3 +176,15 @@
     lanes.advance(4, 3 * _LOAD_MS)
     assert lanes.left_ms("e0") == 0
     assert lanes.left_ms("e9") is None
+
+
+def test_what_a_holder_before_has_excluded_is_not_tried_again_at_once():
+    first = _Play(2)
+    first.run(60_000)
+    lanes = store_lanes.StoreLanes()
+    lanes.on_told(first.lanes.at_once(), first.lanes.proved)
+    assert lanes.at_once() == lanes.proved == 2
+    play = _Play(2, lanes)
+    for _ in range(60):
+        play.run(500)
+        assert lanes.at_once() == 2
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -116,8 +116,10 @@
 
     def change_holder(self) -> None:
         """Lets another instance take the lease from a lost holder."""
+        learnt = self.keeper.learnt(self.now_ms)
         self.keeper = self._new_keeper(engines.taken_lease(self.now_ms))
         self.configure(self.service)
+        self.keeper.inherit(learnt, self.now_ms)
 
     def configure(self, service: types.Service) -> None:
         """Gives the keeper a new configuration."""
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -53,7 +53,9 @@
         models_mark=0,
         later_ms={},
         barred=[],
-        proof=messages.Proof(1, 0, False, False, messages.Knowledge(1, 0, 4)),
+        proof=messages.Proof(
+            1, 0, False, False, messages.Knowledge(1, 0, 4, 0)
+        ),
         leaving_targets={},
         targets=messages.ToldList([], 1, 5, 9, 100),
     )
