Miss a model until a caller has found it, and keep it till then

Cause: what was known of refused callers was forgotten when a load began, and the model was dropped 200 ms after it came if another one was missed: each made room for the next before its own callers came back. Now a model is missed until a request is under way or comes while it is held; till then it is dropped last, and only for a model that somebody waits for. Such an engine is not kept for an overdue model either. The new tests failed before (m1 unloaded for m4).

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -187,13 +187,16 @@
             under_way=self.states.store_loads(),
             at_once=self.states.lanes.at_once(),
         )
+        in_flight = loads.by_model()
         self.usage.note_held(
-            name for engine in engines for name in engine.held()
+            {name for engine in engines for name in engine.models},
+            in_flight,
+            now_ms,
         )
         planned = plan.plan(
             engines,
             demands.of_service(reports, service),
-            self.usage.usage(loads.by_model()),
+            self.usage.usage(in_flight),
             store,
             now_ms,
         )
--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -89,7 +89,7 @@
             engine.target_id: model_orders.held_mb(engine.held(), models)
             for engine in self.engines
         }
-        self._victims: dict[str, str | None] = {}
+        self._victims: dict[tuple[str, bool], str | None] = {}
         self._waiting_copies_worth: dict[str, float] = {}
         self._taken: set[str] = set()
         # When each of the loads that the store takes at once will be done.
@@ -148,13 +148,30 @@
 
     def can_make_room(self, engine: model_orders.Engine, model: str) -> bool:
         """Returns whether a model fits, or another one can be dropped."""
-        return self.has_room(engine, model) or self.victim(engine) is not None
+        if self.has_room(engine, model):
+            return True
+        return self.victim(engine, model) is not None
 
-    def victim(self, engine: model_orders.Engine) -> str | None:
-        """Returns the idle model with the least use, None if all are used."""
-        if engine.target_id not in self._victims:
-            self._victims[engine.target_id] = self._find_victim(engine)
-        return self._victims[engine.target_id]
+    def victim(self, engine: model_orders.Engine, model: str) -> str | None:
+        """Returns the idle model with the least use, None if all are used.
+
+        Models that have been missed and that no caller has found there yet are
+        dropped last, and only for a model that somebody waits for: else each
+        would make room for the next one before anybody is served.
+
+        Args:
+            engine: The engine.
+            model: The model that needs the room.
+        """
+        waited = model in self._wanted
+        key = engine.target_id, waited
+        if key not in self._victims:
+            self._victims[key] = self._find_victim(engine, waited)
+        return self._victims[key]
+
+    def holds_unserved(self, engine: model_orders.Engine) -> bool:
+        """Returns whether it holds a missed model that nobody has found yet."""
+        return any(name in self._usage.missed for name in engine.models)
 
     def _recent(self, model: str) -> float:
         return self._usage.recent.get(model, 0.0)
@@ -243,7 +260,9 @@
         """
         return self._waiting_copies_worth.get(engine.target_id, 0.0)
 
-    def _find_victim(self, engine: model_orders.Engine) -> str | None:
+    def _find_victim(
+        self, engine: model_orders.Engine, waited: bool
+    ) -> str | None:
         choices = []
         for name in engine.models:
             last_ms = self._usage.last_used_ms.get(name, 0)
@@ -251,6 +270,9 @@
                 continue
             if self._now_ms - last_ms < _MIN_IDLE_MS:
                 continue
+            unserved = name in self._usage.missed
+            if unserved and not waited:
+                continue
             recent = self._recent(name)
             silent_ms = self._now_ms - last_ms
             steady = (
@@ -259,8 +281,8 @@
             )
             if steady and len(self.holders(name)) <= 1:
                 continue
-            choices.append((steady, last_ms, recent, name))
-        return min(choices)[3] if choices else None
+            choices.append((unserved, steady, last_ms, recent, name))
+        return min(choices)[-1] if choices else None
 
     def _ready_in_ms(self, engine: model_orders.Engine, model: str) -> float:
         """Returns a guess of the time until ``engine`` would have it."""
@@ -270,7 +292,7 @@
         time_ms = starts_ms + engine.copies.load_ms(self._models[model])
         if not self.has_room(engine, model):
             time_ms += _UNLOAD_MS
-            if self.victim(engine) is None:
+            if self.victim(engine, model) is None:
                 time_ms += _RUN_MS
         return time_ms
 
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -152,7 +152,8 @@
         The engine is kept for it even while it is busy, so that a model that
         is waited for less does not take the place. An engine without room,
         all of whose models are in use, is kept for an overdue model only:
-        otherwise what fits goes there.
+        otherwise what fits goes there. It is not kept either while it holds a
+        model that still has to serve its first caller.
 
         Args:
             model: The model.
@@ -169,14 +170,15 @@
         engine = soonest.engine
         self.later_ms[model] = int(soonest.ready_ms)
         starts = engine.busy or pool.can_make_room(engine, model)
-        if not starts and not overdue:
+        kept = overdue and not pool.holds_unserved(engine)
+        if not starts and not kept:
             return
         pool.note_load(soonest, model)
         if pool.from_store(engine, model):
             if not self._may_load_long(engine):
                 return
-            kept = pool.waiting_copies_worth(engine)
-            if not overdue and self._worth[model] < kept:
+            copies_worth = pool.waiting_copies_worth(engine)
+            if not overdue and self._worth[model] < copies_worth:
                 return
         if pool.is_free(engine):
             purpose = model_orders.Purpose.REFUSED
@@ -232,7 +234,7 @@
                 continue
             if self._store_under_way >= self._store_at_once:
                 return
-            victim = pool.victim(engine)
+            victim = pool.victim(engine, missing[0])
             unused = (
                 victim is not None
                 and self._usage.recent.get(victim, 0.0) < _UNUSED_REQUESTS
@@ -296,7 +298,7 @@
         pool = self._pool
         pool.take(engine)
         if not pool.has_room(engine, model):
-            victim = pool.victim(engine)
+            victim = pool.victim(engine, model)
             if victim is not None:
                 drop = model_orders.Order(
                     model_orders.Verb.UNLOAD, engine.target_id, victim
--- a/tanagerloft/decisions/model_usage.py
+++ b/tanagerloft/decisions/model_usage.py
@@ -34,6 +34,8 @@
     def __init__(self):
         self._seen: dict[str, dict[str, int]] = {}
         self._last_used_ms: dict[str, int] = {}
+        self._asked_ms: dict[str, int] = {}
+        self._held_since_ms: dict[str, int] = {}
         self._recent: dict[str, float] = {}
         self._missed: dict[str, model_orders.Missed] = {}
         self._recent_ms = 0
@@ -68,6 +70,7 @@
                 more = min(more, 1)
             if more > 0:
                 model = subject.partition("/")[0]
+                self._asked_ms[model] = now_ms
                 self._last_used_ms[model] = now_ms
                 self._last_used_ms[subject] = now_ms
                 self._recent[model] = self._recent.get(model, 0.0) + more
@@ -100,10 +103,27 @@
         """Counts a model as used until then, though nobody has reached it."""
         self._last_used_ms[model] = until_ms
 
-    def note_held(self, models: Iterable[str]) -> None:
-        """Takes in which models engines hold or load."""
-        for model in models:
-            self._missed.pop(model, None)
+    def note_held(
+        self, models: set[str], in_flight: Mapping[str, int], now_ms: int
+    ) -> None:
+        """Takes in which models engines hold, and which of them are in use.
+
+        A model is missed until a caller has found it there: loading it is
+        nothing yet to those who ask for it.
+
+        Args:
+            models: Models that engines hold.
+            in_flight: Requests under way by model.
+            now_ms: Reading of the clock.
+        """
+        self._held_since_ms = {
+            model: self._held_since_ms.get(model, now_ms) for model in models
+        }
+        for model, since_ms in self._held_since_ms.items():
+            asked_ms = self._asked_ms.get(model)
+            found = asked_ms is not None and asked_ms >= since_ms
+            if found or in_flight.get(model):
+                self._missed.pop(model, None)
 
     def longest_missed(self, now_ms: int) -> dict[str, tuple[float, int]]:
         """Returns requests and time since the first, by missed model.
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -337,3 +337,17 @@
     planned = _plan(engines, [], _usage(missed=missed), store)
     load = model_orders.Order(model_orders.Verb.LOAD, "b", "m2")
     assert planned.orders == [load]
+
+
+def test_a_missed_model_is_not_dropped_before_anybody_is_served():
+    # Seen on gcd-vigia-grown: each model made room for the next missed one
+    # before a caller found it; all were loaded, none was served.
+    engine = _engine("a", ["m1", "m2", "m3"], running={"m2": 1, "m3": 1})
+    missed = {
+        "m1": model_orders.Missed(3.0, _NOW_MS - 9_000),
+        "m4": model_orders.Missed(3.0, _NOW_MS - 9_000),
+    }
+    assert not _plan([engine], [], _usage(missed=missed)).orders
+    # Who waits now goes before those who may come.
+    waits = _plan([engine], [_demand("m5")], _usage(missed=missed)).orders
+    assert waits == [model_orders.Order(model_orders.Verb.UNLOAD, "a", "m1")]
--- a/tests/decisions/test_model_usage.py
+++ b/tests/decisions/test_model_usage.py
@@ -36,3 +36,20 @@
     usage.restarted("i")
     usage.note_counts("i", {"a": 4}, _NOW_MS + 100)
     assert usage.usage({}).missed["a"].requests == 5
+
+
+def test_a_model_is_missed_until_a_caller_has_found_it():
+    usage = model_usage.ModelUsage()
+    usage.note_counts("i", {"a": 1, "b": 1}, _NOW_MS)
+    usage.note_held({"a", "b"}, {}, _NOW_MS + 8_000)
+    assert usage.usage({}).missed.keys() == {"a", "b"}
+    # One has a request under way, for the other one comes later.
+    usage.note_held({"a", "b"}, {"a": 1}, _NOW_MS + 8_100)
+    assert usage.usage({}).missed.keys() == {"b"}
+    usage.note_counts("i", {"b": 2}, _NOW_MS + 9_000)
+    usage.note_held({"a", "b"}, {}, _NOW_MS + 9_100)
+    assert not usage.usage({}).missed
+    # What was served and is dropped is missed from its next request on.
+    usage.note_held(set(), {}, _NOW_MS + 10_000)
+    usage.note_counts("i", {"b": 3}, _NOW_MS + 11_000)
+    assert usage.usage({}).missed["b"].since_ms == _NOW_MS + 11_000
