Tell when the store is free for a load, also when it is full

Cause: the plan kept a free place in a full store, and knew only of its own loads: the same fault as in the count of loads, in the account of their times. Now a load begins when the store has a place, and loads that are known to the store only last as long as the engines that may carry them are busy.

--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -92,14 +92,24 @@
         self._victims: dict[tuple[str, bool], str | None] = {}
         self._waiting_copies_worth: dict[str, float] = {}
         self._taken: set[str] = set()
-        # When each of the loads that the store takes at once will be done.
-        under_way = [
-            float(engine.busy_ms)
-            for engine in self.engines
-            if engine.loading and self.from_store(engine, engine.loading)
-        ]
-        idle = max(1, weight_store.at_once - len(under_way))
-        self._lanes = under_way + [0.0] * idle
+        self._lanes = self._lane_ends(weight_store)
+
+    def _lane_ends(self, weight_store: model_orders.WeightStore) -> list[float]:
+        """Returns when each load that the store takes at once can begin.
+
+        Loads that are known to the store only are taken to be those of engines
+        which are busy with something unknown.
+        """
+        ends, unknown = [], []
+        for engine in self.engines:
+            if not engine.loading and engine.busy:
+                unknown.append(float(engine.busy_ms))
+            elif engine.loading and self.from_store(engine, engine.loading):
+                ends.append(float(engine.busy_ms))
+        unseen = max(0, weight_store.under_way - len(ends))
+        ends += sorted(unknown, reverse=True)[:unseen]
+        free = [0.0] * max(0, weight_store.at_once - len(ends))
+        return free + sorted(ends)[-max(1, weight_store.at_once) :]
 
     def holders(self, model: str) -> list[model_orders.Engine]:
         """Returns the engines that have a model and stay."""
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -351,3 +351,23 @@
     # Who waits now goes before those who may come.
     waits = _plan([engine], [_demand("m5")], _usage(missed=missed)).orders
     assert waits == [model_orders.Order(model_orders.Verb.UNLOAD, "a", "m1")]
+
+
+def test_a_load_waits_for_those_that_the_store_carries():
+    # Seen on gcd-vigia-grown: with the store full for half a minute, callers
+    # were told the time of one load.
+    engines = [
+        _engine("a", loading="m1", busy=True, busy_ms=3_000, copies=_on_disk()),
+        _engine("b", loading="m2", busy=True, busy_ms=7_000, copies=_on_disk()),
+        _engine("c", busy=True, busy_ms=9_000, copies=_on_disk()),
+        _engine("d", copies=_on_disk()),
+    ]
+    store = _PLENTY._replace(under_way=2, at_once=2)
+    assert _plan(engines, [_demand("m5")], store=store).later_ms == {
+        "m5": 9_000
+    }
+    # One that a holder before has ordered, at an engine that is busy with it.
+    store = _PLENTY._replace(under_way=3, at_once=2)
+    assert _plan(engines, [_demand("m5")], store=store).later_ms == {
+        "m5": 13_000
+    }
