Let replicas of models in steady use not push each other out

Cause: the second replica of a model in steady use was given the place of another one's, which then lacked its second. Now such a replica comes only in the place of a model that is not in steady use; a crowded model's comes as before. The new test failed before: m2 unloaded for m3.

--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -72,6 +72,7 @@
         self._wanted = wanted
         self._now_ms = now_ms
         self.engines = [engine for engine in engines if not engine.leaving]
+        self._by_target = {one.target_id: one for one in self.engines}
         self.loading = {
             engine.loading: engine for engine in self.engines if engine.loading
         }
@@ -89,7 +90,7 @@
             engine.target_id: model_orders.held_mb(engine.held(), models)
             for engine in self.engines
         }
-        self._victims: dict[tuple[str, bool], str | None] = {}
+        self._victims: dict[tuple[str, bool, bool], str | None] = {}
         self._waiting_copies_worth: dict[str, float] = {}
         self._taken: set[str] = set()
         self._lanes = self._lane_ends(weight_store)
@@ -156,13 +157,23 @@
         used_mb = self._held_mb[engine.target_id]
         return used_mb + self._models[model].size_mb <= engine.room_mb
 
-    def can_make_room(self, engine: model_orders.Engine, model: str) -> bool:
+    def can_make_room(
+        self,
+        engine: model_orders.Engine,
+        model: str,
+        spares_steady: bool = False,
+    ) -> bool:
         """Returns whether a model fits, or another one can be dropped."""
         if self.has_room(engine, model):
             return True
-        return self.victim(engine, model) is not None
+        return self.victim(engine, model, spares_steady) is not None
 
-    def victim(self, engine: model_orders.Engine, model: str) -> str | None:
+    def victim(
+        self,
+        engine: model_orders.Engine,
+        model: str,
+        spares_steady: bool = False,
+    ) -> str | None:
         """Returns the idle model with the least use, None if all are used.
 
         Models that have been missed and that no caller has found there yet are
@@ -172,11 +183,12 @@
         Args:
             engine: The engine.
             model: The model that needs the room.
+            spares_steady: Whether models in steady use stay.
         """
         waited = model in self._wanted
-        key = engine.target_id, waited
+        key = engine.target_id, waited, spares_steady
         if key not in self._victims:
-            self._victims[key] = self._find_victim(engine, waited)
+            self._victims[key] = self._find_victim(*key)
         return self._victims[key]
 
     def holds_unserved(self, engine: model_orders.Engine) -> bool:
@@ -271,8 +283,9 @@
         return self._waiting_copies_worth.get(engine.target_id, 0.0)
 
     def _find_victim(
-        self, engine: model_orders.Engine, waited: bool
+        self, target_id: str, waited: bool, spares_steady: bool
     ) -> str | None:
+        engine = self._by_target[target_id]
         choices = []
         for name in engine.models:
             last_ms = self._usage.last_used_ms.get(name, 0)
@@ -289,7 +302,7 @@
                 recent >= STEADY_REQUESTS
                 and silent_ms * recent < _SILENT_PAUSES * model_usage.RECENT_MS
             )
-            if steady and len(self.holders(name)) <= 1:
+            if steady and (spares_steady or len(self.holders(name)) <= 1):
                 continue
             choices.append((unserved, steady, last_ms, recent, name))
         return min(choices)[-1] if choices else None
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -204,7 +204,10 @@
 
         def fitting(engine: model_orders.Engine) -> bool:
             held = model in engine.models
-            return not held and pool.can_make_room(engine, model)
+            # Else replicas of models in steady use push each other out.
+            return not held and pool.can_make_room(
+                engine, model, spares_steady=not crowded
+            )
 
         soonest = pool.soonest(model, fitting)
         if soonest is None:
@@ -214,7 +217,12 @@
         if pool.from_store(engine, model) and not spared:
             return
         if pool.is_free(engine):
-            self._load(engine, model, model_orders.Purpose.REPLICA)
+            self._load(
+                engine,
+                model,
+                model_orders.Purpose.REPLICA,
+                spares_steady=not crowded,
+            )
 
     def fetch_copies(self) -> None:
         """Lets engines fetch models that no engine has a copy of.
@@ -293,12 +301,13 @@
         engine: model_orders.Engine,
         model: str,
         purpose: model_orders.Purpose,
+        spares_steady: bool = False,
     ) -> None:
         """Orders a load, or the unload that must come before it."""
         pool = self._pool
         pool.take(engine)
         if not pool.has_room(engine, model):
-            victim = pool.victim(engine, model)
+            victim = pool.victim(engine, model, spares_steady)
             if victim is not None:
                 drop = model_orders.Order(
                     model_orders.Verb.UNLOAD, engine.target_id, victim
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -371,3 +371,19 @@
     assert _plan(engines, [_demand("m5")], store=store).later_ms == {
         "m5": 13_000
     }
+
+
+def test_replicas_of_models_in_steady_use_do_not_push_each_other_out():
+    # Seen on gcd-vigia-grown: an engine dropped and loaded the same two models
+    # by turns, more than once in two seconds.
+    last = dict.fromkeys(("m1", "m2", "m3", "m4"), _NOW_MS - 300)
+    recent = dict.fromkeys(last, 9.0)
+    engines = [
+        _engine("a", ["m1", "m2", "m3"], running={"m1": 1, "m2": 1, "m3": 1}),
+        _engine("b", ["m1", "m2", "m4"], running={"m1": 1, "m4": 1}),
+    ]
+    assert not _plan(engines, [], _usage(recent, last)).orders
+    # Of a crowded one there is another replica all the same.
+    crowded = _usage(recent, last)._replace(in_flight={"m3": 100})
+    orders = _plan(engines, [], crowded).orders
+    assert orders == [model_orders.Order(model_orders.Verb.UNLOAD, "b", "m2")]
