Load from the store what has been missed most

Cause: the rank of a load counted requests of the last seconds three times as much as those missed since long, also for a load that takes longer than those seconds. Now a load from the store is ranked by all that has been missed since an engine held the model. The new test failed before.

--- a/tanagerloft/decisions/load_worth.py
+++ b/tanagerloft/decisions/load_worth.py
@@ -30,6 +30,7 @@
     ):
         self._models = models
         self._load_ms: dict[str, float] = {}
+        self._store_worth: dict[str, float] = {}
         self.by_model: dict[str, float] = {}
         for name, demand in absent.items():
             model = models[name]
@@ -37,6 +38,9 @@
             load_ms = min(times, default=model.load_ms)
             self._load_ms[name] = load_ms
             self.by_model[name] = model_demands.worth(demand, usage, load_ms)
+            self._store_worth[name] = model_demands.store_worth(
+                demand, usage, model.load_ms
+            )
 
     def urgency(self, model: str) -> tuple[float, str]:
         """Returns the rank of a model, the most urgent the least.
@@ -47,4 +51,5 @@
 
     def store_urgency(self, model: str) -> tuple[float, str]:
         """Returns the rank of a model that is loaded from the weight store."""
-        return (-self.by_model[model] / self._models[model].load_ms, model)
+        load_ms = self._models[model].load_ms
+        return (-self._store_worth[model] / load_ms, model)
--- a/tanagerloft/decisions/model_demands.py
+++ b/tanagerloft/decisions/model_demands.py
@@ -54,11 +54,35 @@
         usage: Use of the models.
         load_ms: Time until it is there.
     """
-    in_aim = sum(left > load_ms for left in demand.aims_left_ms)
-    late = sum(left > load_ms for left in demand.patience_left_ms) - in_aim
     coming = usage.recent.get(demand.model, 0.0)
     missed = usage.missed.get(demand.model)
-    total = in_aim + _LATE_WORTH * late + _COMING_WORTH * coming
+    total = _served_worth(demand, load_ms) + _COMING_WORTH * coming
     if missed is not None:
         total += _MISSED_WORTH * missed.requests
     return total
+
+
+def store_worth(
+    demand: model_orders.Demand, usage: model_orders.Usage, load_ms: float
+) -> float:
+    """Returns the worth of loading a model from the weight store.
+
+    Load answered: many models that a few requests a minute ask for. Such a load
+    takes longer than the window of recent requests, in which one stray request
+    more says nothing; what has been missed all along tells what will come.
+
+    Args:
+        demand: Demand for it.
+        usage: Use of the models.
+        load_ms: Time until it is there.
+    """
+    missed = usage.missed.get(demand.model)
+    requests = missed.requests if missed is not None else 0.0
+    return _served_worth(demand, load_ms) + _COMING_WORTH * requests
+
+
+def _served_worth(demand: model_orders.Demand, load_ms: float) -> float:
+    """Returns the worth of the requests that wait and will be served."""
+    in_aim = sum(left > load_ms for left in demand.aims_left_ms)
+    late = sum(left > load_ms for left in demand.patience_left_ms) - in_aim
+    return in_aim + _LATE_WORTH * late
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -387,3 +387,17 @@
     crowded = _usage(recent, last)._replace(in_flight={"m3": 100})
     orders = _plan(engines, [], crowded).orders
     assert orders == [model_orders.Order(model_orders.Verb.UNLOAD, "b", "m2")]
+
+
+def test_the_store_serves_what_has_been_missed_most():
+    # Seen on gcd-vigia-grown: models with two requests went before others with
+    # six, as both had come within the last second.
+    missed = {
+        "m1": model_orders.Missed(1.8, _NOW_MS - 7_000),
+        "m2": model_orders.Missed(6.0, _NOW_MS - 7_000),
+    }
+    usage = _usage({"m1": 1.9, "m2": 0.2}, missed=missed)
+    store = _PLENTY._replace(at_once=1)
+    engines = [_engine("a", copies=_on_disk())]
+    load = model_orders.Order(model_orders.Verb.LOAD, "a", "m2")
+    assert _plan(engines, [], usage, store).orders == [load]
