--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -13,6 +13,7 @@
 from tanagerloft.coordination import plan_log
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import arrival_times
+from tanagerloft.decisions import learnt as learnt_lib
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import model_plan
 from tanagerloft.decisions import model_usage
@@ -91,14 +92,14 @@
                     },
                 )
 
-    def learnt(self, now_ms: int) -> order_lease.Learnt:
+    def learnt(self, now_ms: int) -> learnt_lib.Learnt:
         """Returns what a holder that follows should know."""
         lanes = self.states.lanes
-        return order_lease.Learnt(
+        return learnt_lib.Learnt(
             lanes.at_once(), lanes.proved, self.usage.longest_missed(now_ms)
         )
 
-    def inherit(self, learnt: order_lease.Learnt, at_ms: int) -> None:
+    def inherit(self, learnt: learnt_lib.Learnt, at_ms: int) -> None:
         """Takes in what the holder before has learnt.
 
         Args:
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -12,6 +12,7 @@
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import model_marks
 from tanagerloft.decisions import crash_quarantine
+from tanagerloft.decisions import learnt as learnt_lib
 from tanagerloft.decisions import order_lease
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
@@ -148,7 +149,7 @@
         """Returns what a holder that grants no more leaves."""
         return self._grants.last_promises()
 
-    def learnt(self, term: order_lease.Term) -> order_lease.Learnt:
+    def learnt(self, term: order_lease.Term) -> learnt_lib.Learnt:
         """Returns what to hand on with a term of what has been learnt.
 
         A new holder hands on what it was left, until its term has begun.
--- a/tanagerloft/coordination/lease_keeper.py
+++ b/tanagerloft/coordination/lease_keeper.py
@@ -11,6 +11,7 @@
 
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import store as store_lib
+from tanagerloft.decisions import learnt as learnt_lib
 from tanagerloft.decisions import order_lease
 from tanagerloft.util import loops
 
@@ -61,7 +62,7 @@
     def last_promises(self) -> dict[str, float]:
         """Returns the promises of a holder that grants no more."""
 
-    def learnt(self, term: order_lease.Term) -> order_lease.Learnt:
+    def learnt(self, term: order_lease.Term) -> learnt_lib.Learnt:
         """Returns what to hand on with a term of what has been learnt."""
 
 
@@ -242,8 +243,7 @@
 
 
 def _encode(term: order_lease.Term) -> bytes:
-    learnt = {**term.learnt._asdict(), "missed": dict(term.learnt.missed)}
-    return orjson.dumps({**term._asdict(), "learnt": learnt})
+    return orjson.dumps({**term._asdict(), "learnt": term.learnt._asdict()})
 
 
 def _decode(value: bytes | None) -> order_lease.Term | None:
@@ -252,7 +252,7 @@
     try:
         term = order_lease.Term(**orjson.loads(value))
         if isinstance(term.learnt, dict):
-            term = term._replace(learnt=order_lease.Learnt(**term.learnt))
+            term = term._replace(learnt=learnt_lib.Learnt(**term.learnt))
         return term
     except (TypeError, ValueError) as error:
         logger.error("lease row unreadable", extra={"reason": repr(error)})
--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -13,17 +13,9 @@
 from typing import NamedTuple
 
 from tanagerloft.decisions import model_orders
-from tanagerloft.decisions import model_usage
+from tanagerloft.decisions import victims
 from tanagerloft.fleet import types
 
-# Requests in the recent window that make a model one in steady use.
-STEADY_REQUESTS = 4.0
-# A model whose silence is longer than so many of its usual pauses is not in
-# steady use any more: demand has moved on.
-_SILENT_PAUSES = 3.0
-# An idle model is dropped for a waiting one only after this time without
-# requests, so that two waiting models do not push each other out.
-_MIN_IDLE_MS = 200
 # An engine with copies of fewer models than this share is a bare one.
 _BARE_SHARE = 0.2
 # Time that an unload of an idle model takes, with the way of the order.
@@ -55,6 +47,7 @@
 
     Attributes:
         engines: Engines that get new work.
+        victims: Chooses what an engine drops.
         loading: Engine that loads a model, by model.
     """
 
@@ -68,11 +61,10 @@
         now_ms: int,
     ):
         self._models = models
-        self._usage = usage
-        self._wanted = wanted
-        self._now_ms = now_ms
+        self.victims = victims.Victims(
+            usage, wanted, now_ms, lambda model: len(self.holders(model))
+        )
         self.engines = [engine for engine in engines if not engine.leaving]
-        self._by_target = {one.target_id: one for one in self.engines}
         self.loading = {
             engine.loading: engine for engine in self.engines if engine.loading
         }
@@ -90,7 +82,6 @@
             engine.target_id: model_orders.held_mb(engine.held(), models)
             for engine in self.engines
         }
-        self._victims: dict[tuple[str, bool, bool], str | None] = {}
         self._waiting_copies_worth: dict[str, float] = {}
         self._taken: set[str] = set()
         self._lanes = self._lane_ends(weight_store)
@@ -166,52 +157,7 @@
         """Returns whether a model fits, or another one can be dropped."""
         if self.has_room(engine, model):
             return True
-        return self.victim(engine, model, spares_steady) is not None
-
-    def victim(
-        self,
-        engine: model_orders.Engine,
-        model: str,
-        spares_steady: bool = False,
-    ) -> str | None:
-        """Returns the idle model with the least use, None if all are used.
-
-        Models that have been missed and that no caller has found there yet are
-        dropped last, and only for a model that somebody waits for: else each
-        would make room for the next one before anybody is served.
-
-        Args:
-            engine: The engine.
-            model: The model that needs the room.
-            spares_steady: Whether models in steady use stay.
-        """
-        waited = model in self._wanted
-        key = engine.target_id, waited, spares_steady
-        if key not in self._victims:
-            self._victims[key] = self._find_victim(*key)
-        return self._victims[key]
-
-    def holds_unserved(self, engine: model_orders.Engine) -> bool:
-        """Returns whether it holds a missed model that nobody has found yet."""
-        return any(name in self._usage.missed for name in engine.models)
-
-    def _recent(self, model: str) -> float:
-        return self._usage.recent.get(model, 0.0)
-
-    def idle_adapter(
-        self, engine: model_orders.Engine
-    ) -> tuple[str, str] | None:
-        """Returns the adapter that has been unused for the longest."""
-        choices = []
-        for model, adapters in engine.models.items():
-            for adapter in adapters:
-                subject = f"{model}/{adapter}"
-                last_ms = self._usage.last_used_ms.get(subject, 0)
-                if engine.running.get(subject) or subject in self._wanted:
-                    continue
-                if self._now_ms - last_ms >= _MIN_IDLE_MS:
-                    choices.append((last_ms, model, adapter))
-        return min(choices)[1:] if choices else None
+        return self.victims.model(engine, model, spares_steady) is not None
 
     def soonest(
         self,
@@ -282,31 +228,6 @@
         """
         return self._waiting_copies_worth.get(engine.target_id, 0.0)
 
-    def _find_victim(
-        self, target_id: str, waited: bool, spares_steady: bool
-    ) -> str | None:
-        engine = self._by_target[target_id]
-        choices = []
-        for name in engine.models:
-            last_ms = self._usage.last_used_ms.get(name, 0)
-            if name in self._wanted or _running(engine, name):
-                continue
-            if self._now_ms - last_ms < _MIN_IDLE_MS:
-                continue
-            unserved = name in self._usage.missed
-            if unserved and not waited:
-                continue
-            recent = self._recent(name)
-            silent_ms = self._now_ms - last_ms
-            steady = (
-                recent >= STEADY_REQUESTS
-                and silent_ms * recent < _SILENT_PAUSES * model_usage.RECENT_MS
-            )
-            if steady and (spares_steady or len(self.holders(name)) <= 1):
-                continue
-            choices.append((unserved, steady, last_ms, recent, name))
-        return min(choices)[-1] if choices else None
-
     def _ready_in_ms(self, engine: model_orders.Engine, model: str) -> float:
         """Returns a guess of the time until ``engine`` would have it."""
         starts_ms = self._free_in_ms[engine.target_id]
@@ -315,15 +236,6 @@
         time_ms = starts_ms + engine.copies.load_ms(self._models[model])
         if not self.has_room(engine, model):
             time_ms += _UNLOAD_MS
-            if self.victim(engine, model) is None:
+            if self.victims.model(engine, model) is None:
                 time_ms += _RUN_MS
         return time_ms
-
-
-def _running(engine: model_orders.Engine, model: str) -> int:
-    total = engine.running.get(model, 0)
-    prefix = model + "/"
-    for name, count in engine.running.items():
-        if name.startswith(prefix):
-            total += count
-    return total
--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -5,10 +5,10 @@
 orders must be apart in time as well as in token.
 """
 
-from collections.abc import Mapping
-import types
 from typing import NamedTuple
 
+from tanagerloft.decisions import learnt as learnt_lib
+
 # Half of the time for which an order may be on its way: the call that carries
 # it ends after twice as long. A holder gives none so shortly before its term
 # ends, and the next one waits as much longer than the turn.
@@ -19,22 +19,6 @@
 _STRUGGLING_SHARE = 0.65
 
 
-class Learnt(NamedTuple):
-    """What a holder has learnt and leaves to the next one.
-
-    Attributes:
-        store_at_once: Loads that the weight store takes at full speed; 0 if
-            nothing has been learnt.
-        store_proved: Loads at once that have been seen to go at full speed.
-        missed: Requests for models that nobody has been served with, and the
-            time since the first of them in ms, by model.
-    """
-
-    store_at_once: int = 0
-    store_proved: int = 0
-    missed: Mapping[str, tuple[float, int]] = types.MappingProxyType({})
-
-
 class Term(NamedTuple):
     """Contents of the lease row.
 
@@ -58,7 +42,7 @@
     settled: bool
     released: bool
     promises: dict[str, float]
-    learnt: Learnt = Learnt()
+    learnt: learnt_lib.Learnt = learnt_lib.NOTHING
 
 
 class Claim(NamedTuple):
@@ -115,7 +99,7 @@
         self._free_since_ms = 0
         self.term: Term | None = None
         self.inherited: dict[str, float] = {}
-        self.inherited_learnt = Learnt()
+        self.inherited_learnt = learnt_lib.NOTHING
         self.inherited_ms = 0
 
     @property
@@ -302,6 +286,8 @@
             settled=settled,
             released=False,
             promises=self.term.promises if self.term is not None else {},
-            learnt=self.term.learnt if self.term is not None else Learnt(),
+            learnt=self.term.learnt
+            if self.term is not None
+            else learnt_lib.NOTHING,
         )
         return Claim(self._version, term)
--- a/tests/coordination/test_lease_keeper.py
+++ b/tests/coordination/test_lease_keeper.py
@@ -8,6 +8,7 @@
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import lease_keeper
 from tanagerloft.coordination import store as store_lib
+from tanagerloft.decisions import learnt as learnt_lib
 from tanagerloft.decisions import order_lease
 
 
@@ -38,7 +39,7 @@
 class _Legacy:
     """A holder without accounts, which leaves what it is told to."""
 
-    left = order_lease.Learnt()
+    left = learnt_lib.NOTHING
 
     def learnt(self, _term):
         return self.left
@@ -266,7 +267,7 @@
     async def play():
         store = _Store()
         now_ms = 10_000
-        learnt = order_lease.Learnt(2, 2, {"m": (3.5, 900)})
+        learnt = learnt_lib.Learnt(2, 2, {"m": (3.5, 900)})
         first = _keeper(store, _lease("a"), lambda: now_ms)
         first._legacy.left = learnt
         lease = _lease("b")
@@ -296,6 +297,6 @@
         task = asyncio.get_running_loop().create_task(keeper.follow())
         await asyncio.sleep(0.01)
         task.cancel()
-        assert lease.term.learnt == order_lease.Learnt()
+        assert lease.term.learnt == learnt_lib.NOTHING
 
     asyncio.run(play())
