Load from the store where the fewest copies are

Cause: that engine's disk was full; two models fetched ahead of demand took the place of the copy, the only one. The 'engine known' lines at -14.3 and 25.7 s show it. Now a load from the store goes to the engine with the least copies among those that would have it at about the same time, and fetching ahead begins there. The new test failed before: m5 loaded at the first engine.

--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -70,11 +70,16 @@
         }
         self._holders: dict[str, list[model_orders.Engine]] = {}
         self._near: dict[str, list[model_orders.Engine]] = {}
+        self._copies_mb: dict[str, float] = {}
         for engine in self.engines:
             for model in engine.models:
                 self._holders.setdefault(model, []).append(engine)
+            copies_mb = 0.0
             for model in engine.copies.all():
                 self._near.setdefault(model, []).append(engine)
+                if model in models:
+                    copies_mb += models[model].size_mb
+            self._copies_mb[engine.target_id] = copies_mb
         self._free_in_ms = {
             engine.target_id: float(engine.busy_ms) for engine in self.engines
         }
@@ -128,6 +133,14 @@
         """Returns whether it has too few copies to load much from them."""
         return len(engine.copies.all()) < _BARE_SHARE * len(self._models)
 
+    def copies_mb(self, engine: model_orders.Engine) -> float:
+        """Returns the size of an engine's copies.
+
+        Load answered: engines whose disks are full. What one loads from the
+        store takes the place of a copy there, which may be the only one.
+        """
+        return self._copies_mb[engine.target_id]
+
     def is_free(self, engine: model_orders.Engine) -> bool:
         """Returns whether an engine can be given an order now."""
         return not engine.busy and engine.target_id not in self._taken
@@ -184,14 +197,15 @@
             )
             return min(options, default=None, key=rank)
 
-        def rank(option: Option) -> tuple[float, float, str]:
+        def rank(option: Option) -> tuple[float, float, float, str]:
             if not self.from_store(option.engine, model):
-                return option.ready_ms, 0.0, option.target_id
+                return option.ready_ms, 0.0, 0.0, option.target_id
             # Little is lost by a long load that begins somewhat later.
             step_ms = _LONG_LOAD_STEP * self._models[model].load_ms
             return (
                 option.ready_ms // step_ms * step_ms,
                 self.waiting_copies_worth(option.engine),
+                self.copies_mb(option.engine),
                 option.target_id,
             )
 
--- a/tanagerloft/decisions/plan_round.py
+++ b/tanagerloft/decisions/plan_round.py
@@ -158,7 +158,7 @@
             return
         pool = self._pool
         missing = pool.missing()
-        for engine in pool.engines:
+        for engine in sorted(pool.engines, key=pool.copies_mb):
             if not pool.is_free(engine) or not missing:
                 continue
             if self._usage.last_used_ms and not pool.is_bare(engine):
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -401,3 +401,20 @@
     engines = [_engine("a", copies=_on_disk())]
     load = model_orders.Order(model_orders.Verb.LOAD, "a", "m2")
     assert _plan(engines, [], usage, store).orders == [load]
+
+
+def test_loads_from_the_store_go_where_the_fewest_copies_are():
+    # Seen on gcd-vigia-grown: a copy fetched ahead of demand took the place of
+    # the only copy of another model on a full disk.
+    full = _on_disk("m1", "m2", "m3", "m4")
+    engines = [
+        _engine("a", copies=full),
+        _engine("b", copies=_on_disk("m1")),
+        _engine("c", copies=full),
+    ]
+    store = _PLENTY._replace(at_once=1)
+    load = model_orders.Order(model_orders.Verb.LOAD, "b", "m5")
+    assert _plan(engines, [_demand("m5")], store=store).orders == [load]
+    assert _plan(engines, [], store=store, count=6).orders == [
+        load._replace(model="m0")
+    ]
