Let only loads that are surely under way prove a number of loads

Cause: loads that should be done and are not seen to be count as under way, so a load that had four others beside it was taken for one of six, and being in time proved six. Now a load in time speaks for those that surely were under way with it, a late one against those that may have been.

--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -141,9 +141,10 @@
         """Takes in that an engine begins to load from the weight store."""
         self.follow_store_loads()
         concurrent = self.store_loads() + 1
+        surely = sum(s.loads_from_store() for s in self.by_target.values()) + 1
         state.store_load = model.name
         state.store_load_ms = self._now_ms()
-        self.lanes.begin(state.target_id, model.load_ms, concurrent)
+        self.lanes.begin(state.target_id, model.load_ms, concurrent, surely)
         self.follow_store_loads()
 
     def forget_store_load(self, state: EngineState) -> None:
--- a/tanagerloft/decisions/store_lanes.py
+++ b/tanagerloft/decisions/store_lanes.py
@@ -39,29 +39,34 @@
     Args:
         load_ms: Time that it takes at full speed.
         began: Progress of loads at its begin, by number.
-        concurrent: Loads under way at its begin, itself included.
+        concurrent: Loads that may be under way at its begin, itself included.
+        surely: Those of them that are known to be.
 
     Attributes:
         load_ms: Time that it takes at full speed.
         began: Progress of loads at its begin, by number.
-        concurrent: Loads under way at its begin, itself included.
+        concurrent: Loads that may be under way at its begin, itself included.
+        surely: Those of them that are known to be.
         counted: Evidence that it has already given against each number.
         lasted_ms: Time since its begin.
         sum_ms: Time that all loads have been under way since then.
     """
 
-    def __init__(self, load_ms: float, began: list[float], concurrent: int):
+    def __init__(
+        self, load_ms: float, began: list[float], concurrent: int, surely: int
+    ):
         self.load_ms = load_ms
         self.began = began
         self.concurrent = concurrent
+        self.surely = surely
         self.counted = [0.0] * len(began)
         self.lasted_ms = 0
         self.sum_ms = 0
 
     def sustained_loads(self) -> int:
-        """Returns how many were under way at its begin and most of its time."""
+        """Returns how many surely were at its begin and most of its time."""
         mean = self.sum_ms / max(1, self.lasted_ms)
-        return min(self.concurrent, int(mean + _MOST_OF_THE_TIME))
+        return min(self.surely, int(mean + _MOST_OF_THE_TIME))
 
 
 class StoreLanes:
@@ -115,17 +120,29 @@
         self._at_ms = now_ms
         self._under_way = under_way
 
-    def begin(self, target_id: str, load_ms: float, concurrent: int) -> None:
+    def begin(
+        self,
+        target_id: str,
+        load_ms: float,
+        concurrent: int,
+        surely: int | None = None,
+    ) -> None:
         """Takes in that an engine begins to load from the store.
 
+        A load that comes late is held against what may be under way with it;
+        one in time speaks for what surely is.
+
         Args:
             target_id: The engine.
             load_ms: Time that the load takes at full speed.
-            concurrent: Loads that are believed to be under way with it, itself
-                included.
+            concurrent: Loads that may be under way with it, itself included.
+            surely: Those of them that are known to be; all if None.
         """
         self._watched[target_id] = _Watch(
-            load_ms, list(self._progress), concurrent
+            load_ms,
+            list(self._progress),
+            concurrent,
+            concurrent if surely is None else surely,
         )
 
     def forget(self, target_id: str) -> None:
@@ -176,23 +193,30 @@
         if watch is None:
             return None
         index = self.at_once() - 1
-        shared_ms, own_ms = self._done_ms(watch, index, 0.0)
+        shared_ms, own_ms = self._done_ms(watch, index, 0.0, watch.concurrent)
         return min(
             max(0.0, watch.load_ms - shared_ms) / self._speed(index),
-            max(0.0, watch.load_ms - own_ms) / _own_speed(watch, index),
+            max(0.0, watch.load_ms - own_ms)
+            / _own_speed(watch.concurrent, index),
         )
 
     def _done_ms(
-        self, watch: _Watch, index: int, ago_ms: float
+        self, watch: _Watch, index: int, ago_ms: float, concurrent: int
     ) -> tuple[float, float]:
         """Returns the progress of a load some time ago.
 
+        Args:
+            watch: The load.
+            index: Loads that the store takes, less one.
+            ago_ms: How long ago.
+            concurrent: Loads under way at its begin, itself included.
+
         Returns:
             With a speed that all share, and with one set at its begin.
         """
         shared_ms = self._progress[index] - watch.began[index]
         shared_ms -= ago_ms * self._speed(index)
-        own_ms = (watch.lasted_ms - ago_ms) * _own_speed(watch, index)
+        own_ms = (watch.lasted_ms - ago_ms) * _own_speed(concurrent, index)
         return shared_ms, own_ms
 
     @property
@@ -235,9 +259,10 @@
         """
         slack_ms = _SLACK_MS + _SLACK_SHARE * watch.load_ms
         whole_ms = _WHOLE_EXCESS_SHARE * watch.load_ms
+        concurrent = watch.concurrent if later else watch.surely
         scores = []
         for index in range(_MAX_AT_ONCE):
-            done_ms = self._done_ms(watch, index, ago_ms)
+            done_ms = self._done_ms(watch, index, ago_ms, concurrent)
             excess_ms = watch.load_ms - max(done_ms)
             if later:
                 excess_ms = min(done_ms) - watch.load_ms
@@ -251,6 +276,6 @@
                 watch.counted[index] += told
 
 
-def _own_speed(watch: _Watch, index: int) -> float:
+def _own_speed(concurrent: int, index: int) -> float:
     """Returns a load's speed if what was under way at its begin sets it."""
-    return min(1.0, (index + 1) / watch.concurrent)
+    return min(1.0, (index + 1) / concurrent)
--- a/tests/coordination/test_models_served.py
+++ b/tests/coordination/test_models_served.py
@@ -28,6 +28,9 @@
 # Loads at once before anything is known of the store.
 _FIRST_AT_ONCE = 4
 _SEEDS = int(os.environ.get("SEEDS", "3"))
+# Seeds that have failed. 11: one load more than is tried at a store of five, as
+# loads that were over counted as seen at full speed with others.
+_FAILED_SEEDS = (11,)
 
 
 class _Day(NamedTuple):
@@ -145,7 +148,7 @@
     _check(day)
 
 
-@pytest.mark.parametrize("seed", range(_SEEDS))
+@pytest.mark.parametrize("seed", sorted({*range(_SEEDS), *_FAILED_SEEDS}))
 def test_models_are_served_on_drawn_days(seed):
     _check(_draw(seed))
 
--- a/tests/decisions/test_store_lanes.py
+++ b/tests/decisions/test_store_lanes.py
@@ -188,3 +188,14 @@
     for _ in range(60):
         play.run(500)
         assert lanes.at_once() == 2
+
+
+def test_loads_that_may_be_over_prove_nothing():
+    """Found by a drawn day: six proved at once where five are at full speed."""
+    lanes = store_lanes.StoreLanes()
+    lanes.advance(0, 0)
+    lanes.begin("e", _LOAD_MS, concurrent=3, surely=2)
+    lanes.advance(3, 0)
+    lanes.advance(0, _LOAD_MS + 100)
+    lanes.seen_done("e")
+    assert lanes.proved == 2
