Note what engines of all services hold at once

Found in the last reading: what the models of one service are held since was forgotten as the next service was planned, so with two services of engines a model that callers found there still counted as missed. The new test failed before.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -139,8 +139,19 @@
                 arrivals.forget()
             return
         self._log.term(self._lease.term)
+        in_flight = loads.by_model()
+        held = {
+            name
+            for state in self.states.by_target.values()
+            for name in state.orders.usable()
+            if name != state.orders.loading
+        }
+        self.usage.note_held(held, in_flight, now_ms)
+        usage = self.usage.usage(in_flight)
         for service, plan in self._plans.items():
-            planned = self._plan_service(service, plan, reports, loads, now_ms)
+            planned = self._plan_service(
+                service, plan, reports, loads, usage, now_ms
+            )
             for order in planned.orders:
                 if self._lease.may_order(now_ms):
                     self._give(order, planned.purposes[order], now_ms)
@@ -175,6 +186,7 @@
         plan: model_plan.ModelPlan,
         reports: list[messages.Report],
         loads: fleet_loads.FleetLoads,
+        usage: model_orders.Usage,
         now_ms: int,
     ) -> model_plan.Plan:
         engines = [
@@ -188,16 +200,10 @@
             under_way=self.states.store_loads(),
             at_once=self.states.lanes.at_once(),
         )
-        in_flight = loads.by_model()
-        self.usage.note_held(
-            {name for engine in engines for name in engine.models},
-            in_flight,
-            now_ms,
-        )
         planned = plan.plan(
             engines,
             demands.of_service(reports, service),
-            self.usage.usage(in_flight),
+            usage,
             store,
             now_ms,
         )
--- a/tests/coordination/test_engine_keeper.py
+++ b/tests/coordination/test_engine_keeper.py
@@ -5,6 +5,10 @@
 
 import pytest
 
+from tanagerloft.coordination import engine_keeper
+from tanagerloft.coordination import fleet_loads
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.coordination import targets
 from tanagerloft.fleet import types
 from tests.support import engine_fleet
 from tests.support import engines
@@ -165,3 +169,39 @@
         assert fleet.keeper.later_ms["m5"] < 6_000
 
     asyncio.run(run())
+
+
+def test_a_model_found_there_is_not_missed_whatever_other_services_hold():
+    async def run():
+        now_ms = 10_000
+        service = _service(4, 34_300, types.EngineRoom(83_000, 8), 10.0)
+        placed = {"e0": ("s", "m0"), "e1": ("t", "m1")}
+
+        def entry(key, _value):
+            name, model = placed[key]
+            held = {model: frozenset()}
+            return engines.entry(key, service=name, models=held)
+
+        async def report(one):
+            return engines.report(one.models)
+
+        directory = targets.TargetDirectory(entry, lambda: now_ms, "dc")
+        rows = tuple(store_lib.Row(key, b"", 1) for key in placed)
+        directory.table.on_rows(store_lib.Snapshot(rows, 1), whole=True)
+        keeper = engine_keeper.EngineKeeper(
+            engines.held_lease(now_ms), directory, None, report, lambda: now_ms
+        )
+        services = {name: service._replace(name=name) for name in ("s", "t")}
+        keeper.configure(
+            types.Configuration(1, {}, services, {}, {}, types.CallerLimits())
+        )
+        for count in range(4):
+            now_ms += 1_000
+            keeper.follow(now_ms)
+            await asyncio.sleep(0.001)
+            if count == 2:
+                keeper.usage.note_counts("i", {"m0": 1}, now_ms - 500)
+            keeper.plan([], fleet_loads.FleetLoads(), now_ms)
+        assert not keeper.usage.usage({}).missed
+
+    asyncio.run(run())
