Log the limits that targets name, and what is sent to them

The head of an answer is now decoded; a line is written when a limit is heard of, changes or ends, and one for each request that goes to such a target; a gauge counts the targets. Of answers that overlap, the stricter one counts, since answers on different connections overtake each other.

No choice of a target changes.

--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from tanagerloft.coordination import target_entries
+from tanagerloft.decisions import target_limits
 from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
 from tanagerloft.util import bounded
@@ -46,6 +47,7 @@
         in_flight: Requests under way by target and model (with adapter).
         prefilling: Prompt tokens sent by target and not read yet.
         notices: What targets have said in their answers.
+        limits: Limits that they have named.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self.in_flight: dict[str, dict[str, int]] = {}
         self.prefilling: dict[str, int] = {}
         self.notices = target_notices.TargetNotices()
+        self.limits = target_limits.TargetLimits()
 
     @property
     def entries(self) -> dict[str, types.TargetEntry]:
@@ -181,14 +184,7 @@
             misdirected: Whether another target may have answered, which has
                 the same address.
         """
-        lives = [life_of(entry)]
-        if misdirected:
-            lives += [
-                life_of(other)
-                for other in self.entries.values()
-                if (other.host, other.port) == (entry.host, entry.port)
-            ]
-        for life in lives:
+        for life in self._answering(entry, misdirected):
             if self.notices.note_leaving(life):
                 logger.info("target says it leaves", extra=life._asdict())
 
@@ -200,6 +196,69 @@
             "target backs off", extra={**life._asdict(), "for_ms": for_ms}
         )
 
+    def note_limit(
+        self,
+        entry: types.TargetEntry,
+        limit_per_s: float,
+        sent_ms: int,
+        misdirected: bool,
+    ) -> None:
+        """Remembers how many requests a second a target takes.
+
+        Args:
+            entry: Target that the request was sent to.
+            limit_per_s: Requests a second, infinite if it names no limit.
+            sent_ms: When the request was sent.
+            misdirected: Whether another target may have answered.
+        """
+        for life in self._answering(entry, misdirected):
+            now_ms = self._now_ms()
+            if self.limits.note(life, limit_per_s, sent_ms, now_ms):
+                logger.info(
+                    "limit of a target",
+                    extra={
+                        **life._asdict(),
+                        "limit_per_s": limit_per_s,
+                        "answer_ms": now_ms - sent_ms,
+                    },
+                )
+
+    def log_limited_send(
+        self, entry: types.TargetEntry, request_id: str
+    ) -> None:
+        """Logs a request that is sent to a target with a limit."""
+        notice = self.limits.get(life_of(entry))
+        if notice is not None and notice.limits:
+            logger.info(
+                "sent to a target with a limit",
+                extra={
+                    "request": request_id,
+                    "target": entry.target_id,
+                    "limit_per_s": notice.limit_per_s,
+                    "heard_ago_ms": self._now_ms() - notice.heard_ms,
+                },
+            )
+
+    def _answering(
+        self, entry: types.TargetEntry, misdirected: bool
+    ) -> list[target_notices.Life]:
+        """Returns the lives of targets one of which has given an answer.
+
+        Args:
+            entry: Target that the request was sent to.
+            misdirected: Whether another target may have answered, which has
+                the same address.
+        """
+        lives = [life_of(entry)]
+        if misdirected:
+            lives += [
+                life_of(other)
+                for other in self.entries.values()
+                if (other.host, other.port) == (entry.host, entry.port)
+                and other.target_id != entry.target_id
+            ]
+        return lives
+
     def prefill_tokens(self, target_id: str) -> int:
         """Returns the prompt tokens that a target has still to read."""
         own = self.prefilling.get(target_id, 0)
--- a/tanagerloft/gateway/attempt.py
+++ b/tanagerloft/gateway/attempt.py
@@ -81,6 +81,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._prefill_tokens = 0
+        self._sent_ms = 0
         self._over = False
         self.target = target
 
@@ -136,6 +137,10 @@
             directory.note_leaving(self.target, misdirected=mark.lacks)
         if mark.back_off_ms:
             directory.note_back_off(self.target, mark.back_off_ms)
+        if mark.limit_per_s is not None:
+            directory.note_limit(
+                self.target, mark.limit_per_s, self._sent_ms, mark.lacks
+            )
         self._mark = mark
         self._status = head.status
         self._body = []
@@ -210,10 +215,12 @@
     def _write(self, connection: target_connection.TargetConnection) -> None:
         parts, context = self._parts, self._context
         self._connection = connection
+        self._sent_ms = parts.now_ms()
+        parts.directory.log_limited_send(self.target, context.ask.request_id)
         self._owner.on_sent()
         send = dialect_lib.Send(
             target=self.target,
-            left_ms=max(1, context.ends_ms - parts.now_ms()),
+            left_ms=max(1, context.ends_ms - self._sent_ms),
             account=context.account_name,
             last_event_id=self._stream.last_event_id,
         )
--- a/tanagerloft/gateway/dialect.py
+++ b/tanagerloft/gateway/dialect.py
@@ -69,6 +69,8 @@
         stream: Whether the body is a stream of events.
         leaving: Whether the target says that it leaves.
         back_off_ms: Time for which it wants no more requests, 0 for none.
+        limit_per_s: Requests a second that it takes from all instances,
+            infinite if it names no limit, None if the answer does not tell.
         headers: Headers that go to the caller.
     """
 
@@ -79,6 +81,7 @@
     stream: bool
     leaving: bool
     back_off_ms: int
+    limit_per_s: float | None
     headers: list[tuple[bytes, bytes]]
 
 
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -51,6 +51,12 @@
         settings: Settings of the process.
         build: Builds the drivers of the deployment.
         clock: Clock of the process.
+
+    Attributes:
+        control: What it knows of the fleet.
+        directory: What it knows of the targets.
+        gateway: Its request path.
+        waiting_room: Requests that wait for a model.
     """
 
     def __init__(
@@ -74,14 +80,14 @@
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self.waiting_room = waiting_lib.WaitingRoom()
         self._metrics = metrics_lib.GatewayMetrics()
-        self._control = control_lib.Control(
+        self.control = control_lib.Control(
             settings,
             self._deployment,
             self.waiting_room,
             self._crashes,
             clock.now_ms,
         )
-        self.directory = self._control.directory
+        self.directory = self.control.directory
         self._build_gateway()
 
     def _build_gateway(self) -> None:
@@ -97,19 +103,19 @@
             crash_watch=crash_watch.CrashWatch(
                 self._pool, self._crashes, now_ms
             ),
-            report_soon=self._control.link.report_soon,
-            later_ms=self._control.link.model_later_ms,
-            holder_age_ms=self._control.link.holder_age_ms,
+            report_soon=self.control.link.report_soon,
+            later_ms=self.control.link.model_later_ms,
+            holder_age_ms=self.control.link.holder_age_ms,
             now_ms=now_ms,
         )
         steps = [
             steps_lib.make_identify(random.SystemRandom()),
-            steps_lib.make_authenticate(self._control.keys_are_current),
+            steps_lib.make_authenticate(self.control.keys_are_current),
         ]
         self.gateway = gateway_lib.Gateway(
             self._deployment.dialect,
-            self._control.configuration,
-            self._control.link,
+            self.control.configuration,
+            self.control.link,
             steps,
             parts,
             now_ms,
@@ -124,18 +130,23 @@
         gauge("configuration_version", "Version in force.", self._version)
         gauge("key_proof_age_ms", "Age of the proof of keys.", self._proof_ms)
         gauge("targets", "Known targets.", lambda: len(self.directory.entries))
+        gauge(
+            "limited_targets",
+            "Targets that have named a limit.",
+            self.directory.limits.count,
+        )
 
     def _count_open(self) -> int:
         return self.gateway.open_count
 
     def _holds_lease(self) -> int:
-        return int(self._control.lease.may_order(self._clock.now_ms()))
+        return int(self.control.lease.may_order(self._clock.now_ms()))
 
     def _version(self) -> int:
-        return self._control.configuration.version
+        return self.control.configuration.version
 
     def _proof_ms(self) -> int:
-        return self._clock.now_ms() - self._control.configuration.proved_ms
+        return self._clock.now_ms() - self.control.configuration.proved_ms
 
     async def run(self) -> None:
         """Serves until SIGTERM, then stops gracefully.
@@ -149,7 +160,7 @@
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._listen()
-        for work in self._control.works():
+        for work in self.control.works():
             task = loop.create_task(work)
             task.add_done_callback(_report_end)
             self._tasks.append(task)
@@ -165,7 +176,7 @@
 
     async def _listen(self) -> None:
         peers = self._settings.get("listen", "peers")
-        await self._control.open(peers)
+        await self.control.open(peers)
         pages = plain_pages.Pages(
             {
                 self._deployment.ready_path: self._ready_page,
@@ -208,7 +219,7 @@
         self.gateway.stop(ends_ms)
         await loops.sleep(min(_LAME_DUCK_MS, grace_ms // 2))
         self.gateway.refuse_waiting()
-        self._control.link.report(leaving=True)
+        self.control.link.report(leaving=True)
         while self._clock.now_ms() < ends_ms:
             for connection in list(self._connections):
                 connection.close_if_idle()
@@ -219,11 +230,11 @@
         self.gateway.end_all()
         with contextlib.suppress(TimeoutError):
             async with loops.timeout(_LAST_WRITE_MS):
-                await self._control.lease_keeper.finish()
+                await self.control.lease_keeper.finish()
         for task in self._tasks:
             task.remove_done_callback(_report_end)
             task.cancel()
-        self._control.close()
+        self.control.close()
         logger.info("stopped", extra={"cut": cut})
 
     def _reload(self) -> None:
@@ -233,13 +244,13 @@
     def _recheck(
         self, context: context_lib.RequestContext
     ) -> errors.Refusal | None:
-        if self._control.link.bars(lambda: context.digest):
+        if self.control.link.bars(lambda: context.digest):
             return errors.CRASHES_TARGETS
         configuration = (
-            self._control.configuration.current or context.configuration
+            self.control.configuration.current or context.configuration
         )
         return steps_lib.recheck_key(
-            context, configuration, self._control.keys_are_current()
+            context, configuration, self.control.keys_are_current()
         )
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
@@ -257,7 +268,7 @@
 
     def _take_repeat(self, service: str) -> bool:
         now_ms = self._clock.now_ms()
-        return self._budget(service).take(self._control.link.instances, now_ms)
+        return self._budget(service).take(self.control.link.instances, now_ms)
 
     def _note_first(self, service: str) -> None:
         self._budget(service).note_first(self._clock.now_ms())
@@ -266,8 +277,8 @@
         if self._stopping:
             return plain_pages.Page(503, b"stopping\n")
         if (
-            self._control.configuration.current is None
-            or not self._control.targets.known
+            self.control.configuration.current is None
+            or not self.control.targets.known
         ):
             return plain_pages.Page(503, b"not configured\n")
         return plain_pages.Page(200, b"ready\n")
--- a/tanagerloft/platform/requests.py
+++ b/tanagerloft/platform/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import re
 
@@ -13,6 +14,8 @@
 from tanagerloft.net import target_connection
 from tanagerloft.platform import wire
 
+logger = logging.getLogger(__name__)
+
 _BEARER = b"bearer "
 # Headers of which a second one would leave open which is meant.
 _SINGLE = frozenset(
@@ -39,7 +42,7 @@
 _MIN_RETRY_MS = 50
 _MISDIRECTED = 421
 _OVERLOADED = 503
-_SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class PlatformDialect:
@@ -102,6 +105,7 @@
             stream=content_type.lower().startswith(_STREAM_TYPE),
             leaving=head.get(wire.LEAVING) == b"1",
             back_off_ms=_decode_back_off(head),
+            limit_per_s=_decode_limit(head, ours and echoed is not None),
             headers=[
                 (name, value)
                 for name, value in head.headers
@@ -128,10 +132,34 @@
     value = head.get(wire.RETRY_AFTER)
     if head.status != _OVERLOADED or value is None:
         return 0
-    seconds = _SECONDS.fullmatch(value.strip())
+    seconds = _DECIMAL.fullmatch(value.strip())
     return math.ceil(float(seconds[0]) * 1_000) if seconds else 0
 
 
+def _decode_limit(head: target_connection.Head, ours: bool) -> float | None:
+    """Returns the requests a second that a target takes, see ``Mark``.
+
+    Of two values the lower one counts. One that cannot be read tells neither
+    that there is a limit nor that there is none.
+    """
+    values = [
+        value.strip()
+        for name, value in head.headers
+        if name == wire.LIMIT_PER_S
+    ]
+    if not values:
+        # A late answer, or one of another target, does not end a limit.
+        told = ours and head.status != _MISDIRECTED
+        return math.inf if told else None
+    numbers = [_DECIMAL.fullmatch(value) for value in values]
+    if not all(numbers):
+        logger.warning(
+            "limit of a target not readable",
+            extra={"values": [value.decode("latin-1") for value in values]},
+        )
+    return min((float(one[0]) for one in numbers if one), default=None)
+
+
 def _named_by_connection(
     headers: tuple[tuple[bytes, bytes], ...],
 ) -> frozenset[bytes]:
--- a/tanagerloft/platform/wire.py
+++ b/tanagerloft/platform/wire.py
@@ -33,6 +33,7 @@
 NOT_RUN = b"not-executed"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+LIMIT_PER_S = b"server-limit"
 
 # Headers that concern one connection only.
 HOP_BY_HOP = frozenset(
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -15,6 +15,7 @@
     "request-priority",
     "length-hint",
     "instance-id",
+    "server-limit",
     "/tanagerloft/",
     "rows-get",
     "rows-feed",
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -1,6 +1,7 @@
 """Codecs of the adapter."""
 
 import json
+import math
 
 import hypothesis
 from hypothesis import strategies
@@ -171,6 +172,35 @@
     assert not _mark(**{"attempt-id": "b", "response-seal": "s"}).ours
 
 
+def test_a_limit_is_read_safely():
+    """Unreadable values tell nothing; of two the lower one counts."""
+    told = {
+        "1": 1.0,
+        " 12.50 ": 12.5,
+        "0": 0.0,
+        "0.001": 0.001,
+        "999999999": 999_999_999.0,
+        "-1": None,
+        "1e9": None,
+        "": None,
+        "nan": None,
+        "1,2": None,
+        "9" * 400: None,
+    }
+    for text, limit_per_s in told.items():
+        mark = _mark(**{"attempt-id": "a", "server-limit": text})
+        assert mark.limit_per_s == limit_per_s, text
+    pairs = ((b"server-limit", b"7"), (b"server-limit", b"2"))
+    head = target_connection.Head(503, pairs)
+    assert requests.PlatformDialect().mark(_ask(), head).limit_per_s == 2.0
+
+
+def test_only_the_answer_that_is_due_tells_that_there_is_no_limit():
+    assert _mark(**{"attempt-id": "a"}).limit_per_s == math.inf
+    assert _mark(**{"attempt-id": "b"}).limit_per_s is None
+    assert _mark().limit_per_s is None
+
+
 def test_a_refusal_tells_when_to_come_back():
     refusal = gateway_errors.MODEL_NOT_READY._replace(retry_after_ms=1_234)
     headers, _ = requests.PlatformDialect().refusal(refusal, "a")
