--- /dev/null
+++ b/tests/support/gateway_fleet.py
@@ -0,0 +1,471 @@
+"""Instances, targets and a store in one process, on a virtual clock.
+
+The instances are real but for their sockets: requests are handed to their
+gateways, and what they send each other or to targets takes a time on the way.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import json
+import random
+from typing import NamedTuple
+from unittest import mock
+
+from tanagerloft.config import fleet_settings
+from tanagerloft.config import settings as settings_lib
+from tanagerloft.coordination import errors
+from tanagerloft.coordination import order_sender
+from tanagerloft.coordination import store as store_lib
+from tanagerloft.decisions import order_progress
+from tanagerloft.gateway import instance as instance_lib
+from tanagerloft.net import connection_pool
+from tanagerloft.net import datagrams
+from tanagerloft.net import responder as responder_lib
+from tanagerloft.net import target_connection
+from tanagerloft.platform import deployment
+from tanagerloft.util import clock as clock_lib
+from tanagerloft.util import loops
+from tests.support import engines
+from tests.support import users_platform
+
+# One way between instances, to targets and to the store.
+_WAY_MS = 1
+_STORE_MS = 4
+_POLL_MS = 5
+_PORT = 80
+_SETTLE_MS = 3_000
+# The users' rule: from so long after a target first named its limit, any window
+# holds no more than this, sent by those told so long before.
+_CONTACT_MS = 3_000
+_WINDOW_MS = 4_000
+_TOLD_MS = 500
+_RATIO = 1.5
+_SLACK = 5
+
+
+def now_ms() -> int:
+    """Returns the reading of the virtual clock."""
+    return round(asyncio.get_running_loop().time() * 1_000)
+
+
+class Arrival(NamedTuple):
+    """A request that has reached a target."""
+
+    at_ms: int
+    instance: str
+    told: bool
+
+
+class Reply(NamedTuple):
+    """What a caller got.
+
+    Attributes:
+        at_ms: When it asked.
+        took_ms: Time until the answer.
+        status: Status.
+        retry_ms: When to come back, 0 if not told.
+    """
+
+    at_ms: int
+    took_ms: int
+    status: int
+    retry_ms: int
+
+
+class Target:
+    """A target that may name a limit in its answers.
+
+    Args:
+        target_id: Name.
+        limit: Returns the limit that it names at a time, None for none.
+        run_ms: Time that a request takes.
+        service: Service.
+        text: Returns the header's text in place of the number.
+    """
+
+    def __init__(
+        self,
+        target_id: str,
+        limit: Callable[[int], float | None] = lambda _: None,
+        run_ms: int = 60,
+        service: str = "plain",
+    ):
+        self.target_id = target_id
+        self.limit = limit
+        self.run_ms = run_ms
+        self.service = service
+        self.arrivals: list[Arrival] = []
+        self._told_ms: dict[str, int] = {}
+
+    def entry(self) -> dict:
+        """Returns its entry in the platform's list."""
+        entry = {
+            "service": self.service,
+            "address": f"{self.target_id}:{_PORT}",
+            "zone": "dc",
+            "state": "ready",
+            "born": 1,
+        }
+        if self.service == "engines":
+            entry["models"] = [{"name": "m1", "version": 1, "adapters": []}]
+        return entry
+
+    def arrive(self, instance: str) -> list[tuple[bytes, bytes]]:
+        """Takes a request; returns what the head of its answer adds."""
+        at_ms = now_ms()
+        told_ms = self._told_ms.get(instance, at_ms)
+        told = at_ms - told_ms >= _TOLD_MS
+        self.arrivals.append(Arrival(at_ms, instance, told))
+        limit = self.limit(at_ms)
+        return [] if limit is None else [(b"server-limit", b"%f" % limit)]
+
+    def note_told(self, instance: str) -> None:
+        """Takes in that an instance has passed on an answer with a limit."""
+        self._told_ms.setdefault(instance, now_ms())
+
+    def forget_told(self, instance: str) -> None:
+        """Takes in that an instance begins anew, or has been cut off."""
+        self._told_ms.pop(instance, None)
+
+    def excess(self, named_ms: int) -> float:
+        """Returns by how much the worst window exceeds what is allowed.
+
+        Args:
+            named_ms: When the target first named its limit.
+        """
+        counted = [one.at_ms for one in self.arrivals if one.told]
+        worst = -float("inf")
+        for begin_ms in counted:
+            if begin_ms < named_ms + _CONTACT_MS:
+                continue
+            end_ms = begin_ms + _WINDOW_MS
+            limits = [self.limit(t) for t in range(begin_ms, end_ms, 100)]
+            if None in limits:
+                continue
+            number = sum(begin_ms <= at_ms < end_ms for at_ms in counted)
+            allowed = _RATIO * max(limits) * _WINDOW_MS / 1_000 + _SLACK
+            worst = max(worst, number - allowed)
+        return worst
+
+
+class _Connection:
+    """Connection of an instance to a target."""
+
+    def __init__(self, instance: str, target: Target):
+        self._instance = instance
+        self._target = target
+        self._receiver: target_connection.Receiver | None = None
+
+    def send(self, data: bytes, receiver) -> None:
+        self._receiver = receiver
+        loops.call_later(_WAY_MS, lambda: self._arrive(data))
+
+    def _arrive(self, data: bytes) -> None:
+        if self._receiver is None:
+            return
+        added = self._target.arrive(self._instance)
+        identity = data.partition(b"Attempt-Id: ")[2].partition(b"\r\n")[0]
+        head = target_connection.Head(
+            200,
+            (
+                (b"attempt-id", identity),
+                (b"response-seal", b"s"),
+                (b"content-length", b"0"),
+                *added,
+            ),
+        )
+        back_ms = self._target.run_ms + _WAY_MS
+        loops.call_later(back_ms, lambda: self._answer(head, bool(added)))
+
+    def _answer(self, head: target_connection.Head, names: bool) -> None:
+        receiver, self._receiver = self._receiver, None
+        if receiver is None:
+            return
+        receiver.on_head(head)
+        receiver.on_end()
+        if names:
+            self._target.note_told(self._instance)
+
+    def cancel(self) -> None:
+        self._receiver = None
+
+    close = cancel
+
+    def set_reading(self, _reading: bool) -> None:
+        pass
+
+
+class _Pool:
+    """Connections of one instance; a stand-in for ``connection_pool.Pool``."""
+
+    def __init__(self, fleet: GatewayFleet, instance: str):
+        self._fleet = fleet
+        self._instance = instance
+
+    def take_idle(self, _address, _max_idle_ms=None):
+        return None
+
+    async def connect(self, address, _timeout_ms=0):
+        await loops.sleep(_WAY_MS)
+        target = self._fleet.targets.get(address[0])
+        if target is None:
+            return target_connection.Loss.NOT_CONNECTED
+        return _Connection(self._instance, target)
+
+
+class _Datagrams:
+    """Datagrams of one instance; a stand-in for ``datagrams.Datagrams``."""
+
+    def __init__(self, fleet: GatewayFleet, instance: str, receive):
+        self._fleet = fleet
+        self._instance = instance
+        self.receive = receive
+        self.open_now = True
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        self._fleet.carry(self._instance, data, address[0])
+
+    def close(self) -> None:
+        self.open_now = False
+
+
+class _Store:
+    """The store as one instance reaches it."""
+
+    def __init__(self, fleet: GatewayFleet, instance: str):
+        self._fleet = fleet
+        self._instance = instance
+
+    async def _reach(self) -> errors.StoreError | None:
+        await loops.sleep(_STORE_MS)
+        if self._fleet.store_down or self._instance in self._fleet.cut_off:
+            return errors.StoreError(errors.StoreFailure.NOT_DONE, "down")
+        return None
+
+    async def read(self, table, key):
+        failed = await self._reach()
+        if failed is not None:
+            return failed
+        version, value = self._fleet.rows.get((table, key), (0, None))
+        return store_lib.Row(key, value, version)
+
+    async def scan(self, table):
+        return await self.changes(table, 0, 0)
+
+    async def changes(self, table, after_version, wait_ms):
+        until_ms = now_ms() + wait_ms
+        while True:
+            failed = await self._reach()
+            if failed is not None:
+                return failed
+            rows = tuple(
+                store_lib.Row(key, value, version)
+                for (name, key), (version, value) in self._fleet.rows.items()
+                if name == table and version > after_version
+            )
+            if rows or now_ms() >= until_ms:
+                return store_lib.Snapshot(rows, self._fleet.version)
+            await loops.sleep(_POLL_MS)
+
+    async def write(self, table, key, value, expected_version):
+        failed = await self._reach()
+        if failed is not None:
+            return failed
+        if self._fleet.rows.get((table, key), (0, None))[0] != expected_version:
+            return errors.StoreError(errors.StoreFailure.CONFLICT, "newer")
+        return self._fleet.put(table, key, value)
+
+
+class _Caller:
+    """Connection of a caller to an instance's gateway."""
+
+    def __init__(self, handler, done: Callable[[bytes], None]):
+        self.handler = handler
+        self._done = done
+        self._data = b""
+
+    def send(self, data: bytes) -> None:
+        self._data += data
+
+    def answered(self, _keep_alive: bool) -> None:
+        self._done(self._data)
+
+    def abort(self) -> None:
+        self._done(b"HTTP/1.1 0 cut\r\n")
+
+
+class GatewayFleet:
+    """Instances before targets.
+
+    Args:
+        instances: Number of instances.
+        targets: Targets.
+        seed: Seed of what callers and the network do.
+
+    Attributes:
+        targets: Targets by name.
+        rows: Rows of the store, each with its version, by table and key.
+        version: Newest version of the store.
+        store_down: Whether the store answers nobody.
+        cut_off: Instances that reach neither the store nor other instances.
+        loss: Share of the datagrams that get lost.
+        replies: What callers got.
+    """
+
+    def __init__(self, instances: int, targets: Iterable[Target], seed: int):
+        self._random = random.Random(seed)
+        self._names = [f"i{n}" for n in range(instances)]
+        self._running: dict[str, tuple[instance_lib.Instance, list]] = {}
+        self._sockets: dict[str, _Datagrams] = {}
+        self._numbers = 0
+        self.targets = {target.target_id: target for target in targets}
+        self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self.version = 0
+        self.store_down = False
+        self.cut_off: set[str] = set()
+        self.loss = 0.0
+        self.replies: list[Reply] = []
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Writes a row of the store."""
+        self.version += 1
+        self.rows[table, key] = (self.version, value)
+        return self.version
+
+    def carry(self, sender: str, data: bytes, receiver: str) -> None:
+        """Carries a datagram, or loses it."""
+        apart = sender in self.cut_off or receiver in self.cut_off
+        if apart or self._random.random() < self.loss:
+            return
+        loops.call_later(_WAY_MS, lambda: self._deliver(sender, data, receiver))
+
+    def _deliver(self, sender: str, data: bytes, receiver: str) -> None:
+        socket = self._sockets.get(receiver)
+        if socket is not None and socket.open_now:
+            socket.receive(data, (sender, _PORT))
+
+    async def start(self) -> None:
+        """Starts all instances and waits until they know the targets."""
+        config = json.dumps(users_platform.configuration()).encode()
+        self.put("op", "config", config)
+        for target in self.targets.values():
+            value = json.dumps(target.entry()).encode()
+            self.put("servers", target.target_id, value)
+        for name in self._names:
+            self.start_instance(name)
+        await loops.sleep(_SETTLE_MS)
+
+    def start_instance(self, name: str) -> None:
+        """Starts an instance."""
+
+        def build(_pool, _address, _name):
+            plain = deployment.build(_pool, _address, _name)
+            return plain._replace(
+                store=_Store(self, name),
+                send_order=self._refuse_order,
+                fetch_report=self._report,
+            )
+
+        def new_socket(receive):
+            self._sockets[name] = _Datagrams(self, name, receive)
+            return self._sockets[name]
+
+        settings = settings_lib.parse(
+            "\n".join(
+                [
+                    *("[instance]", f"id = {name}", "data_centre = dc"),
+                    *("[listen]", f"callers = {name}:1", f"ready = {name}:2"),
+                    *(f"peers = {name}:{_PORT}", f"metrics = {name}:4"),
+                    *("[store]", "address = store:1"),
+                ]
+            ),
+            "test",
+            fleet_settings.TABLE,
+        )
+        assert isinstance(settings, settings_lib.Settings), settings
+        pool = _Pool(self, name)
+        clock = clock_lib.Clock(lambda: now_ms() * 1_000_000)
+        with (
+            mock.patch.object(datagrams, "Datagrams", new_socket),
+            mock.patch.object(connection_pool, "Pool", lambda _now_ms: pool),
+        ):
+            instance = instance_lib.Instance(settings, build, clock)
+        loop = asyncio.get_running_loop()
+        works = [loop.create_task(work) for work in instance.control.works()]
+        self._running[name] = (instance, works)
+
+    async def _refuse_order(self, *_args) -> order_sender.OrderAnswer:
+        result = order_progress.Result.REFUSED
+        return order_sender.OrderAnswer(result, "")
+
+    async def _report(self, _entry):
+        return engines.report(["m1"])
+
+    def kill(self, name: str) -> None:
+        """Ends an instance; nobody hears of it."""
+        _, works = self._running.pop(name)
+        self._sockets.pop(name).close()
+        for work in works:
+            work.cancel()
+        for target in self.targets.values():
+            target.forget_told(name)
+
+    def holder(self) -> str | None:
+        """Returns the instance that answers reports, None if there is none."""
+        for name, (instance, _) in self._running.items():
+            if instance.control.lease.leads(now_ms()):
+                return name
+        return None
+
+    def ask(self, name: str, path: str = "/free/x", **headers: str) -> None:
+        """Hands a request to the gateway of an instance, if it runs."""
+        if name not in self._running:
+            return
+        instance, _ = self._running[name]
+        began_ms = now_ms()
+        self._numbers += 1
+        fields = {
+            "Host": "h.example",
+            "Attempt-Id": f"a-{self._numbers}",
+            "Authorization": f"Bearer {users_platform.KEY}",
+            **headers,
+        }
+        request = responder_lib.Request(
+            "GET",
+            path.encode(),
+            tuple((k.encode(), v.encode()) for k, v in fields.items()),
+            b"",
+            began_ms,
+        )
+
+        def done(data: bytes) -> None:
+            head = data.partition(b"\r\n\r\n")[0].lower()
+            retry = head.partition(b"retry-after: ")[2].partition(b"\r\n")[0]
+            self.replies.append(
+                Reply(
+                    began_ms,
+                    now_ms() - began_ms,
+                    int(data.split(b" ", 2)[1]),
+                    round(float(retry or 0) * 1_000),
+                )
+            )
+
+        caller = _Caller(instance.gateway, done)
+        responder = responder_lib.Responder(caller, keep_alive=True)
+        instance.gateway.handle(request, responder)
+
+    async def press(self, per_s: float, for_ms: int, **ask: str) -> None:
+        """Lets callers ask at random instances, at random moments."""
+        until_ms = now_ms() + for_ms
+        while now_ms() < until_ms:
+            await loops.sleep(self._random.expovariate(per_s) * 1_000)
+            self.ask(self._random.choice(self._names), **ask)
+
+    async def close(self) -> None:
+        """Ends everything."""
+        for name in list(self._running):
+            self.kill(name)
+        await asyncio.sleep(0)
