--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import logging
 
+from tanagerloft.coordination import account_needs
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import model_times
 from tanagerloft.coordination import targets as targets_lib
@@ -84,13 +85,12 @@
         self._sequence = 0
         self._sent_ms: dict[int, int] = {}
         self._used_ms: dict[str, int] = {}
-        self._accounts: dict[str, account_tokens.GrantAccount] = {}
+        self._accounts = account_needs.AccountNeeds(_SILENCE_MS)
         self._used: dict[str, int] = {}
         self._soon: asyncio.TimerHandle | None = None
         self._heard_sequence = 0
         self._token = 0
         self.struggling = False
-        self._rates: dict[str, float] = {}
         self._models_seen = (0, 0)
         self._told_instances = 0
         self._model_times = model_times.ModelTimes(lease, now_ms)
@@ -98,24 +98,7 @@
 
     def configure(self, configuration: types.Configuration) -> None:
         """Takes in the accounts of a new configuration."""
-        self._rates = {
-            name: account.rate_tokens_per_s
-            for name, account in configuration.accounts.items()
-        }
-        for name in self._rates:
-            if name not in self._accounts:
-                self._accounts[name] = account_tokens.GrantAccount(_SILENCE_MS)
-        self._share_rates()
-
-    def _share_rates(self) -> None:
-        """Sets what each account may use here while no holder answers.
-
-        Nothing before a holder has told how many instances share the rate.
-        """
-        for name, account in self._accounts.items():
-            rate = self._rates.get(name, 0.0)
-            share = rate / self._told_instances if self._told_instances else 0
-            account.fallback_tokens_per_s = share
+        self._accounts.configure(configuration)
 
     def ask(
         self,
@@ -124,19 +107,16 @@
         done: Callable[[account_tokens.Outcome], None],
     ) -> bool:
         """Takes tokens of an account; see ``GrantAccount.ask``."""
-        if account.rate_tokens_per_s <= 0:
-            return True
-        grants = self._accounts[account.name]
-        if grants.ask(cost_tokens, self._sequence + 1, self._now_ms(), done):
-            return True
-        self.report_soon()
-        return False
+        there = self._accounts.ask(
+            account, cost_tokens, self._sequence + 1, self._now_ms(), done
+        )
+        if not there:
+            self.report_soon()
+        return there
 
     def give_back(self, account: types.Account, cost_tokens: float) -> None:
         """Returns tokens of a request that did not run."""
-        grants = self._accounts.get(account.name)
-        if grants is not None and account.rate_tokens_per_s > 0:
-            grants.give_back(cost_tokens)
+        self._accounts.give_back(account, cost_tokens)
 
     def forget(
         self,
@@ -144,9 +124,7 @@
         done: Callable[[account_tokens.Outcome], None],
     ) -> None:
         """Ends a wait for tokens."""
-        grants = self._accounts.get(account.name)
-        if grants is not None:
-            grants.forget(done)
+        self._accounts.forget(account, done)
 
     @property
     def instances(self) -> int:
@@ -193,13 +171,12 @@
     async def follow(self) -> None:
         """Reports for as long as the process runs."""
         while True:
-            urgent = self._waits_for_tokens()
+            urgent = self._accounts.waits
             if not urgent or self._heard_sequence < self._sequence:
                 self.report()
             now_ms = self._now_ms()
-            for account in self._accounts.values():
-                if now_ms - self.heard_ms > _SILENCE_MS:
-                    account.on_silence(now_ms)
+            if now_ms - self.heard_ms > _SILENCE_MS:
+                self._accounts.on_silence(now_ms)
             if self._model_times.holder_is_lost(self.report_pause_ms):
                 # Those who wait look whether they do so in vain.
                 self._changed()
@@ -221,11 +198,7 @@
             instance=self._instance,
             incarnation=self._incarnation,
             sequence=self._sequence,
-            needs={
-                name: need
-                for name, account in self._accounts.items()
-                if (need := account.need()).needed_tokens > 0
-            },
+            needs=self._accounts.needs(),
             in_flight={
                 target_id: dict(counts)
                 for target_id, counts in self._directory.in_flight.items()
@@ -265,9 +238,8 @@
         self._token = view.token
         self._heard_sequence = view.sequence
         self._model_times.on_told(view.later_ms)
-        if view.instances != self._told_instances:
-            self._told_instances = view.instances
-            self._share_rates()
+        self._told_instances = view.instances
+        self._accounts.share(view.instances)
         self._barred = frozenset(view.barred)
         self._directory.notices.on_hints(
             frozenset(
@@ -281,10 +253,7 @@
         )
         self._models_seen = (view.token, view.models_mark)
         changed |= bool(view.later_ms)
-        for name, grant in view.grants.items():
-            account = self._accounts.get(name)
-            if account is not None:
-                account.on_grant(grant, view.sequence, now_ms)
+        self._accounts.on_grants(view.grants, view.sequence, now_ms)
         if changed:
             self._changed()
 
@@ -300,6 +269,3 @@
             view.token, proof.lease_version, proof.renewed_ago_ms, now_ms
         )
         self._on_told(proof, view.targets, asked_ms)
-
-    def _waits_for_tokens(self) -> bool:
-        return any(account.waits for account in self._accounts.values())
