Keep to the limit of a target over all instances by permits of the holder

What callers saw: requests at a target in need, which it then served late or failed; the target got 17 requests in 4 s where it takes 1 a second.

The choice among targets goes by requests under way, and a target in need looks idle.

A limit is now known to the whole fleet within a report, by notices that keep the times of the answer they come from, so that a late word does not end or renew a limit. A request to such a target needs a permit; the holder of the lease grants whole permits from one bucket a target, which begins empty with each holder. Who gets none goes to another target at once, or is told a turn of its own: it waits for it if its aim allows, and is refused with it if not. Without the holder an instance gives itself a permit now and then; all of them together use half of the limit. A target that takes nothing is asked once in ten seconds, as nobody would learn otherwise that this has ended.

The buckets and counts are those of the client accounts (GrantLedger, in whole units); only what differs is new: a permit is used at once or lost, and what has not arrived after half a second is granted anew.

--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -9,6 +9,7 @@
 from tanagerloft.coordination import account_needs
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import model_times
+from tanagerloft.coordination import target_permits
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import account_tokens
 from tanagerloft.decisions import crash_quarantine
@@ -54,6 +55,9 @@
         on_told: Told the holder's proof, what it knows of the list of targets,
             and when it was asked.
         crashes: Crashes of targets that this instance has seen.
+
+    Attributes:
+        permits: Permits for targets with a limit.
     """
 
     def __init__(
@@ -86,6 +90,14 @@
         self._sent_ms: dict[int, int] = {}
         self._used_ms: dict[str, int] = {}
         self._accounts = account_needs.AccountNeeds(_SILENCE_MS)
+        self.permits = target_permits.TargetPermits(
+            instance,
+            directory.answers.limits,
+            now_ms,
+            _SILENCE_MS,
+            lambda: self._sequence + 1,
+            self.report_soon,
+        )
         self._used: dict[str, int] = {}
         self._soon: asyncio.TimerHandle | None = None
         self._heard_sequence = 0
@@ -171,12 +183,13 @@
     async def follow(self) -> None:
         """Reports for as long as the process runs."""
         while True:
-            urgent = self._accounts.waits
+            urgent = self._accounts.waits or self.permits.waits
             if not urgent or self._heard_sequence < self._sequence:
                 self.report()
             now_ms = self._now_ms()
             if now_ms - self.heard_ms > _SILENCE_MS:
                 self._accounts.on_silence(now_ms)
+                self.permits.on_silence(self._told_instances)
             if self._model_times.holder_is_lost(self.report_pause_ms):
                 # Those who wait look whether they do so in vain.
                 self._changed()
@@ -210,8 +223,10 @@
             reads_store=self._reads_store(),
             models_seen=self._models_seen,
             crashes=self._crashes.told(now_ms),
-            leaving_targets=dict(self._directory.notices.told()),
+            leaving_targets=dict(self._directory.answers.notices.told()),
             targets_known=self._directory.table.known_version,
+            limits=self._directory.answers.limits.told(now_ms),
+            permit_needs=self.permits.needs(),
         )
         if self._lease.mine:
             if self.loopback is not None:
@@ -241,7 +256,7 @@
         self._told_instances = view.instances
         self._accounts.share(view.instances)
         self._barred = frozenset(view.barred)
-        self._directory.notices.on_hints(
+        self._directory.answers.notices.on_hints(
             frozenset(
                 target_notices.Life(*item)
                 for item in view.leaving_targets.items()
@@ -253,7 +268,10 @@
         )
         self._models_seen = (view.token, view.models_mark)
         changed |= bool(view.later_ms)
+        changed |= self._directory.answers.on_told_limits(view.limits)
         self._accounts.on_grants(view.grants, view.sequence, now_ms)
+        asked_ms = self._sent_ms.get(view.sequence, 0)
+        self.permits.on_grants(view.permits, view.sequence, now_ms - asked_ms)
         if changed:
             self._changed()
 
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -11,6 +11,8 @@
 from tanagerloft.coordination import fleet_loads
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import model_marks
+from tanagerloft.coordination import target_permits
+from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import learnt as learnt_lib
 from tanagerloft.decisions import order_lease
@@ -49,6 +51,7 @@
     Args:
         lease: The lease's state.
         engines: Engines and orders to them.
+        directory: What is known of the targets.
         now_ms: Clock.
         name: Name of this instance.
         knowledge: Returns how current this instance's own knowledge is.
@@ -61,6 +64,7 @@
         self,
         lease: order_lease.OrderLease,
         engines: engine_keeper.EngineKeeper,
+        directory: targets_lib.TargetDirectory,
         now_ms: Callable[[], int],
         name: str,
         knowledge: Callable[[], messages.Knowledge],
@@ -74,6 +78,10 @@
         self._knowledge = knowledge
         self._tell_targets = tell_targets
         self._grants = account_grants.AccountGrants(lease, now_ms, tolerance)
+        self._directory = directory
+        self._permits = target_permits.TargetGrants(
+            lease, directory.answers.limits, now_ms
+        )
         self._heard: dict[str, _Heard] = {}
         self._loads = fleet_loads.FleetLoads()
         self._crashes = crash_quarantine.CrashLedger()
@@ -139,7 +147,9 @@
         grants = self._grants.grant(report, _process(report))
         if report.instance in self._grants.withheld_from:
             self._renew_soon()
-        return self._view(report, now_ms)._replace(grants=grants)
+        permits = self._permits.grant(_process(report), report.permit_needs)
+        view = self._view(report, now_ms)
+        return view._replace(grants=grants, permits=permits)
 
     def next_promises(self, term: order_lease.Term) -> dict[str, float]:
         """Returns what to write of the buckets with a claim or a renewal."""
@@ -181,6 +191,7 @@
         self._heard[report.instance] = _Heard(report, now_ms, reply)
         self._loads.put(report)
         self._crashes.put(_process(report), report.crashes, now_ms)
+        self._directory.answers.on_told_limits(report.limits)
         for target_id, born_ms in report.leaving_targets.items():
             if self._leaving_targets.get(target_id) != born_ms:
                 bounded.put_newest(
@@ -259,6 +270,8 @@
             proof=self._proof(now_ms),
             leaving_targets=self._leaving_targets,
             targets=self._tell_targets(report.targets_known),
+            limits=self._directory.answers.limits.told(now_ms),
+            permits=[],
         )
 
     def _struggles(self, now_ms: int) -> bool:
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -12,6 +12,9 @@
 import msgpack
 
 from tanagerloft.coordination import target_entries
+from tanagerloft.coordination import target_permits
+from tanagerloft.decisions import target_limits
+from tanagerloft.decisions import target_permits as permits_lib
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 
@@ -58,6 +61,8 @@
             start of their life.
         targets_known: Version of the store up to which it knows the list of
             targets.
+        limits: Limits that targets have named, as far as it knows.
+        permit_needs: Needs of permits for targets with a limit.
     """
 
     instance: str
@@ -74,6 +79,8 @@
     crashes: dict[str, int]
     leaving_targets: dict[str, int]
     targets_known: int
+    limits: list[target_limits.Told]
+    permit_needs: list[target_permits.Need]
 
 
 class ToldList(NamedTuple):
@@ -150,6 +157,8 @@
         leaving_targets: Targets that have told an instance that they leave,
             by the start of their life.
         targets: What the holder knows of the list of targets.
+        limits: Limits that targets have named, as far as it knows.
+        permits: Grants of permits for targets with a limit.
     """
 
     holder: str
@@ -166,6 +175,8 @@
     proof: Proof
     leaving_targets: dict[str, int]
     targets: ToldList
+    limits: list[target_limits.Told]
+    permits: list[target_permits.Grant]
 
 
 def encode(message: Report | View) -> bytes:
@@ -214,6 +225,8 @@
         needs={k: token_grants.Need(*v) for k, v in raw.needs.items()},
         waited=[Waited(*item) for item in raw.waited],
         models_seen=tuple(raw.models_seen),
+        limits=[target_limits.Told(*item) for item in raw.limits],
+        permit_needs=[target_permits.Need(*one) for one in raw.permit_needs],
     )
 
 
@@ -223,6 +236,15 @@
         grants={k: token_grants.Grant(*v) for k, v in raw.grants.items()},
         proof=proof._replace(knowledge=Knowledge(*proof.knowledge)),
         targets=_decode_list(raw.targets),
+        limits=[target_limits.Told(*item) for item in raw.limits],
+        permits=[_decode_permit(item) for item in raw.permits],
+    )
+
+
+def _decode_permit(raw: Any) -> target_permits.Grant:
+    target_id, born_ms, grant = raw
+    return target_permits.Grant(
+        target_id, born_ms, permits_lib.PermitGrant(*grant)
     )
 
 
--- /dev/null
+++ b/tanagerloft/coordination/target_answers.py
@@ -0,0 +1,166 @@
+"""What targets say of themselves in their answers, and what others are told."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+
+from tanagerloft.coordination import target_entries
+from tanagerloft.decisions import target_limits
+from tanagerloft.decisions import target_notices
+from tanagerloft.fleet import types
+
+logger = logging.getLogger(__name__)
+
+
+class TargetAnswers:
+    """Notices and limits of targets.
+
+    Args:
+        table: The platform's list of targets.
+        now_ms: Clock.
+        incarnation: Identity of this process.
+
+    Attributes:
+        notices: Targets that leave or want no requests for a time.
+        limits: Limits that targets have named.
+    """
+
+    def __init__(
+        self,
+        table: target_entries.TargetEntries,
+        now_ms: Callable[[], int],
+        incarnation: str,
+    ):
+        self._table = table
+        self._now_ms = now_ms
+        self.notices = target_notices.TargetNotices()
+        self.limits = target_limits.TargetLimits(incarnation)
+
+    def leaves(self, entry: types.TargetEntry) -> bool:
+        """Returns whether a target has said, to anybody, that it leaves."""
+        life = life_of(entry)
+        return self.notices.leaves(life) or self.notices.is_hinted(life)
+
+    def is_limited(self, entry: types.TargetEntry) -> bool:
+        """Returns whether a request to a target needs a permit."""
+        notice = self.limits.get(life_of(entry))
+        return notice is not None and notice.limits
+
+    def opens_in_ms(self, entry: types.TargetEntry) -> int:
+        """Returns the time until a target may take a request, 0 for now."""
+        life, now_ms = life_of(entry), self._now_ms()
+        return max(
+            self.notices.back_off_ms(life, now_ms),
+            self.limits.closed_ms(life, now_ms),
+        )
+
+    def close(self, entry: types.TargetEntry, for_ms: int) -> None:
+        """Remembers that there is no permit for a target for a time."""
+        self.limits.close(life_of(entry), self._now_ms() + for_ms)
+
+    def note_leaving(self, entry: types.TargetEntry, misdirected: bool) -> None:
+        """Remembers that an answer says that its target leaves.
+
+        Args:
+            entry: Target that the request was sent to.
+            misdirected: Whether another target may have answered, which has
+                the same address.
+        """
+        for life in self._answering(entry, misdirected):
+            if self.notices.note_leaving(life):
+                logger.info("target says it leaves", extra=life._asdict())
+
+    def note_back_off(self, entry: types.TargetEntry, for_ms: int) -> None:
+        """Remembers that a target wants no requests of this instance.
+
+        Args:
+            entry: The target.
+            for_ms: Time for which it wants none.
+        """
+        life = life_of(entry)
+        self.notices.note_back_off(life, for_ms, self._now_ms())
+        logger.info(
+            "target backs off", extra={**life._asdict(), "for_ms": for_ms}
+        )
+
+    def note_limit(
+        self,
+        entry: types.TargetEntry,
+        limit_per_s: float,
+        sent_ms: int,
+        misdirected: bool,
+    ) -> None:
+        """Remembers how many requests a second a target takes.
+
+        Args:
+            entry: Target that the request was sent to.
+            limit_per_s: Requests a second, infinite if it names no limit.
+            sent_ms: When the request was sent.
+            misdirected: Whether another target may have answered.
+        """
+        now_ms = self._now_ms()
+        for life in self._answering(entry, misdirected):
+            if self.limits.note(life, limit_per_s, sent_ms, now_ms):
+                self._log_limit(life, "answer")
+
+    def on_told_limits(self, told: Iterable[target_limits.Told]) -> bool:
+        """Takes in what another instance knows of limits.
+
+        Returns:
+            Whether any has changed.
+        """
+        changed = self.limits.on_told(told, self._now_ms())
+        for life in changed:
+            self._log_limit(life, "told")
+        return bool(changed)
+
+    def log_limited_send(
+        self, entry: types.TargetEntry, request_id: str
+    ) -> None:
+        """Logs a request that is sent to a target with a limit."""
+        notice = self.limits.get(life_of(entry))
+        if notice is not None and notice.limits:
+            logger.info(
+                "sent to a target with a limit",
+                extra={
+                    "request": request_id,
+                    "target": entry.target_id,
+                    "limit_per_s": notice.limit_per_s,
+                    "heard_ago_ms": self._now_ms() - notice.heard_ms,
+                },
+            )
+
+    def _log_limit(self, life: target_notices.Life, source: str) -> None:
+        notice = self.limits.get(life)
+        assert notice is not None
+        logger.info(
+            "limit of a target",
+            extra={
+                **life._asdict(),
+                "limit_per_s": notice.limit_per_s,
+                "source": source,
+                "heard_ago_ms": self._now_ms() - notice.heard_ms,
+                "answer_ms": notice.heard_ms - notice.sent_ms,
+            },
+        )
+
+    def _answering(
+        self, entry: types.TargetEntry, misdirected: bool
+    ) -> list[target_notices.Life]:
+        """Returns the lives of targets one of which has given an answer."""
+        lives = [life_of(entry)]
+        if misdirected:
+            lives += [
+                life_of(other)
+                for other in self._table.by_target.values()
+                if (other.host, other.port) == (entry.host, entry.port)
+                and other.target_id != entry.target_id
+            ]
+        return lives
+
+
+def life_of(entry: types.TargetEntry) -> target_notices.Life:
+    """Returns the life of a target that an entry tells of."""
+    return target_notices.Life(entry.target_id, entry.born_ms)
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import logging
 from typing import NamedTuple
 
+from tanagerloft.coordination import target_answers
 from tanagerloft.coordination import target_entries
-from tanagerloft.decisions import target_limits
 from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
 from tanagerloft.util import bounded
 
-logger = logging.getLogger(__name__)
-
 # A target that said that it lacks a model is asked again after this time;
 # entries lag behind by up to a poll.
 _LACKS_MS = 100
@@ -34,6 +31,18 @@
     at_ms: int
 
 
+class Pause(NamedTuple):
+    """Time for which a target takes no request.
+
+    Attributes:
+        left_ms: Time until it may take one.
+        target: The target.
+    """
+
+    left_ms: int
+    target: types.TargetEntry
+
+
 class TargetDirectory:
     """Targets by identity.
 
@@ -41,13 +50,13 @@
         decode: Decodes an entry of the platform's list.
         now_ms: Clock.
         data_centre: Where this instance runs.
+        incarnation: Identity of this process.
 
     Attributes:
         table: The platform's list of targets.
         in_flight: Requests under way by target and model (with adapter).
         prefilling: Prompt tokens sent by target and not read yet.
-        notices: What targets have said in their answers.
-        limits: Limits that they have named.
+        answers: What targets have said in their answers.
     """
 
     def __init__(
@@ -55,6 +64,7 @@
         decode: target_entries.DecodeEntry,
         now_ms: Callable[[], int],
         data_centre: str,
+        incarnation: str = "",
     ):
         self.table = target_entries.TargetEntries(decode)
         self._now_ms = now_ms
@@ -66,8 +76,9 @@
         self._told_models: dict[str, dict[str, frozenset[str]]] = {}
         self.in_flight: dict[str, dict[str, int]] = {}
         self.prefilling: dict[str, int] = {}
-        self.notices = target_notices.TargetNotices()
-        self.limits = target_limits.TargetLimits()
+        self.answers = target_answers.TargetAnswers(
+            self.table, now_ms, incarnation
+        )
 
     @property
     def entries(self) -> dict[str, types.TargetEntry]:
@@ -129,15 +140,18 @@
         for entry in self.entries.values():
             if not self._could_take(entry, service, model, adapter, now_ms):
                 continue
-            life = life_of(entry)
-            if not self.notices.takes(life, now_ms):
+            life = target_answers.life_of(entry)
+            if self.answers.notices.leaves(life):
+                continue
+            if self.answers.opens_in_ms(entry):
                 continue
             load: float = self._load(entry.target_id)
             load += self.prefill_tokens(entry.target_id) / _TOKENS_PER_LOAD
             load += _FAILURE_WEIGHT * self._failing(life, now_ms)
             far = entry.data_centre != self._data_centre
             key = (
-                entry.target_id in avoid or self.notices.is_hinted(life),
+                entry.target_id in avoid
+                or self.answers.notices.is_hinted(life),
                 load + (0.5 if far else 0.0),
                 entry.target_id,
             )
@@ -145,119 +159,49 @@
                 best, best_key = entry, key
         return best
 
-    def back_off_ms(self, service: str, model: str, adapter: str) -> int | None:
-        """Returns how long all targets that could run a request refuse any.
+    def pause(self, service: str, model: str, adapter: str) -> Pause | None:
+        """Returns until when no target that fits may be sent a request.
 
         Returns:
-            The time until the first one takes requests again, None if there
-            is no such target.
+            The pause of the target that ends it first, None if there is no
+            such target.
         """
-        if not self.notices.backs_off:
-            return None
         now_ms = self._now_ms()
-        times = (
-            self.notices.back_off_ms(life_of(entry), now_ms)
+        pauses = [
+            Pause(self.answers.opens_in_ms(entry), entry)
             for entry in self.entries.values()
             if self._could_take(entry, service, model, adapter, now_ms)
-            and not self.notices.leaves(life_of(entry))
+            and not self.answers.notices.leaves(target_answers.life_of(entry))
+        ]
+        return min(
+            pauses,
+            default=None,
+            key=lambda pause: (pause.left_ms, pause.target.target_id),
+        )
+
+    def can_run(
+        self,
+        entry: types.TargetEntry,
+        service: str,
+        model: str,
+        adapter: str,
+    ) -> bool:
+        """Returns whether a target that was chosen can still run a request."""
+        return self.takes(entry) and self._could_take(
+            entry, service, model, adapter, self._now_ms()
         )
-        return min(times, default=None)
 
     def takes(self, entry: types.TargetEntry) -> bool:
         """Returns whether a target that was chosen may still be sent to."""
         current = self.entries.get(entry.target_id)
         if current is None or current.leaving:
             return False
-        return self.notices.takes(life_of(entry), self._now_ms())
+        now_ms = self._now_ms()
+        return self.answers.notices.takes(target_answers.life_of(entry), now_ms)
 
     def leaves(self, entry: types.TargetEntry) -> bool:
         """Returns whether a target leaves, as far as anybody knows."""
-        life = life_of(entry)
-        known = self.notices.leaves(life) or self.notices.is_hinted(life)
-        return entry.leaving or known
-
-    def note_leaving(self, entry: types.TargetEntry, misdirected: bool) -> None:
-        """Remembers that an answer says that its target leaves.
-
-        Args:
-            entry: Target that the request was sent to.
-            misdirected: Whether another target may have answered, which has
-                the same address.
-        """
-        for life in self._answering(entry, misdirected):
-            if self.notices.note_leaving(life):
-                logger.info("target says it leaves", extra=life._asdict())
-
-    def note_back_off(self, entry: types.TargetEntry, for_ms: int) -> None:
-        """Remembers that a target wants no requests for a time."""
-        life = life_of(entry)
-        self.notices.note_back_off(life, for_ms, self._now_ms())
-        logger.info(
-            "target backs off", extra={**life._asdict(), "for_ms": for_ms}
-        )
-
-    def note_limit(
-        self,
-        entry: types.TargetEntry,
-        limit_per_s: float,
-        sent_ms: int,
-        misdirected: bool,
-    ) -> None:
-        """Remembers how many requests a second a target takes.
-
-        Args:
-            entry: Target that the request was sent to.
-            limit_per_s: Requests a second, infinite if it names no limit.
-            sent_ms: When the request was sent.
-            misdirected: Whether another target may have answered.
-        """
-        for life in self._answering(entry, misdirected):
-            now_ms = self._now_ms()
-            if self.limits.note(life, limit_per_s, sent_ms, now_ms):
-                logger.info(
-                    "limit of a target",
-                    extra={
-                        **life._asdict(),
-                        "limit_per_s": limit_per_s,
-                        "answer_ms": now_ms - sent_ms,
-                    },
-                )
-
-    def log_limited_send(
-        self, entry: types.TargetEntry, request_id: str
-    ) -> None:
-        """Logs a request that is sent to a target with a limit."""
-        notice = self.limits.get(life_of(entry))
-        if notice is not None and notice.limits:
-            logger.info(
-                "sent to a target with a limit",
-                extra={
-                    "request": request_id,
-                    "target": entry.target_id,
-                    "limit_per_s": notice.limit_per_s,
-                    "heard_ago_ms": self._now_ms() - notice.heard_ms,
-                },
-            )
-
-    def _answering(
-        self, entry: types.TargetEntry, misdirected: bool
-    ) -> list[target_notices.Life]:
-        """Returns the lives of targets one of which has given an answer.
-
-        Args:
-            entry: Target that the request was sent to.
-            misdirected: Whether another target may have answered, which has
-                the same address.
-        """
-        lives = [life_of(entry)]
-        if misdirected:
-            lives += [
-                life_of(other)
-                for other in self.entries.values()
-                if (other.host, other.port) == (entry.host, entry.port)
-                and other.target_id != entry.target_id
-            ]
-        return lives
+        return entry.leaving or self.answers.leaves(entry)
 
     def prefill_tokens(self, target_id: str) -> int:
         """Returns the prompt tokens that a target has still to read."""
@@ -293,7 +237,7 @@
         entry = self.entries.get(target_id)
         if entry is None:
             return
-        life, now_ms = life_of(entry), self._now_ms()
+        life, now_ms = target_answers.life_of(entry), self._now_ms()
         failures = _Failures(self._failing(life, now_ms) + 1.0, now_ms)
         bounded.put_newest(self._failures, life, failures, _MAX_FAILING)
 
@@ -339,11 +283,6 @@
         return weight
 
 
-def life_of(entry: types.TargetEntry) -> target_notices.Life:
-    """Returns the life of a target that an entry tells of."""
-    return target_notices.Life(entry.target_id, entry.born_ms)
-
-
 def subject(model: str, adapter: str) -> str:
     """Returns the name under which a model, or its adapter, is counted."""
     return f"{model}/{adapter}" if adapter else model
--- a/tanagerloft/decisions/target_limits.py
+++ b/tanagerloft/decisions/target_limits.py
@@ -2,12 +2,13 @@
 
 Load answered: a target in need, which says how many requests a second it takes
 from all instances together. Answers on different connections overtake each
-other, so each notice keeps the time between the send and the answer that it
-comes from.
+other, and instances hear of a limit at different moments, so each notice keeps
+the times of the send and of the answer that it comes from.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import math
 from typing import NamedTuple
 
@@ -16,6 +17,11 @@
 
 # Lives whose limits are remembered, those heard of last.
 _MAX_REMEMBERED = 1_024
+# Lives that others are told of, so that a message stays a datagram.
+_MAX_TOLD = 64
+# That a limit has ended is told on for so long: longer than instances are cut
+# off that still believe in it.
+_ENDED_KEPT_MS = 60_000
 
 
 class Notice(NamedTuple):
@@ -26,11 +32,13 @@
             instances, infinite if it names no limit.
         sent_ms: When the request was sent.
         heard_ms: When the answer came.
+        origin: Identity of the answer, the same wherever it is told.
     """
 
     limit_per_s: float
     sent_ms: int
     heard_ms: int
+    origin: str = ""
 
     @property
     def limits(self) -> bool:
@@ -38,11 +46,42 @@
         return math.isfinite(self.limit_per_s)
 
 
+class Told(NamedTuple):
+    """A notice as one instance tells it another, with ages in place of times.
+
+    Attributes:
+        target_id: Target.
+        born_ms: Start of its life.
+        limit_per_s: See ``Notice``.
+        sent_ago_ms: Time since the request was sent.
+        heard_ago_ms: Time since the answer came.
+        origin: See ``Notice``.
+    """
+
+    target_id: str
+    born_ms: int
+    limit_per_s: float
+    sent_ago_ms: int
+    heard_ago_ms: int
+    origin: str
+
+
 class TargetLimits:
-    """Notices by life of a target."""
+    """Notices by life of a target, own ones and those that others tell.
 
-    def __init__(self):
+    Args:
+        origin: Identity of this process.
+
+    Attributes:
+        changes: Number of changes of any limit so far.
+    """
+
+    def __init__(self, origin: str = ""):
+        self._origin = origin
+        self._answers = 0
         self._notices: dict[target_notices.Life, Notice] = {}
+        self._closed_until_ms: dict[target_notices.Life, int] = {}
+        self.changes = 0
 
     def note(
         self,
@@ -62,30 +101,106 @@
         Returns:
             Whether the limit was not known.
         """
-        known = self._notices.get(life)
-        if known is None and math.isinf(limit_per_s):
+        if life not in self._notices and math.isinf(limit_per_s):
             return False
-        notice = Notice(limit_per_s, sent_ms, heard_ms)
-        if known is not None:
-            notice = _in_force(known, notice)
-        bounded.put_newest(self._notices, life, notice, _MAX_REMEMBERED)
-        return known is None or known.limit_per_s != notice.limit_per_s
+        self._answers += 1
+        origin = f"{self._origin}/{self._answers}"
+        return self._take(life, Notice(limit_per_s, sent_ms, heard_ms, origin))
+
+    def on_told(
+        self, told: Iterable[Told], now_ms: int
+    ) -> list[target_notices.Life]:
+        """Takes in what another instance knows.
+
+        Returns:
+            The targets whose limit was not known.
+        """
+        changes = []
+        for one in told:
+            life = target_notices.Life(one.target_id, one.born_ms)
+            notice = Notice(
+                one.limit_per_s,
+                now_ms - one.sent_ago_ms,
+                now_ms - one.heard_ago_ms,
+                one.origin,
+            )
+            if self._take(life, notice):
+                changes.append(life)
+        return changes
+
+    def told(self, now_ms: int) -> list[Told]:
+        """Returns what others are to know, the latest of it."""
+        self._forget_ended(now_ms)
+        return [
+            Told(
+                *life,
+                notice.limit_per_s,
+                now_ms - notice.sent_ms,
+                now_ms - notice.heard_ms,
+                notice.origin,
+            )
+            for life, notice in list(self._notices.items())[-_MAX_TOLD:]
+        ]
 
     def get(self, life: target_notices.Life) -> Notice | None:
         """Returns what a target has said last, None if never of a limit."""
         return self._notices.get(life)
 
+    def limit_per_s(self, life: target_notices.Life) -> float:
+        """Returns the limit in force, infinite if there is none."""
+        notice = self._notices.get(life)
+        return math.inf if notice is None else notice.limit_per_s
+
+    def in_force(self) -> dict[target_notices.Life, float]:
+        """Returns all limits in force."""
+        return {
+            life: notice.limit_per_s
+            for life, notice in self._notices.items()
+            if notice.limits
+        }
+
     def count(self) -> int:
         """Returns the number of targets with a limit."""
-        return sum(notice.limits for notice in self._notices.values())
+        return len(self.in_force())
+
+    def close(self, life: target_notices.Life, until_ms: int) -> None:
+        """Takes in that there is no permit for a target until then."""
+        bounded.put_newest(
+            self._closed_until_ms, life, until_ms, _MAX_REMEMBERED
+        )
+
+    def closed_ms(self, life: target_notices.Life, now_ms: int) -> int:
+        """Returns the time until a target may have a permit, 0 if it may."""
+        until_ms = self._closed_until_ms.get(life, 0)
+        if until_ms <= now_ms or life not in self._notices:
+            return 0
+        return until_ms - now_ms
+
+    def _take(self, life: target_notices.Life, said: Notice) -> bool:
+        known = self._notices.get(life)
+        notice = said if known is None else _later(known, said)
+        if notice is known:
+            return False
+        bounded.put_newest(self._notices, life, notice, _MAX_REMEMBERED)
+        before = math.inf if known is None else known.limit_per_s
+        if before == notice.limit_per_s:
+            return False
+        self.changes += 1
+        self._closed_until_ms.pop(life, None)
+        return True
 
+    def _forget_ended(self, now_ms: int) -> None:
+        for life, notice in list(self._notices.items()):
+            if not notice.limits and now_ms - notice.heard_ms > _ENDED_KEPT_MS:
+                del self._notices[life]
 
-def _in_force(known: Notice, said: Notice) -> Notice:
+
+def _later(known: Notice, said: Notice) -> Notice:
     """Returns the later one of two notices, the stricter one in doubt."""
+    if said.origin == known.origin or known.sent_ms > said.heard_ms:
+        return known
     if said.sent_ms > known.heard_ms:
         return said
-    if known.sent_ms > said.heard_ms:
-        return known
     if said.limit_per_s == known.limit_per_s:
         return max(known, said, key=lambda notice: notice.heard_ms)
     return min(known, said, key=lambda notice: notice.limit_per_s)
--- a/tanagerloft/decisions/token_grants.py
+++ b/tanagerloft/decisions/token_grants.py
@@ -109,15 +109,18 @@
         start: What the holder before has promised, by account; None where no
             holder can have granted before, so that buckets start full.
         tolerance: By how much accounts may exceed their limits.
+        unit_tokens: Grants are multiples of it; 0 for any amount.
     """
 
     def __init__(
         self,
         start: Mapping[str, float] | None,
         tolerance: Tolerance = _NO_TOLERANCE,
+        unit_tokens: float = 0.0,
     ):
         self._start = start
         self._tolerance = tolerance
+        self._unit_tokens = unit_tokens
         self._limits: dict[str, Limit] = {}
         self._levels: dict[str, float] = {}
         self._filled_ms: dict[str, int] = {}
@@ -172,6 +175,12 @@
                 self._filled_ms[name] = now_ms
             self._levels[name] = min(self._levels[name], limit.burst_tokens)
         self._limits = dict(limits)
+        # Who asks again tells what it was granted.
+        self._granted = {
+            key: granted
+            for key, granted in self._granted.items()
+            if key[1] in limits
+        }
 
     def grant(
         self, process: str, account: str, need: Need, now_ms: int
@@ -200,19 +209,29 @@
             return Grant(need.needed_tokens, 0)
         self._refill(account, now_ms)
         level = self._levels[account]
-        free = max(0.0, level - self._promised.get(account, 0.0))
+        unpromised = level - self._promised.get(account, 0.0)
+        free = max(0.0, unpromised)
         if free < missing <= level:
             # The next promise leaves room for it.
             self._withheld[account] = missing
             self._granted[key] = before
             return Withheld(missing)
-        given = min(missing, free)
+        given = self._in_units(min(missing, free))
         self._levels[account] -= given
         self._granted[key] = before + given
-        short = missing - given
+        short = max(0.0, missing - unpromised)
         retry_ms = int(short / limit.rate_tokens_per_s * _MS_PER_S)
         return Grant(before + given, retry_ms)
 
+    def forget(self, process: str, account: str) -> None:
+        """Counts only what a process tells that it was granted."""
+        self._granted.pop((process, account), None)
+
+    def _in_units(self, tokens: float) -> float:
+        if not self._unit_tokens:
+            return tokens
+        return tokens // self._unit_tokens * self._unit_tokens
+
     def _take(self, account: str, tokens: float, now_ms: int) -> None:
         if account in self._limits:
             self._refill(account, now_ms)
--- a/tanagerloft/gateway/attempt.py
+++ b/tanagerloft/gateway/attempt.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from tanagerloft.decisions import attempts
+from tanagerloft.decisions import target_permits
 from tanagerloft.fleet import types
 from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import dialect as dialect_lib
@@ -41,6 +42,9 @@
     def on_not_run(self, mark: dialect_lib.Mark, status: int) -> None:
         """The target says that it did not run the request."""
 
+    def on_no_permit(self) -> None:
+        """It was not sent: its target has named a limit meanwhile."""
+
     def on_loss(self, reason: str) -> None:
         """The connection has ended before the answer."""
 
@@ -58,6 +62,7 @@
         stream: State of the stream over all attempts.
         owner: Told what happens.
         repeats: Whether an attempt has been made before.
+        permit_ms: When a permit for the target came, None for none.
     """
 
     def __init__(
@@ -68,6 +73,7 @@
         stream: stream_relay.StreamRelay,
         owner: Owner,
         repeats: bool,
+        permit_ms: int | None,
     ):
         self._parts = parts
         self._context = context
@@ -83,6 +89,7 @@
         self._prefill_tokens = 0
         self._sent_ms = 0
         self._over = False
+        self._permit_ms = permit_ms
         self.target = target
 
     def start(self) -> None:
@@ -132,13 +139,13 @@
     def on_head(self, head: target_connection.Head) -> None:
         """Takes in the head of an answer."""
         mark = self._parts.dialect.mark(self._context.ask, head)
-        directory = self._parts.directory
+        answers = self._parts.directory.answers
         if mark.leaving:
-            directory.note_leaving(self.target, misdirected=mark.lacks)
+            answers.note_leaving(self.target, misdirected=mark.lacks)
         if mark.back_off_ms:
-            directory.note_back_off(self.target, mark.back_off_ms)
+            answers.note_back_off(self.target, mark.back_off_ms)
         if mark.limit_per_s is not None:
-            directory.note_limit(
+            answers.note_limit(
                 self.target, mark.limit_per_s, self._sent_ms, mark.lacks
             )
         self._mark = mark
@@ -209,14 +216,32 @@
             self._owner.on_failed(
                 attempts.Evidence.NOT_SENT, "target takes no more requests"
             )
+        elif self._lacks_permit():
+            opened.close()
+            self._owner.on_no_permit()
         else:
             self._write(opened)
 
+    def _lacks_permit(self) -> bool:
+        """Returns whether the target has a limit and the permit is not valid.
+
+        The limit may have been named, and time may have passed, while the
+        connection was set up.
+        """
+        parts = self._parts
+        if not parts.directory.answers.is_limited(self.target):
+            return False
+        if self._permit_ms is None:
+            return True
+        return parts.now_ms() - self._permit_ms > target_permits.VALID_MS
+
     def _write(self, connection: target_connection.TargetConnection) -> None:
         parts, context = self._parts, self._context
         self._connection = connection
         self._sent_ms = parts.now_ms()
-        parts.directory.log_limited_send(self.target, context.ask.request_id)
+        parts.directory.answers.log_limited_send(
+            self.target, context.ask.request_id
+        )
         self._owner.on_sent()
         send = dialect_lib.Send(
             target=self.target,
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -64,10 +64,12 @@
         self._now_ms = now_ms
         self._datagrams = datagrams.Datagrams(self._receive)
         name = settings.get("instance", "id")
+        incarnation = ids.short_id()
         self.directory = targets_lib.TargetDirectory(
             deployment.decode_entry,
             now_ms,
             settings.get("instance", "data_centre"),
+            incarnation,
         )
         self.targets = target_list.TargetList(
             deployment.store,
@@ -88,7 +90,6 @@
             withdraw_ms - _KEY_MARGIN_MS,
             settings.get("store", "apply_ms"),
         )
-        incarnation = ids.short_id()
         self.lease = order_lease.OrderLease(
             name,
             incarnation,
@@ -119,6 +120,7 @@
         self._holder = holder_lib.Holder(
             self.lease,
             engines,
+            self.directory,
             now_ms,
             name,
             self._tell_knowledge,
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -41,6 +41,11 @@
 TARGETS_BACK_OFF = Refusal(
     "targets_back_off", 503, "The targets take no requests for a time."
 )
+TARGETS_LIMITED = Refusal(
+    "targets_limited",
+    503,
+    "The targets take no more requests than they do now.",
+)
 OUT_OF_TIME = Refusal(
     "out_of_time", 503, "The time ended before the request was sent."
 )
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -6,8 +6,10 @@
 from collections.abc import Callable
 import logging
 
+from tanagerloft.coordination import target_answers
 from tanagerloft.decisions import attempts
 from tanagerloft.decisions import send_history
+from tanagerloft.decisions import target_permits
 from tanagerloft.fleet import types
 from tanagerloft.gateway import answer as answer_lib
 from tanagerloft.gateway import attempt as attempt_lib
@@ -63,6 +65,8 @@
         self._ended = False
         self._timer: asyncio.TimerHandle | None = None
         self._again: asyncio.TimerHandle | None = None
+        self._forget_permit: Callable[[], None] | None = None
+        self._permit_ms: int | None = None
 
     def start(self) -> None:
         """Begins; the responder must lead to this exchange."""
@@ -93,7 +97,8 @@
         Returns:
             Whether others that wait for the same may try.
         """
-        if self._ended or self._attempt is not None or self._again is not None:
+        busy = (self._attempt, self._again, self._forget_permit)
+        if self._ended or any(one is not None for one in busy):
             return True
         place = self._placing.place(self.history)
         if place is placing_lib.NoTarget.NOW:
@@ -104,10 +109,35 @@
             self._give_up(place.detail, place)
         elif isinstance(place, placing_lib.Later):
             self._later(place.delay_ms)
+        elif isinstance(place, placing_lib.NeedsPermit):
+            self._ask_permit(place.target)
         else:
             self._send(place)
         return True
 
+    def _ask_permit(self, target: types.TargetEntry) -> None:
+        """Asks for a permit to send the request to a target with a limit."""
+        permits, life = self._parts.permits, target_answers.life_of(target)
+
+        def decided(outcome: target_permits.Outcome) -> None:
+            self._forget_permit = None
+            self._permit_ms = self._parts.now_ms() if outcome.granted else None
+            self._placing.on_permit(target, outcome)
+            logger.info(
+                "permit asked for",
+                extra={
+                    "request": self.context.ask.request_id,
+                    "target": target.target_id,
+                    **outcome._asdict(),
+                    "holder_age_ms": self._parts.holder_age_ms(),
+                },
+            )
+            if not self.try_send():
+                self._parts.report_soon()
+
+        self._forget_permit = lambda: permits.forget(life, decided)
+        permits.ask(life, decided)
+
     def _send(self, target: types.TargetEntry) -> None:
         self._attempt = attempt_lib.Attempt(
             self._parts,
@@ -116,6 +146,7 @@
             self._stream,
             self,
             repeats=self.history.sends > 0,
+            permit_ms=self._permit_ms,
         )
         self._attempt.start()
 
@@ -163,6 +194,12 @@
             self._parts.directory.note_failure(target_id)
         self.on_failed(attempts.Evidence.REFUSED, f"status {status}")
 
+    def on_no_permit(self) -> None:
+        """Places the request anew: its target has named a limit meanwhile."""
+        self._leave_target()
+        if not self.try_send():
+            self._parts.report_soon()
+
     def on_loss(self, reason: str) -> None:
         """Takes in that the connection ended before the answer did."""
         if self._attempt is None:
@@ -281,6 +318,8 @@
         for timer in (self._timer, self._again):
             if timer is not None:
                 timer.cancel()
+        if self._forget_permit is not None:
+            self._forget_permit()
         self._parts.room.remove(self._placing.subject, self)
         later_ms = self._parts.later_ms(self.context.ask.model)
         logger.info(
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -96,6 +96,7 @@
             dialect=self._deployment.dialect,
             directory=self.directory,
             pool=self._pool,
+            permits=self.control.link.permits,
             room=self.waiting_room,
             take_repeat=self._take_repeat,
             note_first=self._note_first,
@@ -133,7 +134,7 @@
         gauge(
             "limited_targets",
             "Targets that have named a limit.",
-            self.directory.limits.count,
+            self.directory.answers.limits.count,
         )
 
     def _count_open(self) -> int:
--- a/tanagerloft/gateway/parts.py
+++ b/tanagerloft/gateway/parts.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from tanagerloft.coordination import target_permits
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import crash_watch as crash_watch_lib
@@ -21,6 +22,7 @@
         dialect: Protocol of callers and targets.
         directory: Targets.
         pool: Connections to targets.
+        permits: Permits for targets with a limit.
         room: Requests that wait for a model.
         take_repeat: Takes a repeat of the budget of a service.
         note_first: Counts a first send at a service.
@@ -37,6 +39,7 @@
     dialect: dialect_lib.Dialect
     directory: targets_lib.TargetDirectory
     pool: connection_pool.Pool
+    permits: target_permits.TargetPermits
     room: waiting_lib.WaitingRoom
     take_repeat: Callable[[str], bool]
     note_first: Callable[[str], None]
--- a/tests/coordination/test_holder.py
+++ b/tests/coordination/test_holder.py
@@ -56,6 +56,7 @@
     holder = holder_lib.Holder(
         lease,
         keeper,
+        directory,
         now_ms,
         "a",
         lambda: knowledge,
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -1,14 +1,27 @@
-"""Targets that say how many requests a second they take from all instances."""
+"""Targets that say how many requests a second they take from all instances.
 
+Days on a virtual clock, with troubles by seed:
+``SEEDS=50 pytest tests/gateway/test_target_limits.py`` plays more.
+"""
+
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import os
+import random
 
 import pytest
 
+from tanagerloft.util import loops
 from tests.support import gateway_fleet
 from tests.support import virtual_loop
 
+_SEEDS = int(os.environ.get("SEEDS", "3"))
 _NAMED_MS = 5_000
+# Until all instances have heard of a limit.
+_HEARD_MS = 1_000
+# Callers' aim on the routes of the stand-in platform.
+_AIM_MS = 500
 
 
 def _naming(limit_per_s: float) -> Callable[[int], float | None]:
@@ -27,6 +40,10 @@
     virtual_loop.run(play())
 
 
+def _arrived(target: gateway_fleet.Target, from_ms: int, to_ms: int) -> int:
+    return sum(from_ms <= one.at_ms < to_ms for one in target.arrivals)
+
+
 @pytest.mark.parametrize("limit_per_s", [1, 5, 50])
 @pytest.mark.parametrize("instances", [2, 7, 30])
 def test_instances_together_keep_to_the_limit_that_a_target_names(
@@ -35,5 +52,116 @@
     target = gateway_fleet.Target("t1", _naming(limit_per_s))
     fleet = gateway_fleet.GatewayFleet(instances, [target], seed=1)
     _play(fleet, lambda _: fleet.press(3 * limit_per_s + 8, 30_000))
-    assert len(target.arrivals) > 50
+    assert len(fleet.replies) > 250
+    assert target.excess(_NAMED_MS) <= 0
+    # None of the permits lies unused while callers are refused.
+    used = _arrived(target, 6_000, 31_000) / 25
+    assert used >= 0.9 * limit_per_s
+
+
+def test_what_one_target_cannot_take_goes_to_others_at_once():
+    limited = gateway_fleet.Target("t1", _naming(1))
+    free = gateway_fleet.Target("t2")
+    fleet = gateway_fleet.GatewayFleet(7, [limited, free], seed=1)
+    _play(fleet, lambda _: fleet.press(30, 20_000))
+    assert limited.excess(_NAMED_MS) <= 0
+    assert {reply.status for reply in fleet.replies} == {200}
+    assert max(reply.took_ms for reply in fleet.replies) < 100
+
+
+def test_callers_that_no_target_can_take_are_told_at_once_when_to_come_back():
+    targets = [gateway_fleet.Target(f"t{n}", _naming(1)) for n in range(3)]
+    fleet = gateway_fleet.GatewayFleet(7, targets, seed=1)
+    _play(fleet, lambda _: fleet.press(40, 20_000))
+    heard_ms = _NAMED_MS + _HEARD_MS
+    refused = [
+        reply
+        for reply in fleet.replies
+        if reply.status != 200 and reply.at_ms >= heard_ms
+    ]
+    assert {reply.status for reply in refused} == {503}
+    assert all(reply.retry_ms + reply.took_ms > _AIM_MS for reply in refused)
+    at_once = [reply for reply in refused if reply.took_ms <= 30]
+    assert len(at_once) > 0.95 * len(refused)
+    assert sum(_arrived(one, 6_000, 22_000) for one in targets) >= 16 * 3 * 0.9
+
+
+def test_a_limit_ends_when_the_target_names_it_no_more():
+    def limit(at_ms: int) -> float | None:
+        return 1 if _NAMED_MS <= at_ms < 15_000 else None
+
+    target = gateway_fleet.Target("t1", limit)
+    fleet = gateway_fleet.GatewayFleet(7, [target], seed=1)
+    _play(fleet, lambda _: fleet.press(20, 20_000))
+    late = [reply.status for reply in fleet.replies if reply.at_ms >= 17_000]
+    assert len(late) > 80
+    assert set(late) == {200}
+
+
+def test_also_a_target_that_takes_nothing_is_asked_whether_that_has_ended():
+    def limit(at_ms: int) -> float | None:
+        return 0 if _NAMED_MS <= at_ms < 30_000 else None
+
+    target = gateway_fleet.Target("t1", limit)
+    fleet = gateway_fleet.GatewayFleet(7, [target], seed=1)
+    _play(fleet, lambda _: fleet.press(20, 50_000))
+    assert target.excess(_NAMED_MS) <= 0
+    late = [reply.status for reply in fleet.replies if reply.at_ms >= 45_000]
+    assert set(late) == {200}
+
+
+async def _trouble(
+    fleet: gateway_fleet.GatewayFleet, names: list[str], seed: int
+) -> None:
+    """Plays troubles of the instances and the store, also several at once."""
+    chance = random.Random(seed)
+    for _ in range(8):
+        await loops.sleep(chance.uniform(500, 3_000))
+        kind = chance.choice(("kill", "holder", "store", "cut", "loss"))
+        name = chance.choice(names)
+        if kind == "store":
+            fleet.store_down = not fleet.store_down
+        elif kind == "loss":
+            fleet.loss = chance.choice((0.0, 0.1, 0.5))
+        elif kind == "cut":
+            fleet.cut_off ^= {name}
+        else:
+            holder = fleet.holder() if kind == "holder" else None
+            await fleet.restart(holder or name, chance.uniform(50, 2_000))
+
+
+@pytest.mark.parametrize("seed", range(_SEEDS))
+@pytest.mark.parametrize(
+    ("instances", "limit_per_s"), [(7, 1), (30, 1), (9, 10), (7, 50)]
+)
+def test_the_limit_is_kept_to_also_under_troubles(instances, limit_per_s, seed):
+    targets = [
+        gateway_fleet.Target("t1", _naming(limit_per_s)),
+        gateway_fleet.Target("t2", _naming(2 * limit_per_s)),
+    ]
+    fleet = gateway_fleet.GatewayFleet(instances, targets, seed)
+
+    async def play(_) -> None:
+        trouble = asyncio.ensure_future(_trouble(fleet, fleet.names, seed))
+        await fleet.press(6 * limit_per_s + 10, 30_000)
+        await trouble
+
+    _play(fleet, play)
+    for target in targets:
+        assert target.excess(_NAMED_MS) <= 0
+
+
+@pytest.mark.parametrize("limit_per_s", [2, 50])
+def test_without_a_holder_part_of_the_limit_is_still_used(limit_per_s):
+    target = gateway_fleet.Target("t1", _naming(limit_per_s))
+    fleet = gateway_fleet.GatewayFleet(7, [target], seed=1)
+
+    async def play(_) -> None:
+        await fleet.press(3 * limit_per_s + 20, 6_000)
+        fleet.cut_off = set(fleet.names)
+        await fleet.press(3 * limit_per_s + 20, 21_000)
+
+    _play(fleet, play)
     assert target.excess(_NAMED_MS) <= 0
+    used = _arrived(target, 11_000, 30_000) / 19
+    assert 0.25 * limit_per_s <= used <= 0.6 * limit_per_s
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -58,6 +58,8 @@
         ),
         leaving_targets={},
         targets=messages.ToldList([], 1, 5, 9, 100),
+        limits=[],
+        permits=[],
     )
     return plain._replace(**changes)
 
@@ -118,5 +120,7 @@
         crashes={},
         leaving_targets={},
         targets_known=0,
+        limits=[],
+        permit_needs=[],
     )
     return plain._replace(**changes)
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -306,6 +306,7 @@
         seed: Seed of what callers and the network do.
 
     Attributes:
+        names: Names of the instances.
         targets: Targets by name.
         rows: Rows of the store, each with its version, by table and key.
         version: Newest version of the store.
@@ -317,7 +318,7 @@
 
     def __init__(self, instances: int, targets: Iterable[Target], seed: int):
         self._random = random.Random(seed)
-        self._names = [f"i{n}" for n in range(instances)]
+        self.names = [f"i{n}" for n in range(instances)]
         self._running: dict[str, tuple[instance_lib.Instance, list]] = {}
         self._sockets: dict[str, _Datagrams] = {}
         self._numbers = 0
@@ -354,7 +355,7 @@
         for target in self.targets.values():
             value = json.dumps(target.entry()).encode()
             self.put("servers", target.target_id, value)
-        for name in self._names:
+        for name in self.names:
             self.start_instance(name)
         await loops.sleep(_SETTLE_MS)
 
@@ -413,6 +414,12 @@
         for target in self.targets.values():
             target.forget_told(name)
 
+    async def restart(self, name: str, down_ms: float) -> None:
+        """Ends an instance, and starts it again after a time."""
+        self.kill(name)
+        await loops.sleep(down_ms)
+        self.start_instance(name)
+
     def holder(self) -> str | None:
         """Returns the instance that answers reports, None if there is none."""
         for name, (instance, _) in self._running.items():
@@ -462,7 +469,7 @@
         until_ms = now_ms() + for_ms
         while now_ms() < until_ms:
             await loops.sleep(self._random.expovariate(per_s) * 1_000)
-            self.ask(self._random.choice(self._names), **ask)
+            self.ask(self._random.choice(self.names), **ask)
 
     async def close(self) -> None:
         """Ends everything."""
