Load models of an engine that takes too little elsewhere

What callers saw: models that only an engine in need holds were refused for as long as it named its limit, while other engines had room and copies.

Cause: to the plan such an engine holds its models like any other one, so nobody misses them. It now counts like one that leaves while its limit is below the requests of the last seconds for its models.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -6,6 +6,7 @@
 import logging
 
 from tanagerloft.coordination import demands
+from tanagerloft.coordination import engine_limits
 from tanagerloft.coordination import engine_states
 from tanagerloft.coordination import fleet_loads
 from tanagerloft.coordination import messages
@@ -60,6 +61,7 @@
         self.states = engine_states.EngineStates(
             directory, fetch_report, now_ms, self._note_placed
         )
+        self._limits = engine_limits.EngineLimits(self.states, directory)
         self._plans: dict[str, model_plan.ModelPlan] = {}
         self._arrivals: dict[str, arrival_times.ArrivalTimes] = {}
         self._services: dict[str, types.Service] = {}
@@ -140,14 +142,16 @@
             return
         self._log.term(self._lease.term)
         in_flight = loads.by_model()
+        usage = self.usage.usage(in_flight)
+        self._limits.follow(usage.recent)
         held = {
             name
-            for state in self.states.by_target.values()
+            for target_id, state in self.states.by_target.items()
+            if target_id not in self._limits.short
             for name in state.orders.usable()
             if name != state.orders.loading
         }
         self.usage.note_held(held, in_flight, now_ms)
-        usage = self.usage.usage(in_flight)
         for service, plan in self._plans.items():
             planned = self._plan_service(
                 service, plan, reports, loads, usage, now_ms
@@ -236,7 +240,8 @@
             loading=orders.loading,
             busy=orders.busy(now_ms) or waits_ms > 0,
             busy_ms=max(orders.busy_ms(now_ms), waits_ms),
-            leaving=self._directory.leaves(entry),
+            leaving=self._directory.leaves(entry)
+            or entry.target_id in self._limits.short,
             copies=orders.copies,
             running=running.get(entry.target_id, {}),
             slots=self._services[entry.service].slots,
--- /dev/null
+++ b/tanagerloft/coordination/engine_limits.py
@@ -0,0 +1,56 @@
+"""Follows which engines take fewer requests than their models get."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import logging
+
+from tanagerloft.coordination import engine_states
+from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import engine_limits
+
+logger = logging.getLogger(__name__)
+
+
+class EngineLimits:
+    """Engines whose limits keep them from serving their models.
+
+    Args:
+        states: States of the engines.
+        directory: What is known of the targets.
+
+    Attributes:
+        short: Names of these engines.
+    """
+
+    def __init__(
+        self,
+        states: engine_states.EngineStates,
+        directory: targets_lib.TargetDirectory,
+    ):
+        self._states = states
+        self._directory = directory
+        self.short: frozenset[str] = frozenset()
+
+    def follow(self, recent: Mapping[str, float]) -> None:
+        """Compares limits and demand.
+
+        Args:
+            recent: Requests of the last seconds, by model.
+        """
+        entries = self._directory.entries
+        short = frozenset(
+            target_id
+            for target_id, state in self._states.by_target.items()
+            if target_id in entries
+            and engine_limits.takes_too_little(
+                state.orders.usable(),
+                self._directory.answers.limit_per_s(entries[target_id]),
+                recent,
+            )
+        )
+        if short != self.short:
+            logger.info(
+                "engines that take too little", extra={"engines": sorted(short)}
+            )
+        self.short = short
--- a/tanagerloft/coordination/target_answers.py
+++ b/tanagerloft/coordination/target_answers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import logging
+import math
 
 from tanagerloft.coordination import target_entries
 from tanagerloft.decisions import target_limits
@@ -43,10 +44,13 @@
         life = life_of(entry)
         return self.notices.leaves(life) or self.notices.is_hinted(life)
 
+    def limit_per_s(self, entry: types.TargetEntry) -> float:
+        """Returns the requests a second that a target takes."""
+        return self.limits.limit_per_s(life_of(entry))
+
     def is_limited(self, entry: types.TargetEntry) -> bool:
         """Returns whether a request to a target needs a permit."""
-        notice = self.limits.get(life_of(entry))
-        return notice is not None and notice.limits
+        return math.isfinite(self.limit_per_s(entry))
 
     def opens_in_ms(self, entry: types.TargetEntry) -> int:
         """Returns the time until a target may take a request, 0 for now."""
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -14,6 +14,7 @@
 
 from tanagerloft.util import loops
 from tests.support import gateway_fleet
+from tests.support import gateway_targets
 from tests.support import virtual_loop
 
 _SEEDS = int(os.environ.get("SEEDS", "3"))
@@ -40,7 +41,7 @@
     virtual_loop.run(play())
 
 
-def _arrived(target: gateway_fleet.Target, from_ms: int, to_ms: int) -> int:
+def _arrived(target: gateway_targets.Target, from_ms: int, to_ms: int) -> int:
     return sum(from_ms <= one.at_ms < to_ms for one in target.arrivals)
 
 
@@ -49,7 +50,7 @@
 def test_instances_together_keep_to_the_limit_that_a_target_names(
     instances, limit_per_s
 ):
-    target = gateway_fleet.Target("t1", _naming(limit_per_s))
+    target = gateway_targets.Target("t1", _naming(limit_per_s))
     fleet = gateway_fleet.GatewayFleet(instances, [target], seed=1)
     _play(fleet, lambda _: fleet.press(3 * limit_per_s + 8, 30_000))
     assert len(fleet.replies) > 250
@@ -60,8 +61,8 @@
 
 
 def test_what_one_target_cannot_take_goes_to_others_at_once():
-    limited = gateway_fleet.Target("t1", _naming(1))
-    free = gateway_fleet.Target("t2")
+    limited = gateway_targets.Target("t1", _naming(1))
+    free = gateway_targets.Target("t2")
     fleet = gateway_fleet.GatewayFleet(7, [limited, free], seed=1)
     _play(fleet, lambda _: fleet.press(30, 20_000))
     assert limited.excess(_NAMED_MS) <= 0
@@ -70,7 +71,7 @@
 
 
 def test_callers_that_no_target_can_take_are_told_at_once_when_to_come_back():
-    targets = [gateway_fleet.Target(f"t{n}", _naming(1)) for n in range(3)]
+    targets = [gateway_targets.Target(f"t{n}", _naming(1)) for n in range(3)]
     fleet = gateway_fleet.GatewayFleet(7, targets, seed=1)
     _play(fleet, lambda _: fleet.press(40, 20_000))
     heard_ms = _NAMED_MS + _HEARD_MS
@@ -90,7 +91,7 @@
     def limit(at_ms: int) -> float | None:
         return 1 if _NAMED_MS <= at_ms < 15_000 else None
 
-    target = gateway_fleet.Target("t1", limit)
+    target = gateway_targets.Target("t1", limit)
     fleet = gateway_fleet.GatewayFleet(7, [target], seed=1)
     _play(fleet, lambda _: fleet.press(20, 20_000))
     late = [reply.status for reply in fleet.replies if reply.at_ms >= 17_000]
@@ -102,7 +103,7 @@
     def limit(at_ms: int) -> float | None:
         return 0 if _NAMED_MS <= at_ms < 30_000 else None
 
-    target = gateway_fleet.Target("t1", limit)
+    target = gateway_targets.Target("t1", limit)
     fleet = gateway_fleet.GatewayFleet(7, [target], seed=1)
     _play(fleet, lambda _: fleet.press(20, 50_000))
     assert target.excess(_NAMED_MS) <= 0
@@ -136,8 +137,8 @@
 )
 def test_the_limit_is_kept_to_also_under_troubles(instances, limit_per_s, seed):
     targets = [
-        gateway_fleet.Target("t1", _naming(limit_per_s)),
-        gateway_fleet.Target("t2", _naming(2 * limit_per_s)),
+        gateway_targets.Target("t1", _naming(limit_per_s)),
+        gateway_targets.Target("t2", _naming(2 * limit_per_s)),
     ]
     fleet = gateway_fleet.GatewayFleet(instances, targets, seed)
 
@@ -153,7 +154,7 @@
 
 @pytest.mark.parametrize("limit_per_s", [2, 50])
 def test_without_a_holder_part_of_the_limit_is_still_used(limit_per_s):
-    target = gateway_fleet.Target("t1", _naming(limit_per_s))
+    target = gateway_targets.Target("t1", _naming(limit_per_s))
     fleet = gateway_fleet.GatewayFleet(7, [target], seed=1)
 
     async def play(_) -> None:
@@ -165,3 +166,40 @@
     assert target.excess(_NAMED_MS) <= 0
     used = _arrived(target, 11_000, 30_000) / 19
     assert 0.25 * limit_per_s <= used <= 0.6 * limit_per_s
+
+
+_RARE = [f"m{number}" for number in range(10)]
+_ENGINES = {
+    "name": "engines",
+    "engine": {
+        "slots": 8,
+        "models": [
+            {"name": name, "weights_mb": 70_000, "load_s": 6, "disk_s": 1}
+            for name in _RARE
+        ],
+        "weights_mb": 700_000,
+        "adapter_slots": 8,
+        "loads_per_s": 4,
+    },
+}
+
+
+def test_models_of_an_engine_that_takes_little_are_loaded_at_another_one():
+    limited = gateway_targets.Engine("e1", _RARE, _RARE, 1_000, _naming(1))
+    free = gateway_targets.Engine("e2", [], _RARE, 1_000)
+    fleet = gateway_fleet.GatewayFleet(
+        3, [limited, free], seed=1, services=[_ENGINES]
+    )
+
+    async def play(_) -> None:
+        async with asyncio.TaskGroup() as callers:
+            for name in _RARE:
+                work = fleet.press(0.5, 25_000, path="/stream/x", Model=name)
+                callers.create_task(work)
+
+    _play(fleet, play)
+    assert limited.excess(_NAMED_MS) <= 0
+    # Time for the demand to show, and for a load of each from a copy.
+    late = [one for one in fleet.replies if one.at_ms >= _NAMED_MS + 13_000]
+    assert len(late) > 30
+    assert {reply.status for reply in late} == {200}
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -19,7 +19,6 @@
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import order_sender
 from tanagerloft.coordination import store as store_lib
-from tanagerloft.decisions import order_progress
 from tanagerloft.gateway import instance as instance_lib
 from tanagerloft.net import connection_pool
 from tanagerloft.net import datagrams
@@ -28,35 +27,15 @@
 from tanagerloft.platform import deployment
 from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import loops
-from tests.support import engines
+from tests.support import gateway_targets
 from tests.support import users_platform
+from tests.support import virtual_loop
 
 # One way between instances, to targets and to the store.
 _WAY_MS = 1
 _STORE_MS = 4
 _POLL_MS = 5
-_PORT = 80
 _SETTLE_MS = 3_000
-# The users' rule: from so long after a target first named its limit, any window
-# holds no more than this, sent by those told so long before.
-_CONTACT_MS = 3_000
-_WINDOW_MS = 4_000
-_TOLD_MS = 500
-_RATIO = 1.5
-_SLACK = 5
-
-
-def now_ms() -> int:
-    """Returns the reading of the virtual clock."""
-    return round(asyncio.get_running_loop().time() * 1_000)
-
-
-class Arrival(NamedTuple):
-    """A request that has reached a target."""
-
-    at_ms: int
-    instance: str
-    told: bool
 
 
 class Reply(NamedTuple):
@@ -75,86 +54,10 @@
     retry_ms: int
 
 
-class Target:
-    """A target that may name a limit in its answers.
-
-    Args:
-        target_id: Name.
-        limit: Returns the limit that it names at a time, None for none.
-        run_ms: Time that a request takes.
-        service: Service.
-        text: Returns the header's text in place of the number.
-    """
-
-    def __init__(
-        self,
-        target_id: str,
-        limit: Callable[[int], float | None] = lambda _: None,
-        run_ms: int = 60,
-        service: str = "plain",
-    ):
-        self.target_id = target_id
-        self.limit = limit
-        self.run_ms = run_ms
-        self.service = service
-        self.arrivals: list[Arrival] = []
-        self._told_ms: dict[str, int] = {}
-
-    def entry(self) -> dict:
-        """Returns its entry in the platform's list."""
-        entry = {
-            "service": self.service,
-            "address": f"{self.target_id}:{_PORT}",
-            "zone": "dc",
-            "state": "ready",
-            "born": 1,
-        }
-        if self.service == "engines":
-            entry["models"] = [{"name": "m1", "version": 1, "adapters": []}]
-        return entry
-
-    def arrive(self, instance: str) -> list[tuple[bytes, bytes]]:
-        """Takes a request; returns what the head of its answer adds."""
-        at_ms = now_ms()
-        told_ms = self._told_ms.get(instance, at_ms)
-        told = at_ms - told_ms >= _TOLD_MS
-        self.arrivals.append(Arrival(at_ms, instance, told))
-        limit = self.limit(at_ms)
-        return [] if limit is None else [(b"server-limit", b"%f" % limit)]
-
-    def note_told(self, instance: str) -> None:
-        """Takes in that an instance has passed on an answer with a limit."""
-        self._told_ms.setdefault(instance, now_ms())
-
-    def forget_told(self, instance: str) -> None:
-        """Takes in that an instance begins anew, or has been cut off."""
-        self._told_ms.pop(instance, None)
-
-    def excess(self, named_ms: int) -> float:
-        """Returns by how much the worst window exceeds what is allowed.
-
-        Args:
-            named_ms: When the target first named its limit.
-        """
-        counted = [one.at_ms for one in self.arrivals if one.told]
-        worst = -float("inf")
-        for begin_ms in counted:
-            if begin_ms < named_ms + _CONTACT_MS:
-                continue
-            end_ms = begin_ms + _WINDOW_MS
-            limits = [self.limit(t) for t in range(begin_ms, end_ms, 100)]
-            if None in limits:
-                continue
-            number = sum(begin_ms <= at_ms < end_ms for at_ms in counted)
-            allowed = _RATIO * max(limits) * _WINDOW_MS / 1_000 + _SLACK
-            worst = max(worst, number - allowed)
-        return worst
-
-
 class _Connection:
     """Connection of an instance to a target."""
 
-    def __init__(self, instance: str, target: Target):
+    def __init__(self, instance: str, target: gateway_targets.Target):
         self._instance = instance
         self._target = target
         self._receiver: target_connection.Receiver | None = None
@@ -166,19 +69,10 @@
     def _arrive(self, data: bytes) -> None:
         if self._receiver is None:
             return
-        added = self._target.arrive(self._instance)
-        identity = data.partition(b"Attempt-Id: ")[2].partition(b"\r\n")[0]
-        head = target_connection.Head(
-            200,
-            (
-                (b"attempt-id", identity),
-                (b"response-seal", b"s"),
-                (b"content-length", b"0"),
-                *added,
-            ),
-        )
-        back_ms = self._target.run_ms + _WAY_MS
-        loops.call_later(back_ms, lambda: self._answer(head, bool(added)))
+        head, took_ms = self._target.arrive(self._instance, data)
+        names = head.get(b"server-limit") is not None
+        back_ms = took_ms + _WAY_MS
+        loops.call_later(back_ms, lambda: self._answer(head, names))
 
     def _answer(self, head: target_connection.Head, names: bool) -> None:
         receiver, self._receiver = self._receiver, None
@@ -256,7 +150,7 @@
         return await self.changes(table, 0, 0)
 
     async def changes(self, table, after_version, wait_ms):
-        until_ms = now_ms() + wait_ms
+        until_ms = virtual_loop.now_ms() + wait_ms
         while True:
             failed = await self._reach()
             if failed is not None:
@@ -266,7 +160,7 @@
                 for (name, key), (version, value) in self._fleet.rows.items()
                 if name == table and version > after_version
             )
-            if rows or now_ms() >= until_ms:
+            if rows or virtual_loop.now_ms() >= until_ms:
                 return store_lib.Snapshot(rows, self._fleet.version)
             await loops.sleep(_POLL_MS)
 
@@ -304,6 +198,7 @@
         instances: Number of instances.
         targets: Targets.
         seed: Seed of what callers and the network do.
+        **config_changes: What differs in the configuration.
 
     Attributes:
         names: Names of the instances.
@@ -316,7 +211,13 @@
         replies: What callers got.
     """
 
-    def __init__(self, instances: int, targets: Iterable[Target], seed: int):
+    def __init__(
+        self,
+        instances: int,
+        targets: Iterable[gateway_targets.Target],
+        seed: int,
+        **config_changes,
+    ):
         self._random = random.Random(seed)
         self.names = [f"i{n}" for n in range(instances)]
         self._running: dict[str, tuple[instance_lib.Instance, list]] = {}
@@ -329,6 +230,7 @@
         self.cut_off: set[str] = set()
         self.loss = 0.0
         self.replies: list[Reply] = []
+        self._config = users_platform.configuration(**config_changes)
 
     def put(self, table: str, key: str, value: bytes) -> int:
         """Writes a row of the store."""
@@ -346,19 +248,22 @@
     def _deliver(self, sender: str, data: bytes, receiver: str) -> None:
         socket = self._sockets.get(receiver)
         if socket is not None and socket.open_now:
-            socket.receive(data, (sender, _PORT))
+            socket.receive(data, (sender, gateway_targets.PORT))
 
     async def start(self) -> None:
         """Starts all instances and waits until they know the targets."""
-        config = json.dumps(users_platform.configuration()).encode()
-        self.put("op", "config", config)
+        self.put("op", "config", json.dumps(self._config).encode())
         for target in self.targets.values():
-            value = json.dumps(target.entry()).encode()
-            self.put("servers", target.target_id, value)
+            target.changed = self._put_entry
+            self._put_entry(target)
         for name in self.names:
             self.start_instance(name)
         await loops.sleep(_SETTLE_MS)
 
+    def _put_entry(self, target: gateway_targets.Target) -> None:
+        value = json.dumps(target.entry()).encode()
+        self.put("servers", target.target_id, value)
+
     def start_instance(self, name: str) -> None:
         """Starts an instance."""
 
@@ -366,7 +271,7 @@
             plain = deployment.build(_pool, _address, _name)
             return plain._replace(
                 store=_Store(self, name),
-                send_order=self._refuse_order,
+                send_order=self._order,
                 fetch_report=self._report,
             )
 
@@ -379,7 +284,10 @@
                 [
                     *("[instance]", f"id = {name}", "data_centre = dc"),
                     *("[listen]", f"callers = {name}:1", f"ready = {name}:2"),
-                    *(f"peers = {name}:{_PORT}", f"metrics = {name}:4"),
+                    *(
+                        f"peers = {name}:{gateway_targets.PORT}",
+                        f"metrics = {name}:4",
+                    ),
                     *("[store]", "address = store:1"),
                 ]
             ),
@@ -388,7 +296,7 @@
         )
         assert isinstance(settings, settings_lib.Settings), settings
         pool = _Pool(self, name)
-        clock = clock_lib.Clock(lambda: now_ms() * 1_000_000)
+        clock = clock_lib.Clock(lambda: virtual_loop.now_ms() * 1_000_000)
         with (
             mock.patch.object(datagrams, "Datagrams", new_socket),
             mock.patch.object(connection_pool, "Pool", lambda _now_ms: pool),
@@ -398,12 +306,15 @@
         works = [loop.create_task(work) for work in instance.control.works()]
         self._running[name] = (instance, works)
 
-    async def _refuse_order(self, *_args) -> order_sender.OrderAnswer:
-        result = order_progress.Result.REFUSED
+    async def _order(self, entry, order, _token, sequence):
+        await loops.sleep(_WAY_MS)
+        target = self.targets[entry.target_id]
+        result = target.order(order, sequence)
         return order_sender.OrderAnswer(result, "")
 
-    async def _report(self, _entry):
-        return engines.report(["m1"])
+    async def _report(self, entry):
+        await loops.sleep(_WAY_MS)
+        return self.targets[entry.target_id].report()
 
     def kill(self, name: str) -> None:
         """Ends an instance; nobody hears of it."""
@@ -423,7 +334,7 @@
     def holder(self) -> str | None:
         """Returns the instance that answers reports, None if there is none."""
         for name, (instance, _) in self._running.items():
-            if instance.control.lease.leads(now_ms()):
+            if instance.control.lease.leads(virtual_loop.now_ms()):
                 return name
         return None
 
@@ -432,7 +343,7 @@
         if name not in self._running:
             return
         instance, _ = self._running[name]
-        began_ms = now_ms()
+        began_ms = virtual_loop.now_ms()
         self._numbers += 1
         fields = {
             "Host": "h.example",
@@ -454,7 +365,7 @@
             self.replies.append(
                 Reply(
                     began_ms,
-                    now_ms() - began_ms,
+                    virtual_loop.now_ms() - began_ms,
                     int(data.split(b" ", 2)[1]),
                     round(float(retry or 0) * 1_000),
                 )
@@ -466,8 +377,8 @@
 
     async def press(self, per_s: float, for_ms: int, **ask: str) -> None:
         """Lets callers ask at random instances, at random moments."""
-        until_ms = now_ms() + for_ms
-        while now_ms() < until_ms:
+        until_ms = virtual_loop.now_ms() + for_ms
+        while virtual_loop.now_ms() < until_ms:
             await loops.sleep(self._random.expovariate(per_s) * 1_000)
             self.ask(self._random.choice(self.names), **ask)
 
--- /dev/null
+++ b/tests/support/gateway_targets.py
@@ -0,0 +1,202 @@
+"""Targets of a fleet on a virtual clock, which may name a limit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from tanagerloft.decisions import model_orders
+from tanagerloft.decisions import order_progress
+from tanagerloft.fleet import types
+from tanagerloft.net import target_connection
+from tanagerloft.util import loops
+from tests.support import engines
+from tests.support import virtual_loop
+
+PORT = 80
+_LACKS_STATUS = 421
+# The users' rule: from so long after a target first named its limit, any window
+# holds no more than this, sent by those told so long before.
+_CONTACT_MS = 3_000
+_WINDOW_MS = 4_000
+_TOLD_MS = 500
+_RATIO = 1.5
+_SLACK = 5
+
+
+class Arrival(NamedTuple):
+    """A request that has reached a target."""
+
+    at_ms: int
+    instance: str
+    told: bool
+
+
+class Target:
+    """A target that may name a limit in its answers.
+
+    Args:
+        target_id: Name.
+        limit: Returns the limit that it names at a time, None for none.
+        run_ms: Time that a request takes.
+    """
+
+    service = "plain"
+
+    def __init__(
+        self,
+        target_id: str,
+        limit: Callable[[int], float | None] = lambda _: None,
+        run_ms: int = 60,
+    ):
+        self.target_id = target_id
+        self.limit = limit
+        self.run_ms = run_ms
+        self.arrivals: list[Arrival] = []
+        self.changed: Callable[[Target], None] = lambda _: None
+        self._told_ms: dict[str, int] = {}
+
+    def entry(self) -> dict:
+        """Returns its entry in the platform's list."""
+        return {
+            "service": self.service,
+            "address": f"{self.target_id}:{PORT}",
+            "zone": "dc",
+            "state": "ready",
+            "born": 1,
+        }
+
+    def arrive(
+        self, instance: str, data: bytes
+    ) -> tuple[target_connection.Head, int]:
+        """Takes a request.
+
+        Returns:
+            Head of its answer, and the time that the request takes.
+        """
+        at_ms = virtual_loop.now_ms()
+        told_ms = self._told_ms.get(instance, at_ms)
+        told = at_ms - told_ms >= _TOLD_MS
+        self.arrivals.append(Arrival(at_ms, instance, told))
+        status, took_ms = self.run(data)
+        headers = [
+            (b"attempt-id", header(data, b"Attempt-Id")),
+            (b"response-seal", b"s"),
+            (b"content-length", b"0"),
+        ]
+        limit = self.limit(at_ms)
+        if limit is not None:
+            headers.append((b"server-limit", b"%f" % limit))
+        return target_connection.Head(status, tuple(headers)), took_ms
+
+    def run(self, _data: bytes) -> tuple[int, int]:
+        """Returns status and time of a request."""
+        return 200, self.run_ms
+
+    def note_told(self, instance: str) -> None:
+        """Takes in that an instance has passed on an answer with a limit."""
+        self._told_ms.setdefault(instance, virtual_loop.now_ms())
+
+    def forget_told(self, instance: str) -> None:
+        """Takes in that an instance begins anew, or has been cut off."""
+        self._told_ms.pop(instance, None)
+
+    def excess(self, named_ms: int) -> float:
+        """Returns by how much the worst window exceeds what is allowed.
+
+        Args:
+            named_ms: When the target first named its limit.
+        """
+        counted = [one.at_ms for one in self.arrivals if one.told]
+        worst = -float("inf")
+        for begin_ms in counted:
+            if begin_ms < named_ms + _CONTACT_MS:
+                continue
+            end_ms = begin_ms + _WINDOW_MS
+            limits = [self.limit(t) for t in range(begin_ms, end_ms, 100)]
+            if None in limits:
+                continue
+            number = sum(begin_ms <= at_ms < end_ms for at_ms in counted)
+            allowed = _RATIO * max(limits) * _WINDOW_MS / 1_000 + _SLACK
+            worst = max(worst, number - allowed)
+        return worst
+
+
+class Engine(Target):
+    """An engine that holds some models and has copies of others.
+
+    Args:
+        target_id: Name.
+        held: Models that it holds at the start.
+        copies: Models of which it has copies.
+        load_ms: Time to load a model.
+        limit: See ``Target``.
+    """
+
+    service = "engines"
+
+    def __init__(
+        self,
+        target_id: str,
+        held: Iterable[str],
+        copies: Iterable[str],
+        load_ms: int,
+        limit: Callable[[int], float | None] = lambda _: None,
+    ):
+        super().__init__(target_id, limit)
+        self._held = set(held)
+        self._copies = set(copies)
+        self._load_ms = load_ms
+        self._loading = ""
+        self._orders = 0
+
+    def entry(self) -> dict:
+        """Returns its entry in the platform's list."""
+        models = [
+            {"name": name, "version": 1, "adapters": []}
+            for name in sorted(self._held)
+        ]
+        at_hand = {"in_memory": [], "on_disk": sorted(self._copies)}
+        return {**super().entry(), "models": models, "at_hand": at_hand}
+
+    def run(self, data: bytes) -> tuple[int, int]:
+        """Returns status and time of a request."""
+        if header(data, b"Model").decode() not in self._held:
+            return _LACKS_STATUS, 0
+        return super().run(data)
+
+    def order(
+        self, order: model_orders.Order, sequence: int
+    ) -> order_progress.Result:
+        """Takes an order."""
+        if self._loading or sequence != self._orders:
+            return order_progress.Result.REFUSED
+        self._orders += 1
+        if order.verb is model_orders.Verb.UNLOAD:
+            self._held.discard(order.model)
+            self.changed(self)
+        else:
+            self._loading = order.model
+            loops.call_later(self._load_ms, self._loaded)
+        return order_progress.Result.ACCEPTED
+
+    def _loaded(self) -> None:
+        self._held.add(self._loading)
+        self._copies.add(self._loading)
+        self._loading = ""
+        self.changed(self)
+
+    def report(self) -> types.TargetReport:
+        """Returns its state."""
+        return engines.report(
+            self._held,
+            busy=bool(self._loading),
+            order_sequence=self._orders,
+            on_disk=frozenset(self._copies),
+        )
+
+
+def header(data: bytes, name: bytes) -> bytes:
+    """Returns the value of a header of a request."""
+    return data.partition(name + b": ")[2].partition(b"\r\n")[0]
--- a/tests/support/virtual_loop.py
+++ b/tests/support/virtual_loop.py
@@ -32,6 +32,11 @@
         return self._jumping.passed_s
 
 
+def now_ms() -> int:
+    """Returns the reading of the running loop's clock."""
+    return round(asyncio.get_running_loop().time() * 1_000)
+
+
 def run(work: Coroutine[Any, Any, Any]) -> Any:
     """Runs a coroutine to its end on a loop of its own."""
     with asyncio.Runner(
