Play permits of a limited target against an oracle; keep a late one's request waiting

Stateful fuzzing with frozen instances, lost views, changes of holder and limit; both planted flaws (late permits used, holders that begin with a full bucket) are seen. It found a request refused with a turn of 0 ms by a view that had been held up: such a view now only counts its permits as lost, and the answer to the next report tells who waits.

--- a/tanagerloft/decisions/target_permits.py
+++ b/tanagerloft/decisions/target_permits.py
@@ -214,11 +214,14 @@
         Args:
             grant: The answer.
             echoed_sequence: Number of the report that it answers.
-            lapsed: Whether it is too old for its permits to be used.
+            lapsed: Whether it is too old for its permits to be used; who
+                waits is told by the answer to the next report.
         """
         self._granted = max(self._granted, grant.granted)
-        if not lapsed:
-            self._admit()
+        if lapsed:
+            self._used = max(self._used, self._granted)
+            return
+        self._admit()
         self._used = max(self._used, self._granted)
         self._refuse(
             [
--- a/tests/decisions/test_target_limits.py
+++ b/tests/decisions/test_target_limits.py
@@ -54,3 +54,35 @@
     for number in range(5_000):
         limits.note(target_notices.Life(f"t{number}", 1), 1.0, 0, 10)
     assert limits.count() < 2_000
+
+
+def test_what_others_tell_is_the_same_notice_however_often_it_is_told():
+    here = target_limits.TargetLimits("here")
+    there = target_limits.TargetLimits("there")
+    here.note(_LIFE, 2.0, 0, 10)
+    assert there.on_told(here.told(20), 20) == [_LIFE]
+    # Held up on its way back, it does not become a later one.
+    assert not here.on_told(there.told(30), 5_000)
+    assert here.note(_LIFE, math.inf, 40, 50)
+    assert not here.on_told(there.told(60), 6_000)
+    assert _limit(here) == math.inf
+
+
+def test_the_end_of_a_limit_is_told_for_a_while():
+    here = target_limits.TargetLimits("here")
+    there = target_limits.TargetLimits("there")
+    here.note(_LIFE, 2.0, 0, 10)
+    there.on_told(here.told(20), 20)
+    here.note(_LIFE, math.inf, 30, 40)
+    assert there.on_told(here.told(50), 50) == [_LIFE]
+    assert _limit(there) == math.inf
+    assert here.told(10**6) == []
+
+
+def test_a_target_without_a_permit_is_closed_until_its_limit_changes():
+    limits = target_limits.TargetLimits()
+    limits.note(_LIFE, 2.0, 0, 10)
+    limits.close(_LIFE, 500)
+    assert limits.closed_ms(_LIFE, 100) == 400
+    limits.note(_LIFE, 5.0, 100, 110)
+    assert limits.closed_ms(_LIFE, 120) == 0
--- /dev/null
+++ b/tests/fuzz/test_target_permits.py
@@ -0,0 +1,208 @@
+"""Stateful fuzzing of permits for a target with a limit.
+
+Instances ask, report, miss views, freeze with a view on its way, restart and
+go on alone; holders follow each other. The oracle is what the target sees: its
+requests in any four seconds.
+"""
+
+import os
+from typing import NamedTuple
+
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from tanagerloft.decisions import target_permits
+from tests.fuzz import machines
+
+_EXAMPLES = int(os.environ.get("EXAMPLES", "100"))
+_NAMES = tuple("abcdefghi")
+_TARGET = "t/1"
+_SILENCE_MS = 150
+_WINDOW_MS = 4_000
+# What the users tolerate over any window.
+_RATIO = 1.5
+_SLACK = 5
+_names = strategies.sampled_from(_NAMES)
+_limits = strategies.sampled_from((0.0, 0.5, 1.0, 3.0, 20.0))
+
+
+class _OnItsWay(NamedTuple):
+    grant: target_permits.PermitGrant
+    sequence: int
+    asked_ms: int
+
+
+class PermitMachine(stateful.RuleBasedStateMachine):
+    """Nine instances, one holder at a time, one target."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 100_000
+        self.sequence = 0
+        self.limit_per_s = 1.0
+        self.limited_ms = self.now_ms
+        self.most_per_s = [(self.now_ms, 1.0)]
+        self.sent: list[int] = []
+        self.lives = dict.fromkeys(_NAMES, 0)
+        self.heard_ms = dict.fromkeys(_NAMES, self.now_ms)
+        self.held_up: dict[str, _OnItsWay] = {}
+        self.permits = {name: self._new(name) for name in _NAMES}
+        self.ledger = self._ledger()
+
+    def _new(self, name: str) -> target_permits.Permits:
+        phase = _NAMES.index(name) / len(_NAMES)
+        return target_permits.Permits(_SILENCE_MS, phase)
+
+    def _ledger(self) -> target_permits.PermitLedger:
+        ledger = target_permits.PermitLedger()
+        ledger.configure({_TARGET: self.limit_per_s}, self.now_ms)
+        return ledger
+
+    def _send(self) -> None:
+        self.sent.append(self.now_ms)
+        since_ms = self.now_ms - _WINDOW_MS
+        number = sum(at_ms > since_ms for at_ms in self.sent)
+        most = max(
+            limit
+            for until_ms, limit in [
+                *self.most_per_s,
+                (self.now_ms, self.limit_per_s),
+            ]
+            if until_ms > since_ms
+        )
+        assert number <= _RATIO * most * _WINDOW_MS / 1_000 + _SLACK
+
+    @stateful.rule(
+        delta_ms=strategies.sampled_from((1, 20, 100, 500, 2_000, 20_000))
+    )
+    def time_passes(self, delta_ms):
+        self.now_ms += delta_ms
+
+    @stateful.rule(limit_per_s=_limits)
+    def limit_changes(self, limit_per_s):
+        self.most_per_s.append((self.now_ms, self.limit_per_s))
+        self.limit_per_s = limit_per_s
+        self.ledger.configure({_TARGET: limit_per_s}, self.now_ms)
+
+    @stateful.rule(name=_names)
+    def asks(self, name):
+        def done(outcome: target_permits.Outcome) -> None:
+            if outcome.granted:
+                self._send()
+            else:
+                assert outcome.turn_ms > 0
+
+        self.permits[name].ask(self.sequence + 1, self.now_ms, done)
+
+    @stateful.rule(name=_names, fate=strategies.sampled_from((0, 0, 0, 1, 2)))
+    def reports(self, name, fate):
+        """The view arrives at once, is lost, or waits for a frozen instance."""
+        self.sequence += 1
+        permits = self.permits[name]
+        process = f"{name}/{self.lives[name]}"
+        need = permits.need()
+        grant = self.ledger.grant(process, _TARGET, need, self.now_ms)
+        if fate == 0:
+            self._hear(name, _OnItsWay(grant, self.sequence, self.now_ms))
+        elif fate == 1:
+            view = _OnItsWay(grant, self.sequence, self.now_ms)
+            self.held_up[name] = view
+
+    @stateful.rule(name=_names)
+    def thaws(self, name):
+        view = self.held_up.pop(name, None)
+        if view is not None:
+            self._hear(name, view)
+
+    def _hear(self, name: str, view: _OnItsWay) -> None:
+        self.heard_ms[name] = self.now_ms
+        age_ms = self.now_ms - view.asked_ms
+        lapsed = age_ms > target_permits.VALID_MS
+        self.permits[name].on_grant(view.grant, view.sequence, lapsed)
+
+    @stateful.rule(rounds=strategies.integers(1, 8))
+    def everyone_presses(self, rounds):
+        for _ in range(rounds):
+            for name in _NAMES:
+                self.asks(name)
+                self.reports(name, fate=0)
+            self.now_ms += 250
+
+    @stateful.rule(rounds=strategies.integers(1, 8))
+    def everyone_presses_without_a_holder(self, rounds):
+        for _ in range(rounds):
+            for name in _NAMES:
+                self.asks(name)
+            self.now_ms += _SILENCE_MS + 20
+            for name in _NAMES:
+                self.goes_on_alone(name)
+
+    @stateful.rule(name=_names)
+    def goes_on_alone(self, name):
+        if self.now_ms - self.heard_ms[name] > _SILENCE_MS:
+            self.permits[name].on_silence(
+                self.now_ms, self.limit_per_s, len(_NAMES)
+            )
+
+    @stateful.rule(name=_names)
+    def restarts(self, name):
+        # The users excuse a restart; what the process before sent stays.
+        self.permits[name] = self._new(name)
+        self.held_up.pop(name, None)
+        self.lives[name] += 1
+
+    @stateful.rule()
+    def holder_is_replaced(self):
+        self.ledger = self._ledger()
+
+
+class _KeepingMachine(PermitMachine):
+    """Flaw: a permit that came late is used all the same."""
+
+    def _hear(self, name: str, view: _OnItsWay) -> None:
+        self.heard_ms[name] = self.now_ms
+        self.permits[name].on_grant(view.grant, view.sequence, lapsed=False)
+
+
+class _FullMachine(PermitMachine):
+    """Flaw: each holder begins with what one second allows."""
+
+    def _ledger(self) -> target_permits.PermitLedger:
+        self.now_ms -= 2_000
+        ledger = super()._ledger()
+        self.now_ms += 2_000
+        return ledger
+
+
+def test_no_window_holds_more_than_a_target_takes():
+    machines.run(PermitMachine, _EXAMPLES, steps=50)
+
+
+def _play_late_views(machine: PermitMachine) -> None:
+    """Lets permits pile up on their way to instances that are frozen."""
+    for name in _NAMES:
+        machine.time_passes(2_000)
+        machine.asks(name)
+        machine.reports(name, fate=1)
+    for name in _NAMES:
+        machine.thaws(name)
+    machine.everyone_presses(14)
+
+
+def _play_takeovers(machine: PermitMachine) -> None:
+    """Lets holders follow each other while everyone presses."""
+    for _ in range(8):
+        machine.everyone_presses(1)
+        machine.holder_is_replaced()
+    machine.everyone_presses(4)
+
+
+@pytest.mark.parametrize(
+    ("play", "flawed"),
+    [(_play_late_views, _KeepingMachine), (_play_takeovers, _FullMachine)],
+)
+def test_the_oracle_sees_planted_flaws(play, flawed):
+    play(PermitMachine())
+    with pytest.raises(AssertionError):
+        play(flawed())
