Know a replaced notice of a limit again, however late it is told

A message that was held up told a limit that its target had taken back, with an age that made it look like the latest word. Whatever a later answer has replaced is now known by its identity and passed over.

--- a/tanagerloft/decisions/target_limits.py
+++ b/tanagerloft/decisions/target_limits.py
@@ -17,6 +17,9 @@
 
 # Lives whose limits are remembered, those heard of last.
 _MAX_REMEMBERED = 1_024
+# Answers that later ones have replaced: those of a second of a busy fleet. Told
+# again by a message that was held up, they would look like the latest.
+_MAX_OUTDATED = 4_096
 # Lives that others are told of, so that a message stays a datagram.
 _MAX_TOLD = 64
 # That a limit has ended is told on for so long: longer than instances are cut
@@ -80,6 +83,7 @@
         self._origin = origin
         self._answers = 0
         self._notices: dict[target_notices.Life, Notice] = {}
+        self._outdated: dict[str, None] = {}
         self._closed_until_ms: dict[target_notices.Life, int] = {}
         self.changes = 0
 
@@ -178,9 +182,15 @@
 
     def _take(self, life: target_notices.Life, said: Notice) -> bool:
         known = self._notices.get(life)
+        if said.origin in self._outdated:
+            return False
         notice = said if known is None else _later(known, said)
         if notice is known:
             return False
+        if known is not None:
+            bounded.put_newest(
+                self._outdated, known.origin, None, _MAX_OUTDATED
+            )
         bounded.put_newest(self._notices, life, notice, _MAX_REMEMBERED)
         before = math.inf if known is None else known.limit_per_s
         if before == notice.limit_per_s:
