Let a new holder count the tokens that instances have used alone

A holder that follows another one took what an instance tells that it was granted as counted already. What the instance had given itself while nobody answered was in that figure, and in no bucket: after a graceful stop, which hands on full buckets, an account could use more than is tolerated.

An instance now tells which tokens it has given itself since it last heard a holder, and a holder that does not know the instance takes them off its bucket once.

--- a/tanagerloft/decisions/account_tokens.py
+++ b/tanagerloft/decisions/account_tokens.py
@@ -58,6 +58,7 @@
         self._silence_ms = silence_ms
         self._used = 0.0
         self._granted = 0.0
+        self._alone = 0.0
         self._waiting: list[_Waiting] = []
         self._fallback_ms: int | None = None
 
@@ -101,7 +102,9 @@
     def need(self) -> token_grants.Need:
         """Returns what to tell the holder."""
         waiting = sum(item.cost_tokens for item in self._waiting)
-        return token_grants.Need(self._used + waiting, self._granted)
+        return token_grants.Need(
+            self._used + waiting, self._granted, self._alone
+        )
 
     def on_grant(
         self, grant: token_grants.Grant, echoed_seq: int, now_ms: int
@@ -109,6 +112,7 @@
         """Takes in an answer of the holder to report ``echoed_seq``."""
         self._granted = max(self._granted, grant.granted_tokens)
         self._fallback_ms = None
+        self._alone = 0.0
         self._admit()
         refused = [
             item for item in self._waiting if item.asked_seq <= echoed_seq
@@ -130,7 +134,9 @@
         self._fallback_ms = now_ms
         elapsed_ms = min(now_ms - since_ms, _MAX_ALONE_MS)
         # Reported to the next holder with the need, which then counts them.
-        self._granted += self.fallback_tokens_per_s * elapsed_ms / _MS_PER_S
+        tokens = self.fallback_tokens_per_s * elapsed_ms / _MS_PER_S
+        self._granted += tokens
+        self._alone += tokens
         self._admit()
         overdue = [
             item
--- a/tanagerloft/decisions/token_grants.py
+++ b/tanagerloft/decisions/token_grants.py
@@ -62,10 +62,13 @@
     Attributes:
         needed_tokens: Tokens used since its start, with those waited for.
         granted_tokens: Tokens granted to it since its start.
+        alone_tokens: Those of them that it has given itself since it last
+            heard a holder.
     """
 
     needed_tokens: float
     granted_tokens: float
+    alone_tokens: float = 0.0
 
 
 class Grant(NamedTuple):
@@ -194,7 +197,11 @@
             now_ms: Reading of the clock.
         """
         key = (process, account)
-        before = self._granted.get(key, need.granted_tokens)
+        before = self._granted.get(key)
+        if before is None:
+            # The holder before has not counted these.
+            before = need.granted_tokens
+            self._take(account, need.alone_tokens, now_ms)
         if need.granted_tokens > before:
             # The instance went on alone while it did not hear the holder.
             self._take(account, need.granted_tokens - before, now_ms)
--- a/tests/decisions/test_token_grants.py
+++ b/tests/decisions/test_token_grants.py
@@ -189,3 +189,13 @@
         ledger.grant("a", "acc", _need(20_000, 7_000), 0),
         token_grants.Withheld,
     )
+
+
+def test_a_new_holder_counts_what_an_instance_has_used_alone():
+    ledger = token_grants.GrantLedger({"acc": 500.0})
+    ledger.configure({"acc": token_grants.Limit(100.0, 1_000.0)}, 0)
+    alone = token_grants.Need(700.0, 400.0, alone_tokens=400.0)
+    for _ in range(2):
+        grant = ledger.grant("a", "acc", alone, 0)
+        assert isinstance(grant, token_grants.Grant)
+        assert grant.granted_tokens == 400.0 + 100.0
