--- a/tanagerloft/coordination/target_permits.py
+++ b/tanagerloft/coordination/target_permits.py
@@ -116,10 +116,14 @@
 
     def needs(self) -> list[Need]:
         """Returns what to tell the holder."""
-        return [
-            Need(*life, *permits.need())
+        needs = (
+            (life, permits.need())
             for life, permits in self._permits.items()
             if permits.waits
+        )
+        return [
+            Need(*life, need.needed_tokens, need.granted_tokens)
+            for life, need in needs
         ]
 
     def on_grants(
