Give no share of the repeats' slack before the number of instances is known

What targets saw: while no holder could be found, each instance repeated as if it were alone, nine of them together up to nine times the slack.

Cause: a number of instances that nobody has told counted as one.

--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -140,8 +140,8 @@
 
     @property
     def instances(self) -> int:
-        """Number of instances, 1 if no holder has told it."""
-        return max(1, self._told_instances)
+        """Number of instances, 0 if no holder has told it."""
+        return self._told_instances
 
     @property
     def report_pause_ms(self) -> int:
--- a/tanagerloft/decisions/retry_budget.py
+++ b/tanagerloft/decisions/retry_budget.py
@@ -35,9 +35,15 @@
         self._drop_old(now_ms)
 
     def take(self, instance_count: int, now_ms: int) -> bool:
-        """Takes a repeat if the budget allows it."""
+        """Takes a repeat if the budget allows it.
+
+        Args:
+            instance_count: Instances that share the slack, 0 if that is not
+                known: each would use all of it otherwise.
+            now_ms: Reading of the clock.
+        """
         self._drop_old(now_ms)
-        slack = self._slack / max(1, instance_count)
+        slack = self._slack / instance_count if instance_count else 0.0
         if now_ms - self._started_ms < self._window_ms:
             slack /= 2
         allowed = self._ratio * len(self._first) + slack
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -168,6 +168,8 @@
         failed = await self._reach()
         if failed is not None:
             return failed
+        if self._fleet.writes_fail:
+            return errors.StoreError(errors.StoreFailure.NOT_DONE, "refused")
         if self._fleet.rows.get((table, key), (0, None))[0] != expected_version:
             return errors.StoreError(errors.StoreFailure.CONFLICT, "newer")
         return self._fleet.put(table, key, value)
@@ -206,6 +208,7 @@
         rows: Rows of the store, each with its version, by table and key.
         version: Newest version of the store.
         store_down: Whether the store answers nobody.
+        writes_fail: Whether it refuses writes of instances.
         cut_off: Instances that reach neither the store nor other instances.
         loss: Share of the datagrams that get lost.
         replies: What callers got.
@@ -227,6 +230,7 @@
         self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
         self.version = 0
         self.store_down = False
+        self.writes_fail = False
         self.cut_off: set[str] = set()
         self.loss = 0.0
         self.replies: list[Reply] = []
