Keep the number of instances known while a new holder still counts them

A holder that has just taken over tells those who report first that they are alone, for a tenth of a second or more: their shares of rates, of the repeats' slack and of targets' limits were then those of the whole fleet.

--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -35,6 +35,8 @@
 _SILENCE_MS = 150
 # Uses of a model are told for this long: the holder hears several reports.
 _USE_TOLD_MS = 2_000
+# A new holder has heard all instances that live after this time.
+_COUNTING_MS = 2_000
 # Reports whose time of sending is kept, to date the answers.
 _SENT_KEPT = 200
 
@@ -105,6 +107,7 @@
         self.struggling = False
         self._models_seen = (0, 0)
         self._told_instances = 0
+        self._counted_from_ms = 0
         self._model_times = model_times.ModelTimes(lease, now_ms)
         self.loopback: Callable[[messages.Report], None] | None = None
 
@@ -253,8 +256,7 @@
         self._token = view.token
         self._heard_sequence = view.sequence
         self._model_times.on_told(view.later_ms)
-        self._told_instances = view.instances
-        self._accounts.share(view.instances)
+        self._count_instances(view.instances, fresh_term, now_ms)
         self._barred = frozenset(view.barred)
         self._directory.answers.notices.on_hints(
             frozenset(
@@ -275,6 +277,17 @@
         if changed:
             self._changed()
 
+    def _count_instances(
+        self, instances: int, fresh_term: bool, now_ms: int
+    ) -> None:
+        """Takes in a count of instances, to which a new holder comes slowly."""
+        if fresh_term:
+            self._counted_from_ms = now_ms + _COUNTING_MS
+        if now_ms < self._counted_from_ms:
+            instances = max(instances, self._told_instances)
+        self._told_instances = instances
+        self._accounts.share(instances)
+
     def _take_proof(self, view: messages.View, now_ms: int) -> None:
         proof = view.proof
         self.struggling = proof.struggling
--- a/tests/coordination/test_fleet_link.py
+++ b/tests/coordination/test_fleet_link.py
@@ -57,3 +57,19 @@
     assert link.model_later_ms("other") == 500 + 3_000 + 400
     now_ms += 1_500
     assert link.model_later_ms("under way") == 2_400
+
+
+def test_a_new_holder_that_has_heard_few_does_not_make_shares_larger():
+    now_ms = 10_000
+    lease = order_lease.OrderLease("a", "1", "a:1", 1_500, 3_000)
+    directory = targets.TargetDirectory(lambda *_: None, lambda: now_ms, "dc")
+    link = _link(lease, directory, lambda: now_ms)
+    link.on_view(engines.view(token=1, instances=9))
+    now_ms += 5_000
+    link.on_view(engines.view(token=2, sequence=2, instances=1))
+    assert link.instances == 9
+    link.on_view(engines.view(token=2, sequence=3, instances=12))
+    assert link.instances == 12
+    now_ms += 2_000
+    link.on_view(engines.view(token=2, sequence=4, instances=5))
+    assert link.instances == 5
