--- a/tanagerloft/coordination/target_answers.py
+++ b/tanagerloft/coordination/target_answers.py
@@ -95,7 +95,7 @@
         limit_per_s: float,
         sent_ms: int,
         misdirected: bool,
-    ) -> None:
+    ) -> bool:
         """Remembers how many requests a second a target takes.
 
         Args:
@@ -103,11 +103,19 @@
             limit_per_s: Requests a second, infinite if it names no limit.
             sent_ms: When the request was sent.
             misdirected: Whether another target may have answered.
+
+        Returns:
+            Whether others should hear of it soon.
         """
         now_ms = self._now_ms()
-        for life in self._answering(entry, misdirected):
-            if self.limits.note(life, limit_per_s, sent_ms, now_ms):
-                self._log_limit(life, "answer")
+        changed = [
+            life
+            for life in self._answering(entry, misdirected)
+            if self.limits.note(life, limit_per_s, sent_ms, now_ms)
+        ]
+        for life in changed:
+            self._log_limit(life, "answer")
+        return bool(changed)
 
     def on_told_limits(self, told: Iterable[target_limits.Told]) -> bool:
         """Takes in what another instance knows of limits.
--- a/tanagerloft/gateway/attempt.py
+++ b/tanagerloft/gateway/attempt.py
@@ -144,10 +144,10 @@
             answers.note_leaving(self.target, misdirected=mark.lacks)
         if mark.back_off_ms:
             answers.note_back_off(self.target, mark.back_off_ms)
-        if mark.limit_per_s is not None:
-            answers.note_limit(
-                self.target, mark.limit_per_s, self._sent_ms, mark.lacks
-            )
+        if mark.limit_per_s is not None and answers.note_limit(
+            self.target, mark.limit_per_s, self._sent_ms, mark.lacks
+        ):
+            self._parts.report_soon()
         self._mark = mark
         self._status = head.status
         self._body = []
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -111,6 +111,20 @@
     assert set(late) == {200}
 
 
+def test_a_limit_that_falls_is_kept_to_within_a_moment():
+    def limit(at_ms: int) -> float | None:
+        if at_ms < _NAMED_MS:
+            return None
+        return 50 if at_ms < 12_000 else 1
+
+    target = gateway_targets.Target("t1", limit)
+    fleet = gateway_fleet.GatewayFleet(30, [target], seed=1)
+    _play(fleet, lambda _: fleet.press(150, 20_000))
+    assert target.excess(_NAMED_MS) <= 0
+    # Answers take 60 ms, then the holder hears, then the others.
+    assert _arrived(target, 12_000, 16_000) <= 1.5 * 4 + 5 + 0.3 * 50
+
+
 async def _trouble(
     fleet: gateway_fleet.GatewayFleet, names: list[str], seed: int
 ) -> None:
@@ -118,12 +132,16 @@
     chance = random.Random(seed)
     for _ in range(8):
         await loops.sleep(chance.uniform(500, 3_000))
-        kind = chance.choice(("kill", "holder", "store", "cut", "loss"))
+        kind = chance.choice(
+            ("kill", "holder", "store", "cut", "loss", "delay")
+        )
         name = chance.choice(names)
         if kind == "store":
             fleet.store_down = not fleet.store_down
         elif kind == "loss":
             fleet.loss = chance.choice((0.0, 0.1, 0.5))
+        elif kind == "delay":
+            fleet.delay_ms = chance.choice((0, 100, 2_000))
         elif kind == "cut":
             fleet.cut_off ^= {name}
         else:
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -211,6 +211,7 @@
         writes_fail: Whether it refuses writes of instances.
         cut_off: Instances that reach neither the store nor other instances.
         loss: Share of the datagrams that get lost.
+        delay_ms: Time by which datagrams are late, at most.
         replies: What callers got.
     """
 
@@ -233,6 +234,7 @@
         self.writes_fail = False
         self.cut_off: set[str] = set()
         self.loss = 0.0
+        self.delay_ms = 0.0
         self.replies: list[Reply] = []
         self._config = users_platform.configuration(**config_changes)
 
@@ -247,7 +249,8 @@
         apart = sender in self.cut_off or receiver in self.cut_off
         if apart or self._random.random() < self.loss:
             return
-        loops.call_later(_WAY_MS, lambda: self._deliver(sender, data, receiver))
+        way_ms = _WAY_MS + self._random.uniform(0, self.delay_ms)
+        loops.call_later(way_ms, lambda: self._deliver(sender, data, receiver))
 
     def _deliver(self, sender: str, data: bytes, receiver: str) -> None:
         socket = self._sockets.get(receiver)
