--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -11,6 +11,7 @@
 from tanagerloft.coordination import model_times
 from tanagerloft.coordination import target_permits
 from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.coordination import use_counts
 from tanagerloft.decisions import account_tokens
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import order_lease
@@ -33,8 +34,6 @@
 _REPEAT_MS = 20
 # Without the holder for this long, an instance uses its share of limits.
 _SILENCE_MS = 150
-# Uses of a model are told for this long: the holder hears several reports.
-_USE_TOLD_MS = 2_000
 # A new holder has heard all instances that live after this time.
 _COUNTING_MS = 2_000
 # Reports whose time of sending is kept, to date the answers.
@@ -90,7 +89,6 @@
         self._barred: frozenset[str] = frozenset()
         self._sequence = 0
         self._sent_ms: dict[int, int] = {}
-        self._used_ms: dict[str, int] = {}
         self._accounts = account_needs.AccountNeeds(_SILENCE_MS)
         self.permits = target_permits.TargetPermits(
             instance,
@@ -100,7 +98,7 @@
             lambda: self._sequence + 1,
             self.report_soon,
         )
-        self._used: dict[str, int] = {}
+        self._uses = use_counts.UseCounts()
         self._soon: asyncio.TimerHandle | None = None
         self._heard_sequence = 0
         self._token = 0
@@ -175,8 +173,7 @@
 
     def note_use(self, subject: str) -> None:
         """Counts a request for a model."""
-        self._used[subject] = self._used.get(subject, 0) + 1
-        self._used_ms[subject] = self._now_ms()
+        self._uses.note(subject, self._now_ms())
 
     def report_soon(self) -> None:
         """Sends a report within a millisecond."""
@@ -221,7 +218,7 @@
             },
             prefilling=dict(self._directory.prefilling),
             waited=self._waited(),
-            used=self._recently_used(now_ms),
+            used=self._uses.recent(now_ms),
             leaving=leaving,
             reads_store=self._reads_store(),
             models_seen=self._models_seen,
@@ -240,13 +237,6 @@
             host, _, port = term.address.rpartition(":")
             self._send(messages.encode(report), (host, int(port)))
 
-    def _recently_used(self, now_ms: int) -> dict[str, int]:
-        oldest_ms = now_ms - _USE_TOLD_MS
-        for subject, at_ms in list(self._used_ms.items()):
-            if at_ms < oldest_ms:
-                del self._used_ms[subject]
-        return {subject: self._used[subject] for subject in self._used_ms}
-
     def on_view(self, view: messages.View) -> None:
         """Takes in a view of the holder."""
         if view.token < self._token or view.sequence < self._heard_sequence:
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable
 import logging
-from typing import NamedTuple
 
 from tanagerloft.coordination import account_grants
 from tanagerloft.coordination import engine_keeper
 from tanagerloft.coordination import fleet_loads
+from tanagerloft.coordination import heard_reports
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import model_marks
 from tanagerloft.coordination import target_permits
@@ -26,24 +26,12 @@
 # Time between plans when nothing happens, and the least time between two.
 _PLAN_MS = 100
 _PLAN_PAUSE_MS = 15
-# An instance that has not reported for this long counts no more.
-_REPORT_MAX_AGE_MS = 2_000
-# Least time between two counts of the instances, and two looks for changes of
-# what engines hold.
-_COUNT_MS = 100
+# Least time between two looks for changes of what engines hold.
 _MARK_MS = 5
 # Leaving targets that are told on, the newest; the list tells of them within
 # seconds.
 _MAX_LEAVING = 32
 
-Reply = Callable[[messages.View], None]
-
-
-class _Heard(NamedTuple):
-    report: messages.Report
-    at_ms: int
-    reply: Reply
-
 
 class Holder:
     """Answers reports and lets engines be planned while the lease holds.
@@ -82,7 +70,7 @@
         self._permits = target_permits.TargetGrants(
             lease, directory.answers.limits, now_ms
         )
-        self._heard: dict[str, _Heard] = {}
+        self._heard = heard_reports.HeardReports()
         self._loads = fleet_loads.FleetLoads()
         self._crashes = crash_quarantine.CrashLedger()
         self._marks = model_marks.ModelMarks()
@@ -90,8 +78,6 @@
         self._arrived: set[tuple[str, str]] = set()
         self._leaving_targets: dict[str, int] = {}
         self._begun_token = 0
-        self._count = 0
-        self._counted_ms = 0
         self._renew_soon: Callable[[], None] = lambda: None
         self._configuration: types.Configuration | None = None
         self._wake = engines.changed
@@ -106,7 +92,9 @@
         self._engines.configure(configuration)
         self._grants.configure(configuration)
 
-    def on_report(self, report: messages.Report, reply: Reply) -> None:
+    def on_report(
+        self, report: messages.Report, reply: heard_reports.Reply
+    ) -> None:
         """Takes in a report, and answers it if the lease holds.
 
         Args:
@@ -130,7 +118,7 @@
             )
             reply(self._last_view(report, now_ms))
             return
-        heard = self._heard.get(report.instance)
+        heard = self._heard.by_instance.get(report.instance)
         if heard is None:
             pass
         elif heard.report.incarnation != report.incarnation:
@@ -179,16 +167,18 @@
             self._engines.inherit(
                 self._lease.inherited_learnt, self._lease.inherited_ms
             )
-        waiting = self._grants.withheld_from & self._heard.keys()
+        waiting = self._grants.withheld_from & self._heard.by_instance.keys()
         self._grants.withheld_from.clear()
         now_ms = self._now_ms()
         for instance in waiting:
-            heard = self._heard[instance]
+            heard = self._heard.by_instance[instance]
             if self._lease.leads(now_ms):
                 heard.reply(self._granting_view(heard.report, now_ms))
 
-    def _take(self, report: messages.Report, reply: Reply, now_ms: int) -> None:
-        self._heard[report.instance] = _Heard(report, now_ms, reply)
+    def _take(
+        self, report: messages.Report, reply: heard_reports.Reply, now_ms: int
+    ) -> None:
+        self._heard.put(report, reply, now_ms)
         self._loads.put(report)
         self._crashes.put(_process(report), report.crashes, now_ms)
         self._directory.answers.on_told_limits(report.limits)
@@ -198,7 +188,6 @@
                     self._leaving_targets, target_id, born_ms, _MAX_LEAVING
                 )
         if report.leaving:
-            del self._heard[report.instance]
             self._loads.remove(report.instance)
         self._engines.usage.note_counts(report.instance, report.used, now_ms)
         if report.leaving:
@@ -222,7 +211,7 @@
             self._drop_silent(now_ms)
             self._engines.follow(now_ms)
             self._tell_arrivals(now_ms)
-            reports = [heard.report for heard in self._live(now_ms)]
+            reports = [heard.report for heard in self._heard.live(now_ms)]
             self._engines.plan(reports, self._loads, now_ms)
 
     def _tell_arrivals(self, now_ms: int) -> None:
@@ -234,7 +223,7 @@
         arrived, self._arrived = self._arrived, set()
         if not arrived:
             return
-        for heard in self._live(now_ms):
+        for heard in self._heard.live(now_ms):
             waited = heard.report.waited
             if any((item.model, item.adapter) in arrived for item in waited):
                 heard.reply(self._view(heard.report, now_ms))
@@ -259,7 +248,7 @@
             holder=self._name,
             token=self._lease.term.token if self._lease.term else 0,
             sequence=report.sequence,
-            instances=self._live_count(now_ms),
+            instances=self._heard.live_count(now_ms),
             grants={},
             in_flight=self._loads.others_in_flight(report.instance),
             prefilling=self._loads.others_prefilling(report.instance),
@@ -287,23 +276,9 @@
         )
 
     def _drop_silent(self, now_ms: int) -> None:
-        """Forgets instances that have not reported for a while."""
-        oldest_ms = now_ms - _REPORT_MAX_AGE_MS
-        for instance, heard in list(self._heard.items()):
-            if heard.at_ms < oldest_ms:
-                self._loads.remove(instance)
-
-    def _live_count(self, now_ms: int) -> int:
-        if now_ms - self._counted_ms >= _COUNT_MS:
-            self._counted_ms = now_ms
-            self._count = len(self._live(now_ms))
-        return max(1, self._count)
-
-    def _live(self, now_ms: int) -> list[_Heard]:
-        oldest_ms = now_ms - _REPORT_MAX_AGE_MS
-        return [
-            heard for heard in self._heard.values() if heard.at_ms >= oldest_ms
-        ]
+        """Takes the loads of instances that report no more off the sums."""
+        for instance in self._heard.silent(now_ms):
+            self._loads.remove(instance)
 
     def _update_marks(self, now_ms: int) -> None:
         if now_ms - self._marked_ms >= _MARK_MS:
