Ask for no permit while the target wants no requests of this instance

A target that named a limit and wanted no requests for a time was asked for in a circle: the permit was granted, could not be used, and was asked for anew, 89 permits for 18 requests in the new test, which other instances lacked.

Found by reading the change. A pause now says whether a permit is all that its target lacks. A permit's time goes with the send that it was for; requests that wait for a model look for pauses only while some target may have one.

--- a/tanagerloft/coordination/target_answers.py
+++ b/tanagerloft/coordination/target_answers.py
@@ -52,12 +52,15 @@
         """Returns whether a request to a target needs a permit."""
         return math.isfinite(self.limit_per_s(entry))
 
-    def opens_in_ms(self, entry: types.TargetEntry) -> int:
-        """Returns the time until a target may take a request, 0 for now."""
-        life, now_ms = life_of(entry), self._now_ms()
-        return max(
-            self.notices.back_off_ms(life, now_ms),
-            self.limits.closed_ms(life, now_ms),
+    @property
+    def any_pauses(self) -> bool:
+        """Whether any target may take no requests now, but for its leaving."""
+        return self.notices.backs_off or bool(self.limits.count())
+
+    def takes_now(self, life: target_notices.Life, now_ms: int) -> bool:
+        """Returns whether a target may be sent a request, or asked for one."""
+        return self.notices.takes(life, now_ms) and not self.limits.closed_ms(
+            life, now_ms
         )
 
     def close(self, entry: types.TargetEntry, for_ms: int) -> None:
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -37,10 +37,12 @@
     Attributes:
         left_ms: Time until it may take one.
         target: The target.
+        lacks_permit: Whether all that it takes is a permit.
     """
 
     left_ms: int
     target: types.TargetEntry
+    lacks_permit: bool
 
 
 class TargetDirectory:
@@ -141,9 +143,7 @@
             if not self._could_take(entry, service, model, adapter, now_ms):
                 continue
             life = target_answers.life_of(entry)
-            if self.answers.notices.leaves(life):
-                continue
-            if self.answers.opens_in_ms(entry):
+            if not self.answers.takes_now(life, now_ms):
                 continue
             load: float = self._load(entry.target_id)
             load += self.prefill_tokens(entry.target_id) / _TOKENS_PER_LOAD
@@ -166,13 +166,20 @@
             The pause of the target that ends it first, None if there is no
             such target.
         """
+        if not self.answers.any_pauses:
+            return None
         now_ms = self._now_ms()
-        pauses = [
-            Pause(self.answers.opens_in_ms(entry), entry)
-            for entry in self.entries.values()
-            if self._could_take(entry, service, model, adapter, now_ms)
-            and not self.answers.notices.leaves(target_answers.life_of(entry))
-        ]
+        notices, limits = self.answers.notices, self.answers.limits
+        pauses = []
+        for entry in self.entries.values():
+            life = target_answers.life_of(entry)
+            fits = self._could_take(entry, service, model, adapter, now_ms)
+            if not fits or notices.leaves(life):
+                continue
+            back_off_ms = notices.back_off_ms(life, now_ms)
+            left_ms = max(back_off_ms, limits.closed_ms(life, now_ms))
+            lacks_permit = not back_off_ms and self.answers.is_limited(entry)
+            pauses.append(Pause(left_ms, entry, lacks_permit))
         return min(
             pauses,
             default=None,
--- a/tanagerloft/decisions/target_limits.py
+++ b/tanagerloft/decisions/target_limits.py
@@ -85,6 +85,7 @@
         self._notices: dict[target_notices.Life, Notice] = {}
         self._outdated: dict[str, None] = {}
         self._closed_until_ms: dict[target_notices.Life, int] = {}
+        self._limited = 0
         self.changes = 0
 
     def note(
@@ -165,7 +166,7 @@
 
     def count(self) -> int:
         """Returns the number of targets with a limit."""
-        return len(self.in_force())
+        return self._limited
 
     def close(self, life: target_notices.Life, until_ms: int) -> None:
         """Takes in that there is no permit for a target until then."""
@@ -192,6 +193,7 @@
                 self._outdated, known.origin, None, _MAX_OUTDATED
             )
         bounded.put_newest(self._notices, life, notice, _MAX_REMEMBERED)
+        self._limited = len(self.in_force())
         before = math.inf if known is None else known.limit_per_s
         if before == notice.limit_per_s:
             return False
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -139,6 +139,7 @@
         permits.ask(life, decided)
 
     def _send(self, target: types.TargetEntry) -> None:
+        permit_ms, self._permit_ms = self._permit_ms, None
         self._attempt = attempt_lib.Attempt(
             self._parts,
             self.context,
@@ -146,7 +147,7 @@
             self._stream,
             self,
             repeats=self.history.sends > 0,
-            permit_ms=self._permit_ms,
+            permit_ms=permit_ms,
         )
         self._attempt.start()
 
--- a/tanagerloft/gateway/placing.py
+++ b/tanagerloft/gateway/placing.py
@@ -130,7 +130,7 @@
     def _paused(self, pause: targets_lib.Pause, now_ms: int) -> Place:
         """Waits for the first target that fits, or refuses the request."""
         left_ms, refusal = pause.left_ms, errors.TARGETS_BACK_OFF
-        if self._parts.directory.answers.is_limited(pause.target):
+        if pause.lacks_permit:
             if self._turn_ms is None or now_ms >= self._turn_ms:
                 return NeedsPermit(pause.target)
             left_ms = self._turn_ms - now_ms
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -111,6 +111,34 @@
     assert set(late) == {200}
 
 
+class _Shedding(gateway_targets.Target):
+    """Names a limit, and wants no requests for a time all the same."""
+
+    def run(self, _data: bytes) -> tuple[int, int]:
+        if virtual_loop.now_ms() < _NAMED_MS:
+            return 200, self.run_ms
+        return 503, 0
+
+    def more_headers(self, status: int) -> list[tuple[bytes, bytes]]:
+        if status == 200:
+            return []
+        return [(b"not-executed", b"1"), (b"retry-after", b"2")]
+
+
+def test_no_permit_is_asked_for_while_its_target_wants_no_requests(caplog):
+    target = _Shedding("t1", _naming(5))
+    fleet = gateway_fleet.GatewayFleet(2, [target], seed=1)
+    with caplog.at_level("INFO"):
+        _play(fleet, lambda _: fleet.press(30, 20_000))
+    granted = [
+        record
+        for record in caplog.records
+        if record.getMessage() == "permit asked for" and record.granted
+    ]
+    assert len(granted) > 10
+    assert len(granted) <= _arrived(target, _NAMED_MS, 23_000)
+
+
 def test_a_limit_that_falls_is_kept_to_within_a_moment():
     def limit(at_ms: int) -> float | None:
         if at_ms < _NAMED_MS:
--- a/tests/support/gateway_targets.py
+++ b/tests/support/gateway_targets.py
@@ -85,11 +85,16 @@
             (b"response-seal", b"s"),
             (b"content-length", b"0"),
         ]
+        headers += self.more_headers(status)
         limit = self.limit(at_ms)
         if limit is not None:
             headers.append((b"server-limit", b"%f" % limit))
         return target_connection.Head(status, tuple(headers)), took_ms
 
+    def more_headers(self, _status: int) -> list[tuple[bytes, bytes]]:
+        """Returns what else the head of an answer holds."""
+        return []
+
     def run(self, _data: bytes) -> tuple[int, int]:
         """Returns status and time of a request."""
         return 200, self.run_ms
