--- a/tests/support/gateway_targets.py
+++ b/tests/support/gateway_targets.py
@@ -31,6 +31,7 @@
     at_ms: int
     instance: str
     told: bool
+    subject: str
 
 
 class Target:
@@ -56,6 +57,7 @@
         self.arrivals: list[Arrival] = []
         self.changed: Callable[[Target], None] = lambda _: None
         self._told_ms: dict[str, int] = {}
+        self._state = "ready"
 
     def entry(self) -> dict:
         """Returns its entry in the platform's list."""
@@ -63,7 +65,7 @@
             "service": self.service,
             "address": f"{self.target_id}:{PORT}",
             "zone": "dc",
-            "state": "ready",
+            "state": self._state,
             "born": 1,
         }
 
@@ -78,7 +80,8 @@
         at_ms = virtual_loop.now_ms()
         told_ms = self._told_ms.get(instance, at_ms)
         told = at_ms - told_ms >= _TOLD_MS
-        self.arrivals.append(Arrival(at_ms, instance, told))
+        model = header(data, b"Model").decode()
+        self.arrivals.append(Arrival(at_ms, instance, told, model))
         status, took_ms = self.run(data)
         headers = [
             (b"attempt-id", header(data, b"Attempt-Id")),
@@ -99,6 +102,11 @@
         """Returns status and time of a request."""
         return 200, self.run_ms
 
+    def leave(self) -> None:
+        """Says in the platform's list that it leaves."""
+        self._state = "draining"
+        self.changed(self)
+
     def note_told(self, instance: str) -> None:
         """Takes in that an instance has passed on an answer with a limit."""
         self._told_ms.setdefault(instance, virtual_loop.now_ms())
