Expect a model that waits in vain for room to wait as long again

Its only copy was on an engine whose models were all in use; whenever one of them was dropped for it, the room was too small still, and went to a smaller model.

Cause: the time until such an engine has room was a constant of 2 s, however long that had not come true. It now is at least as long as the model has been missed, so callers are told a later time, and another engine loads it from the store once that is sooner.

--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -322,6 +322,27 @@
     assert planned.orders == [drop]
 
 
+def test_a_model_that_waits_in_vain_for_room_is_loaded_elsewhere():
+    """Seen on gcd-vigia-grown, scale-2: promised in 2.6 s, for 12 s."""
+    full = _engine(
+        "a",
+        ["m1", "m2", "m3"],
+        running={"m1": 1, "m2": 1, "m3": 1},
+        copies=_on_disk("m4"),
+    )
+    other = _engine("b", copies=_on_disk("m0"))
+    plans = []
+    for since_ms in (1_000, 7_000):
+        missed = {"m4": model_orders.Missed(30.0, _NOW_MS - since_ms)}
+        plans.append(_plan([full, other], [], _usage(missed=missed), count=5))
+    early, late = plans
+    assert not early.orders
+    assert late.orders == [
+        model_orders.Order(model_orders.Verb.LOAD, "b", "m4")
+    ]
+    assert late.later_ms["m4"] >= 6_000
+
+
 def test_the_store_serves_models_without_a_copy_first():
     # Seen on gcd-vigia-grown: copies on an engine that loaded for half a minute
     # made their models go before those that no engine has.
