Count the adapters of a model whose unload was refused, or waits for runs

Cause: an unload took the model and its adapters off the account when it was sent, and a refusal put the model back without them, so adapters were loaded beyond the engine's places until a report told. Adapters can also be loaded while an unload still waits for runs; what it drops now counts for them until a report, or the next accepted order for a model, shows that it is over.

--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -280,7 +280,11 @@
         shapes = self._models(entry.service)
         room = self._room(entry.service)
         if orders.busy(now_ms) or not model_orders.fits(
-            orders.held(), order, shapes, room.memory_mb, room.max_adapters
+            orders.held_for(order),
+            order,
+            shapes,
+            room.memory_mb,
+            room.max_adapters,
         ):
             return
         takes_ms = 0.0
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -100,6 +100,16 @@
             held.setdefault(self._pending.order.model, frozenset())
         return held
 
+    def held_for(self, order: model_orders.Order) -> held_models.Models:
+        """Returns what may take memory when an order is carried out.
+
+        One for a model is carried out only after those before it.
+        """
+        held = self.held()
+        if not order.adapter:
+            return held
+        return {**self._held.with_unloading(), **held}
+
     def busy(self, now_ms: int) -> bool:
         """Returns whether no order can be given now."""
         return (
@@ -218,6 +228,7 @@
         if result is progress.Result.ACCEPTED:
             self._busy_ms = _BUSY_MS
             self._sequence = max(self._sequence, pending.expected + 1)
+            self._held.end_unloads(order.model)
             self._soonest_ms = now_ms + pending.takes_ms
             self._pending = pending._replace(
                 phase=progress.Phase.ACCEPTED, due_ms=self._soonest_ms
@@ -293,7 +304,7 @@
         if pending.is_over(report, self._sequence, seen_ms):
             self._pending = None
         elif not pending.loads:
-            self._held.remove(pending.order.model)
+            self._held.unload(pending.order.model)
 
     def _done(self, pending: progress.Pending) -> None:
         self._pending = None
@@ -312,7 +323,7 @@
         self._pending = None
         self._verify = True
         if not pending.loads:
-            self._held.add(pending.order.model)
+            self._held.keep(pending.order.model)
         if pending.repeated:
             # The first one may have been accepted.
             self._blocked = True
--- a/tests/fuzz/test_engine_orders.py
+++ b/tests/fuzz/test_engine_orders.py
@@ -179,7 +179,7 @@
     def gives(self, order, fate, slow):
         orders = self.orders
         if orders.busy(self.now_ms) or not model_orders.fits(
-            orders.held(), order, _MODELS, _ROOM_MB, _MAX_ADAPTERS
+            orders.held_for(order), order, _MODELS, _ROOM_MB, _MAX_ADAPTERS
         ):
             return
         held = orders.held().get(order.model)
@@ -216,7 +216,7 @@
 class _ForgetfulOrders(engine_orders.EngineOrders):
     """Flaw: what an order loads is not counted before a report shows it."""
 
-    def held(self):
+    def held_for(self, _order):
         return {}
 
 
@@ -232,6 +232,36 @@
             machine.an_answer_arrives()
 
 
+def test_adapters_of_a_model_that_is_not_dropped_after_all_still_count():
+    """Seen on gcd-vigia-grown: an engine got one adapter more than it takes."""
+    machine = OrdersMachine()
+
+    def gives(verb, model, adapter="", slow=False):
+        order = model_orders.Order(verb, "e", model, adapter)
+        machine.gives(order, "answered", slow)
+        if machine.answers:
+            machine.an_answer_arrives()
+
+    load, unload = model_orders.Verb.LOAD, model_orders.Verb.UNLOAD
+    for name in ("m1", "m2"):
+        machine.time_passes(1_500)
+        machine.time_passes(310)
+        machine.report_arrives(0)
+        gives(load, name)
+    machine.time_passes(1_500)
+    machine.time_passes(310)
+    machine.report_arrives(0)
+    for adapter in ("a1", "a2"):
+        gives(load, "m2", adapter)
+    # The engine is busy with the first when the second one comes.
+    gives(unload, "m1", slow=True)
+    machine.time_passes(10)
+    gives(unload, "m2")
+    machine.time_passes(310)
+    gives(load, "m2", "a3")
+    assert machine.engine.state.held == {"m2": frozenset(("a1", "a2"))}
+
+
 def test_the_oracle_sees_a_planted_flaw():
     _play_loads(OrdersMachine())
     flawed = OrdersMachine()
