Go on alone also while a holder that has given up still answers

A holder that gave its lease up answers reports for up to a second and a half, and grants nothing. Who waited for a permit, or for tokens, was left waiting: the holder was not silent. Found by reading; tests/coordination/ test_fleet_link.py fails on the commit before (no outcome within a second).

--- a/tanagerloft/coordination/fleet_link.py
+++ b/tanagerloft/coordination/fleet_link.py
@@ -103,6 +103,7 @@
         self._heard_sequence = 0
         self._token = 0
         self.struggling = False
+        self._given_up = False
         self._models_seen = (0, 0)
         self._told_instances = 0
         self._counted_from_ms = 0
@@ -187,7 +188,7 @@
             if not urgent or self._heard_sequence < self._sequence:
                 self.report()
             now_ms = self._now_ms()
-            if now_ms - self.heard_ms > _SILENCE_MS:
+            if self._given_up or now_ms - self.heard_ms > _SILENCE_MS:
                 self._accounts.on_silence(now_ms)
                 self.permits.on_silence(self._told_instances)
             if self._model_times.holder_is_lost(self.report_pause_ms):
@@ -281,6 +282,8 @@
     def _take_proof(self, view: messages.View, now_ms: int) -> None:
         proof = view.proof
         self.struggling = proof.struggling
+        # Such a holder answers on for a while, and grants nothing.
+        self._given_up = proof.given_up
         asked_ms = self._sent_ms.get(view.sequence)
         if view.holder == self._instance or asked_ms is None:
             return
--- a/tests/coordination/test_fleet_link.py
+++ b/tests/coordination/test_fleet_link.py
@@ -1,11 +1,16 @@
 """Reports of an instance."""
 
+import asyncio
+
 from tanagerloft.coordination import fleet_link
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import targets
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import target_notices
+from tanagerloft.util import loops
 from tests.support import engines
+from tests.support import virtual_loop
 
 
 def _link(lease, directory, now_ms) -> fleet_link.FleetLink:
@@ -73,3 +78,25 @@
     now_ms += 2_000
     link.on_view(engines.view(token=2, sequence=4, instances=5))
     assert link.instances == 5
+
+
+def test_who_waits_for_a_permit_is_not_left_to_a_holder_that_has_given_up():
+    outcomes = []
+
+    async def play():
+        now_ms = virtual_loop.now_ms
+        lease = order_lease.OrderLease("a", "1", "a:1", 1_500, 3_000)
+        directory = targets.TargetDirectory(lambda *_: None, now_ms, "dc")
+        link = _link(lease, directory, now_ms)
+        life = target_notices.Life("t", 1)
+        directory.answers.limits.note(life, 1.0, 0, 1)
+        following = asyncio.ensure_future(link.follow())
+        proof = engines.view().proof._replace(given_up=True)
+        link.permits.ask(life, outcomes.append)
+        for sequence in range(1, 20):
+            link.on_view(engines.view(sequence=sequence, proof=proof))
+            await loops.sleep(50)
+        following.cancel()
+
+    virtual_loop.run(play())
+    assert len(outcomes) == 1
