--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -61,8 +61,6 @@
         now_ms: int,
     ):
         self._models = models
-        self._missed = usage.missed
-        self._now_ms = now_ms
         self.victims = victims.Victims(
             usage, wanted, now_ms, lambda model: len(self.holders(model))
         )
@@ -253,10 +251,5 @@
         if not self.has_room(engine, model):
             time_ms += _UNLOAD_MS
             if self.victims.model(engine, model) is None:
-                time_ms += max(_RUN_MS, self._missed_for_ms(model))
+                time_ms += _RUN_MS
         return time_ms
-
-    def _missed_for_ms(self, model: str) -> int:
-        """Returns how long a model has been missed: so long again, likely."""
-        missed = self._missed.get(model)
-        return 0 if missed is None else self._now_ms - missed.since_ms
