--- a/tanagerloft/coordination/engine_keeper.py
+++ b/tanagerloft/coordination/engine_keeper.py
@@ -147,7 +147,7 @@
         held = {
             name
             for target_id, state in self.states.by_target.items()
-            if self._takes_work(target_id)
+            if target_id not in self._limits.short
             for name in state.orders.usable()
             if name != state.orders.loading
         }
@@ -160,15 +160,6 @@
                 if self._lease.may_order(now_ms):
                     self._give(order, planned.purposes[order], now_ms)
 
-    def _takes_work(self, target_id: str) -> bool:
-        """Returns whether an engine's models count as to be had there."""
-        entry = self._directory.entries.get(target_id)
-        return (
-            entry is not None
-            and not self._directory.leaves(entry)
-            and target_id not in self._limits.short
-        )
-
     def _models(self, service: str) -> dict[str, types.Model]:
         known = self._services.get(service)
         return known.models if known is not None else {}
@@ -249,7 +240,8 @@
             loading=orders.loading,
             busy=orders.busy(now_ms) or waits_ms > 0,
             busy_ms=max(orders.busy_ms(now_ms), waits_ms),
-            leaving=not self._takes_work(entry.target_id),
+            leaving=self._directory.leaves(entry)
+            or entry.target_id in self._limits.short,
             copies=orders.copies,
             running=running.get(entry.target_id, {}),
             slots=self._services[entry.service].slots,
