Outlive a lost holder while two targets have limits

What callers would have seen: instances that ended by themselves. With two or more targets that had named a limit, and no holder for 150 ms, a request that got no permit of one target asked for one of the other while the permits of all were gone through; the controller died of 'dictionary changed size during iteration', and its process with it.

Found by reading the change once more.

--- a/tanagerloft/coordination/target_permits.py
+++ b/tanagerloft/coordination/target_permits.py
@@ -150,7 +150,8 @@
             instances: Instances that share the limits, 0 if that is not known.
         """
         now_ms = self._now_ms()
-        for life, permits in self._permits.items():
+        # Who gets none may ask for a permit of another target at once.
+        for life, permits in list(self._permits.items()):
             limit_per_s = self._limits.limit_per_s(life)
             if math.isinf(limit_per_s):
                 permits.release()
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -260,3 +260,17 @@
     late = [one for one in fleet.replies if one.at_ms >= _NAMED_MS + 13_000]
     assert len(late) > 30
     assert {reply.status for reply in late} == {200}
+
+
+def test_instances_outlive_a_lost_holder_while_two_targets_have_limits():
+    """Who got no permit of the one asked for one of the other meanwhile."""
+    targets = [gateway_targets.Target(f"t{n}", _naming(1)) for n in range(2)]
+    fleet = gateway_fleet.GatewayFleet(3, targets, seed=1)
+
+    async def play(_) -> None:
+        await fleet.press(20, 6_000)
+        fleet.cut_off = set(fleet.names)
+        await fleet.press(20, 4_000)
+        assert not fleet.ended()
+
+    _play(fleet, play)
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -325,6 +325,7 @@
 
     def kill(self, name: str) -> None:
         """Ends an instance; nobody hears of it."""
+        assert not self.ended()
         _, works = self._running.pop(name)
         self._sockets.pop(name).close()
         for work in works:
@@ -332,6 +333,15 @@
         for target in self.targets.values():
             target.forget_told(name)
 
+    def ended(self) -> list[BaseException]:
+        """Returns why controllers have ended; their processes would have."""
+        return [
+            error
+            for _, works in self._running.values()
+            for work in works
+            if work.done() and (error := work.exception()) is not None
+        ]
+
     async def restart(self, name: str, down_ms: float) -> None:
         """Ends an instance, and starts it again after a time."""
         self.kill(name)
