--- a/tanagerloft/decisions/retry_budget.py
+++ b/tanagerloft/decisions/retry_budget.py
@@ -6,6 +6,25 @@
 """
 
 import collections
+from typing import NamedTuple
+
+
+class Decision(NamedTuple):
+    """Whether a retry may be sent, and why.
+
+    Attributes:
+        granted: Whether it may be sent.
+        first_sends: First sends in the window.
+        retries: Retries granted in the window before.
+        allowed: Retries allowed in the window.
+        instances: Instances that share the slack, 0 if not known.
+    """
+
+    granted: bool
+    first_sends: int
+    retries: int
+    allowed: float
+    instances: int
 
 
 class RetryBudget:
@@ -34,7 +53,7 @@
         self._first_sends_ms.append(now_ms)
         self._evict_old(now_ms)
 
-    def try_acquire(self, instance_count: int, now_ms: int) -> bool:
+    def try_acquire(self, instance_count: int, now_ms: int) -> Decision:
         """Acquires one retry if the budget allows it.
 
         Args:
@@ -44,17 +63,23 @@
             now_ms: Reading of the clock.
 
         Returns:
-            Whether the retry was acquired.
+            The decision.
         """
         self._evict_old(now_ms)
         slack = self._slack / instance_count if instance_count else 0.0
         if now_ms - self._started_ms < self._window_ms:
             slack /= 2
         allowed = self._ratio * len(self._first_sends_ms) + slack
-        if len(self._retries_ms) + 1 > allowed:
-            return False
-        self._retries_ms.append(now_ms)
-        return True
+        decision = Decision(
+            granted=len(self._retries_ms) + 1 <= allowed,
+            first_sends=len(self._first_sends_ms),
+            retries=len(self._retries_ms),
+            allowed=allowed,
+            instances=instance_count,
+        )
+        if decision.granted:
+            self._retries_ms.append(now_ms)
+        return decision
 
     def _evict_old(self, now_ms: int) -> None:
         oldest_ms = now_ms - self._window_ms
--- a/tanagerloft/gateway/dependencies.py
+++ b/tanagerloft/gateway/dependencies.py
@@ -7,6 +7,7 @@
 
 from tanagerloft.coordination import target_permits
 from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import retry_budget
 from tanagerloft.gateway import codec as codec_lib
 from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import crash_detector as crash_detector_lib
@@ -24,8 +25,8 @@
         pool: Connections to targets.
         permits: Permits for targets with a rate limit.
         wait_queue: Requests that wait for a model.
-        acquire_retry: Takes a retry from the retry budget of a service; False
-            if there is none left.
+        acquire_retry: Takes a retry from the retry budget of a service, if
+            there is one left.
         record_first_send: Counts a first send to a service.
         recheck: Checks a request again before each send; a refusal if its key
             has been withdrawn or cannot be confirmed, or if the request
@@ -42,7 +43,7 @@
     pool: connection_pool.Pool
     permits: target_permits.TargetPermits
     wait_queue: wait_queue_lib.WaitQueue
-    acquire_retry: Callable[[str], bool]
+    acquire_retry: Callable[[str], retry_budget.Decision]
     record_first_send: Callable[[str], None]
     recheck: Callable[[context_lib.RequestContext], errors.Refusal | None]
     crash_detector: crash_detector_lib.CrashDetector
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -273,7 +273,7 @@
             self._budgets[service] = budget
         return budget
 
-    def _acquire_retry(self, service: str) -> bool:
+    def _acquire_retry(self, service: str) -> retry_budget.Decision:
         now_ms = self._clock.now_ms()
         return self._retry_budget(service).try_acquire(
             self.control.holder_client.instances, now_ms
--- a/tanagerloft/gateway/target_selection.py
+++ b/tanagerloft/gateway/target_selection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import logging
 from typing import NamedTuple
 
 from tanagerloft.coordination import targets as targets_lib
@@ -15,6 +16,8 @@
 from tanagerloft.gateway import prompt_hold
 from tanagerloft.gateway import wait_queue as wait_queue_lib
 
+logger = logging.getLogger(__name__)
+
 # A request with less time than this until its deadline is not sent.
 _MIN_REMAINING_MS = 20
 
@@ -106,10 +109,23 @@
             return RetryLater(prompt_hold.RECHECK_MS)
         if permitted is None and deps.directory.feedback.is_limited(target):
             return NeedsPermit(target)
-        if history.sends and not deps.acquire_retry(context.service):
+        if history.sends and not self._acquire_retry():
             return errors.NO_BUDGET
         return target
 
+    def _acquire_retry(self) -> bool:
+        decision = self._deps.acquire_retry(self._context.service)
+        logger.info(
+            "retry decided",
+            extra={
+                "request": self._context.decoded.request_id,
+                "service": self._context.service,
+                **decision._asdict(),
+                "holder_age_ms": self._deps.holder_age_ms(),
+            },
+        )
+        return decision.granted
+
     def on_permit(
         self, target: types.TargetEntry, outcome: target_permits.Outcome
     ) -> None:
--- a/tests/fuzz/test_retry_budget.py
+++ b/tests/fuzz/test_retry_budget.py
@@ -52,7 +52,7 @@
     @stateful.rule(name=_names, times=strategies.integers(1, 6))
     def instance_retries(self, name, times):
         for _ in range(times):
-            if self.budgets[name].try_acquire(len(_NAMES), self.now_ms):
+            if self.budgets[name].try_acquire(len(_NAMES), self.now_ms).granted:
                 self.retries.append(self.now_ms)
         self._check()
 
