Keep retries in their budget while instances restart or are cut off

Cause: each instance kept to the bound for its own process, its own windows and its own idea of the number of instances, and the sum over these was never bounded. A new process used half of a share that the one before it had used in the same window; those that reached the holder divided the slack by a number without those that it no longer heard; a request counted in windows of several instances.

The number of instances is the largest of the last minutes.

--- a/tanagerloft/coordination/holder_client.py
+++ b/tanagerloft/coordination/holder_client.py
@@ -18,6 +18,7 @@
 from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
 from tanagerloft.util import loops
+from tanagerloft.util import recent_maximum
 
 logger = logging.getLogger(__name__)
 
@@ -36,6 +37,9 @@
 _SILENCE_MS = 150
 # Time within which a new holder has received reports of all live instances.
 _COUNT_SETTLE_MS = 2_000
+# Instances that no longer report may be cut off from the holder only, and go on
+# using their shares of what the fleet divides.
+_PEAK_COUNT_PERIOD_MS = 300_000
 # Number of reports whose send times are kept, to compute the age of answers.
 _MAX_SENT_TIMES = 200
 
@@ -111,6 +115,9 @@
         self._models_seen = (0, 0)
         self._instances = 0
         self._count_settled_ms = 0
+        self._peak_instances = recent_maximum.RecentMaximum(
+            _PEAK_COUNT_PERIOD_MS
+        )
         self._model_etas = model_etas.ModelEtas(lease, now_ms)
         self.loopback: Callable[[messages.Report], None] | None = None
 
@@ -149,6 +156,11 @@
         """Number of instances, 0 if no holder has reported it."""
         return self._instances
 
+    @property
+    def peak_instances(self) -> int:
+        """Largest number of instances of the last minutes, 0 if not known."""
+        return self._peak_instances.value
+
     @property
     def report_pause_ms(self) -> int:
         """Time between two reports while no request waits."""
@@ -297,6 +309,7 @@
         if now_ms < self._count_settled_ms:
             instances = max(instances, self._instances)
         self._instances = instances
+        self._peak_instances.update(instances, now_ms)
         self._accounts.set_instance_count(instances)
 
     def _on_status(self, view: messages.View, now_ms: int) -> None:
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -76,6 +76,7 @@
         self._connections: set[caller_connection.CallerConnection] = set()
         self._tasks: list[asyncio.Task] = []
         self._stopping = False
+        self._started_ms = clock.now_ms()
         self._crashes = crash_quarantine.CrashCounts()
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self.wait_queue = wait_queue_lib.WaitQueue()
@@ -268,19 +269,20 @@
                 get("retries", "ratio"),
                 get("retries", "slack"),
                 int(get("retries", "window_s") * _MS_PER_S),
-                self._clock.now_ms(),
+                self._started_ms,
             )
             self._budgets[service] = budget
         return budget
 
     def _acquire_retry(self, service: str) -> retry_budget.Decision:
-        now_ms = self._clock.now_ms()
         return self._retry_budget(service).try_acquire(
-            self.control.holder_client.instances, now_ms
+            self.control.holder_client.peak_instances, self._clock.now_ms()
         )
 
     def _record_first_send(self, service: str) -> None:
-        self._retry_budget(service).record_first_send(self._clock.now_ms())
+        self._retry_budget(service).record_first_send(
+            self.control.holder_client.peak_instances
+        )
 
     def _ready_page(self) -> plain_pages.Page:
         if self._stopping:
