Follow the list of targets through a restore of the store

Cause: a version of the store was taken as rising and unique. After a restore the versions fall and are given out again, so all instances passed over the rows that targets wrote until the versions had caught up, some seconds later; a read from the version known failed with 410 and was repeated, and once the numbers had caught up, the changes since it were not all changes.

Now a version carries the era of the store (header Store-Era), so that what is compared, kept and shared with other instances orders over restores, and the list of a later era is read in full. Rows of the copy do not undo what is known; targets have 2.5 s to write theirs again.

--- a/tanagerloft/coordination/store.py
+++ b/tanagerloft/coordination/store.py
@@ -1,4 +1,9 @@
-"""Interface of the platform's store."""
+"""Interface of the platform's store.
+
+The store may come back from an older copy of itself. What was written since the
+copy is lost, and versions are given out again: each such restore begins a new
+era, and only a version together with its era tells which of two is later.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +12,24 @@
 
 from tanagerloft.coordination import errors
 
+# Bits of a version that number it within its era.
+_NUMBER_BITS = 48
+
+
+def join_era(era: int, number: int) -> int:
+    """Returns a version that rises over all eras.
+
+    Args:
+        era: Era of the store.
+        number: Version within the era.
+    """
+    return (era << _NUMBER_BITS) | number
+
+
+def split_era(version: int) -> tuple[int, int]:
+    """Returns the era of a version, and its number within the era."""
+    return version >> _NUMBER_BITS, version & ((1 << _NUMBER_BITS) - 1)
+
 
 class Row(NamedTuple):
     """A row of a table.
@@ -28,10 +51,12 @@
     Attributes:
         rows: The rows.
         version: Newest version of the store at that moment.
+        era: Era of the store, which all these versions belong to.
     """
 
     rows: tuple[Row, ...]
     version: int
+    era: int = 0
 
 
 class Store(Protocol):
--- a/tanagerloft/coordination/table_reader.py
+++ b/tanagerloft/coordination/table_reader.py
@@ -25,6 +25,7 @@
         self._store = store
         self._table = table
         self._after_version: int | None = None
+        self._era: int | None = None
         self.failures = 0
 
     @property
@@ -37,9 +38,18 @@
         self._after_version = None
 
     def advance(self, version: int) -> None:
-        """Skips changes up to a version, which are known."""
-        if self._after_version is not None:
-            self._after_version = max(self._after_version, version)
+        """Skips changes up to a version, which are known.
+
+        Args:
+            version: The version, see ``store.join_era``.
+        """
+        era, number = store_lib.split_era(version)
+        if self._after_version is None or self._era is None:
+            return
+        if era > self._era:
+            self.restart()
+        elif era == self._era:
+            self._after_version = max(self._after_version, number)
 
     async def read(self, wait_ms: int) -> store_lib.Snapshot | None:
         """Reads the table, or its changes.
@@ -48,8 +58,8 @@
             wait_ms: Longest wait for the first change.
 
         Returns:
-            The rows; None if the call failed, or if the changes are no longer
-            available and a full scan is needed.
+            The rows; None if the call failed, or if the changes are not
+            available (any more) and a full scan is needed.
         """
         if self._after_version is None:
             snapshot = await self._store.scan(self._table)
@@ -63,7 +73,20 @@
         if self.failures:
             logger.info("store reachable again", extra={"table": self._table})
         self.failures = 0
-        self._after_version = snapshot.version
+        if self._after_version is not None and snapshot.era != self._era:
+            # Changes since a version of another era are not all changes.
+            self.restart()
+            return None
+        if self._era is not None and snapshot.era != self._era:
+            logger.warning(
+                "store came back from an older copy",
+                extra={
+                    "table": self._table,
+                    "era": snapshot.era,
+                    "version": snapshot.version,
+                },
+            )
+        self._era, self._after_version = snapshot.era, snapshot.version
         return snapshot
 
     def _note_error(self, error: errors.StoreError) -> None:
--- a/tanagerloft/coordination/target_entries.py
+++ b/tanagerloft/coordination/target_entries.py
@@ -23,7 +23,7 @@
 
     Attributes:
         target_id: Name of the target.
-        version: Version of the row.
+        version: Version of the row, see ``store.join_era``.
         entry: Contents of the row, without the copies of weights; None if the
             row does not exist (any more).
     """
@@ -36,7 +36,11 @@
 class TargetEntries:
     """Entries by target, each with the version of its row.
 
-    A row replaces only an older version of it, whatever its source.
+    A row replaces only an older version of it, whatever its source. All
+    versions are those of ``store.join_era``. After a restore of the store, its
+    rows may be older than what is known: a target that has left does not come
+    back with them, and one that the copy lacks is kept until targets have had
+    the time to write their rows again.
 
     Args:
         decode: Decodes an entry of the platform's list.
@@ -51,6 +55,7 @@
     def __init__(self, decode: DecodeEntry):
         self._decode = decode
         self._versions: dict[str, int] = {}
+        self._highest_numbers: dict[str, int] = {}
         self.base_version = 0
         self.known_version = 0
         self.by_target: dict[str, types.TargetEntry] = {}
@@ -65,20 +70,65 @@
         Returns:
             Whether more targets may be available for requests.
         """
+        version = store_lib.join_era(snapshot.era, snapshot.version)
+        restored = complete and self.is_of_later_era(snapshot)
         changed = False
         if complete:
-            present = {row.key for row in snapshot.rows}
-            for target_id in set(self.by_target) - present:
-                if self._advance_version(target_id, snapshot.version):
-                    self._remove(target_id, "not in the list")
-            self.base_version = snapshot.version
+            if not restored:
+                self._remove_missing(snapshot, version)
+            self.base_version = version
         for row in snapshot.rows:
-            if self._advance_version(row.key, row.version):
-                changed |= self._on_row(row)
-        self.known_version = max(self.known_version, snapshot.version)
+            row_version = store_lib.join_era(snapshot.era, row.version)
+            if restored and self._may_be_copied(row):
+                self._on_copied_row(row, row_version)
+            elif self._is_newer(row.key, row_version, complete):
+                changed |= self._on_row(row, row_version)
+        self.known_version = max(self.known_version, version)
         return changed
 
-    def _on_row(self, row: store_lib.Row) -> bool:
+    def is_of_later_era(self, snapshot: store_lib.Snapshot) -> bool:
+        """Returns whether the store has been restored since the last read."""
+        known_era, _ = store_lib.split_era(self.known_version)
+        return self.known_version > 0 and snapshot.era > known_era
+
+    def _remove_missing(
+        self, snapshot: store_lib.Snapshot, version: int
+    ) -> None:
+        present = {row.key for row in snapshot.rows}
+        for target_id in set(self.by_target) - present:
+            if self._is_newer(target_id, version, complete=True):
+                self._remove(target_id, "not in the list")
+
+    def _may_be_copied(self, row: store_lib.Row) -> bool:
+        """Returns whether a row may be an earlier state of its target.
+
+        Rows of a copy have the numbers of earlier eras, and only the first scan
+        of an era can find one.
+        """
+        return row.version <= self._highest_numbers.get(row.key, 0)
+
+    def _on_copied_row(self, row: store_lib.Row, version: int) -> None:
+        """Applies a row that may be older than what is known of its target.
+
+        It counts only if it says that the known incarnation is leaving.
+        """
+        known = self.by_target.get(row.key)
+        entry = self._decode(row.key, row.value) if row.value else None
+        applies = (
+            known is not None
+            and isinstance(entry, types.TargetEntry)
+            and entry.leaving
+            and entry.born_ms == known.born_ms
+        )
+        logger.info(
+            "row of an older copy",
+            extra={"target": row.key, "version": version, "applies": applies},
+        )
+        if applies:
+            assert isinstance(entry, types.TargetEntry)
+            self._put(entry, version)
+
+    def _on_row(self, row: store_lib.Row, version: int) -> bool:
         if row.value is None:
             self._remove(row.key, "removed")
             return False
@@ -89,7 +139,22 @@
             )
             self._remove(row.key, "malformed")
             return False
-        return self._put(entry, row.version)
+        return self._put(entry, version)
+
+    def _is_newer(self, target_id: str, version: int, complete: bool) -> bool:
+        """Records the version of a row as read; returns whether it is newer.
+
+        What is known of a target from before a restore lasts until a change of
+        its row, or until the second scan after the restore.
+        """
+        era, _ = store_lib.split_era(version)
+        known_era, _ = store_lib.split_era(self._versions.get(target_id, 0))
+        if self._advance_version(target_id, version):
+            return True
+        if complete and known_era < era:
+            self._record_version(target_id, version)
+            return True
+        return False
 
     def _advance_version(self, target_id: str, version: int) -> bool:
         """Records the version of a row; returns whether it is newer.
@@ -100,9 +165,16 @@
         known = max(self.known_version, self._versions.get(target_id, 0))
         if version <= known:
             return False
-        self._versions[target_id] = version
+        self._record_version(target_id, version)
         return True
 
+    def _record_version(self, target_id: str, version: int) -> None:
+        self._versions[target_id] = version
+        _, number = store_lib.split_era(version)
+        self._highest_numbers[target_id] = max(
+            number, self._highest_numbers.get(target_id, 0)
+        )
+
     def changes_since(self, version: int) -> tuple[list[SharedTarget], int]:
         """Returns the changes since a version, the oldest first.
 
--- a/tanagerloft/coordination/target_list.py
+++ b/tanagerloft/coordination/target_list.py
@@ -18,6 +18,9 @@
 # Greatest age of the holder's copy of the list that defers a poll: one poll
 # interval of a holder that reaches the store, and one retried poll.
 _MAX_STATUS_AGE_MS = 1_200
+# Time after a restore of the store within which targets have written their
+# entries again: two seconds, and one poll.
+_REWRITE_MS = 2_500
 # Part of the drain time left for the own poll and for requests in transit.
 _READ_MARGIN_MS = 200
 
@@ -55,6 +58,7 @@
         self.deferral = poll_deferral.PollDeferral(
             drain_ms, _MAX_STATUS_AGE_MS, _READ_MARGIN_MS, now_ms
         )
+        self._era_began_ms: int | None = None
         self.read_ms = 0
         self.known = False
 
@@ -85,10 +89,13 @@
             self.deferral.read_now.clear()
             started_ms = self._now_ms()
             self._reader.advance(self._directory.table.known_version)
+            self._scan_after_restore(started_ms)
             whole = self._reader.is_full_scan
             found = await self._reader.read(wait_ms=0)
             if found is not None:
                 self.known = True
+                if self._directory.table.is_of_later_era(found):
+                    self._era_began_ms = started_ms
                 self._notify(self._directory.table.on_rows(found, whole))
                 self.read_ms = max(self.read_ms, started_ms)
                 await loops.wait(self.deferral.read_now, POLL_INTERVAL_MS)
@@ -96,6 +103,18 @@
             elif self._reader.failures:
                 await loops.sleep(_RETRY_DELAY_MS)
 
+    def _scan_after_restore(self, now_ms: int) -> None:
+        """Scans again once targets have had the time to write their entries.
+
+        Those that are still missing then are gone.
+        """
+        if (
+            self._era_began_ms is not None
+            and now_ms - self._era_began_ms >= _REWRITE_MS
+        ):
+            self._era_began_ms = None
+            self._reader.restart()
+
     def _notify(self, changed: bool) -> None:
         if changed:
             self._changed()
--- a/tanagerloft/platform/store.py
+++ b/tanagerloft/platform/store.py
@@ -4,6 +4,8 @@
 
 import base64
 import binascii
+import logging
+import re
 from typing import Any
 from typing import NamedTuple
 from urllib import parse
@@ -14,6 +16,10 @@
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.net import connection_pool
 from tanagerloft.net import http_client
+from tanagerloft.net import target_connection
+from tanagerloft.platform import wire
+
+logger = logging.getLogger(__name__)
 
 _JSON = [(b"Content-Type", b"application/json")]
 # The store responds in 4 ms. A call that takes this long is on a dead
@@ -21,6 +27,7 @@
 _CALL_TIMEOUT_MS = 1_000
 # Most rows in one response of the store.
 _MAX_PAGE_ROWS = 500
+_ERA = re.compile(rb"[0-9]{1,4}")
 
 
 class _Page(NamedTuple):
@@ -30,11 +37,13 @@
         rows: The rows.
         has_more: Whether there are more.
         version: Newest version of the store at the time of the response.
+        era: Era of the store then.
     """
 
     rows: tuple[store_lib.Row, ...]
     has_more: bool
     version: int
+    era: int
 
 
 class Store:
@@ -49,6 +58,7 @@
         self._pool = pool
         self._address = address
         self._host = f"{address[0]}:{address[1]}"
+        self._era = 0
 
     async def read(
         self, table: str, key: str
@@ -65,6 +75,7 @@
         """Returns all rows of a table, as of the first page's version."""
         found: list[store_lib.Row] = []
         version = 0
+        era = None
         query: dict[str, Any] = {
             "table": table,
             "part": "",
@@ -74,10 +85,15 @@
             page = await self._get("/tanagerloft/rows-get", query)
             if isinstance(page, errors.StoreError):
                 return page
+            if era is not None and page.era != era:
+                return errors.StoreError(
+                    errors.StoreFailure.HISTORY_LOST, "store restored"
+                )
+            era = page.era
             found += page.rows
             version = version or page.version
             if not page.has_more or not page.rows:
-                return store_lib.Snapshot(tuple(found), version)
+                return store_lib.Snapshot(tuple(found), version, era)
             query["from"] = page.rows[-1].key + "\0"
 
     async def changes(
@@ -94,7 +110,7 @@
         page = await self._get("/tanagerloft/rows-feed", query, wait_ms)
         if isinstance(page, errors.StoreError):
             return page
-        return store_lib.Snapshot(page.rows, page.version)
+        return store_lib.Snapshot(page.rows, page.version, page.era)
 
     async def write(
         self, table: str, key: str, value: bytes, expected_version: int
@@ -120,7 +136,7 @@
         body = await self._call("GET", target, None, wait_ms)
         if isinstance(body, errors.StoreError):
             return body
-        return _decode_page(body)
+        return _decode_page(body, self._era)
 
     async def _call(
         self, method: str, target: str, payload: bytes | None, wait_ms: int
@@ -137,8 +153,22 @@
             if response.sent:
                 failure = errors.StoreFailure.UNKNOWN
             return errors.StoreError(failure, response.reason)
+        self._update_era(response.head)
         return _decode_response(response)
 
+    def _update_era(self, head: target_connection.ResponseHead) -> None:
+        """Records the era that a response names; it never falls."""
+        value = head.get(wire.STORE_ERA)
+        if value is None:
+            return
+        if not _ERA.fullmatch(value.strip()) or int(value) < self._era:
+            logger.warning(
+                "malformed era of the store ignored",
+                extra={"value": value.decode("latin-1"), "known": self._era},
+            )
+            return
+        self._era = int(value)
+
 
 def _decode_response(
     response: http_client.Response,
@@ -160,13 +190,13 @@
     return body
 
 
-def _decode_page(body: dict) -> _Page | errors.StoreError:
+def _decode_page(body: dict, era: int) -> _Page | errors.StoreError:
     try:
         rows = tuple(_decode_row(row) for row in body["rows"])
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
         reason = f"malformed rows: {error!r}"
         return errors.StoreError(errors.StoreFailure.UNKNOWN, reason)
-    return _Page(rows, bool(body.get("has_more")), _version_of(body))
+    return _Page(rows, bool(body.get("has_more")), _version_of(body), era)
 
 
 def _decode_row(row: dict) -> store_lib.Row:
--- a/tanagerloft/platform/wire.py
+++ b/tanagerloft/platform/wire.py
@@ -35,6 +35,9 @@
 RETRY_AFTER = b"retry-after"
 LIMIT_PER_S = b"server-limit"
 
+# Header of all responses of the store; rises with each restore.
+STORE_ERA = b"store-era"
+
 # Hop-by-hop headers: they concern one connection only.
 HOP_BY_HOP = frozenset(
     (
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -37,6 +37,11 @@
 _STORE_DELAY_MS = 4
 _STORE_POLL_MS = 5
 _STARTUP_MS = 3_000
+# Time for which the store is away before it comes back from a copy, and time
+# within which targets and the operator then write their rows again.
+_RESTORE_MS = 300
+_REWRITE_MS = 1_500
+_HEARTBEAT_MS = 1_200
 
 
 class Reply(NamedTuple):
@@ -55,6 +60,14 @@
     retry_after_ms: int
 
 
+class _Copy(NamedTuple):
+    """Copy of the store at one moment."""
+
+    at_ms: int
+    version: int
+    rows: dict[tuple[str, str], tuple[int, bytes | None]]
+
+
 class _Connection:
     """Simulated connection of an instance to a target."""
 
@@ -150,7 +163,12 @@
         return store_lib.Row(key, value, version)
 
     async def scan(self, table):
-        return await self.changes(table, 0, 0)
+        error = await self._round_trip()
+        if error is not None:
+            return error
+        rows = self._rows(table, 0)
+        present = tuple(row for row in rows if row.value is not None)
+        return self._snapshot(present)
 
     async def changes(self, table, after_version, wait_ms):
         until_ms = virtual_loop.now_ms() + wait_ms
@@ -158,15 +176,25 @@
             error = await self._round_trip()
             if error is not None:
                 return error
-            rows = tuple(
-                store_lib.Row(key, value, version)
-                for (name, key), (version, value) in self._fleet.rows.items()
-                if name == table and version > after_version
-            )
+            if after_version > self._fleet.version:
+                return errors.StoreError(
+                    errors.StoreFailure.HISTORY_LOST, "gone"
+                )
+            rows = self._rows(table, after_version)
             if rows or virtual_loop.now_ms() >= until_ms:
-                return store_lib.Snapshot(rows, self._fleet.version)
+                return self._snapshot(rows)
             await loops.sleep(_STORE_POLL_MS)
 
+    def _rows(self, table, after_version):
+        return tuple(
+            store_lib.Row(key, value, version)
+            for (name, key), (version, value) in self._fleet.rows.items()
+            if name == table and version > after_version
+        )
+
+    def _snapshot(self, rows):
+        return store_lib.Snapshot(rows, self._fleet.version, self._fleet.era)
+
     async def write(self, table, key, value, expected_version):
         error = await self._round_trip()
         if error is not None:
@@ -208,8 +236,10 @@
     Attributes:
         names: Names of the instances.
         targets: Targets by name.
-        rows: Version and value of each row of the store, by table and key.
+        rows: Version and value of each row of the store, by table and key;
+            the value of a removed row is None.
         version: Latest version of the store.
+        era: Number of times that the store has come back from an older copy.
         store_down: Whether the store fails all calls.
         writes_fail: Whether the store rejects writes by instances.
         isolated: Instances cut off from the store and from other instances.
@@ -231,8 +261,10 @@
         self._sockets: dict[str, _Datagrams] = {}
         self._request_count = 0
         self.targets = {target.target_id: target for target in targets}
-        self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
         self.version = 0
+        self.era = 0
+        self._copies: list[_Copy] = []
         self.store_down = False
         self.writes_fail = False
         self.isolated: set[str] = set()
@@ -241,12 +273,46 @@
         self.replies: list[Reply] = []
         self._config = users_platform.configuration(**config_changes)
 
-    def put(self, table: str, key: str, value: bytes) -> int:
+    def put(self, table: str, key: str, value: bytes | None) -> int:
         """Writes a row of the store and returns its version."""
         self.version += 1
         self.rows[table, key] = (self.version, value)
+        self._copies.append(
+            _Copy(virtual_loop.now_ms(), self.version, dict(self.rows))
+        )
         return self.version
 
+    async def restore(self, age_ms: int) -> None:
+        """Brings the store back from a copy.
+
+        Targets and operator write their rows again within seconds.
+
+        Args:
+            age_ms: Age of the copy.
+        """
+        self.store_down = True
+        copied_ms = virtual_loop.now_ms() - age_ms
+        await loops.sleep(_RESTORE_MS)
+        copy = max(c for c in self._copies if c.at_ms <= copied_ms)
+        self.version, self.rows = copy.version, dict(copy.rows)
+        self._copies = [copy]
+        self.era += 1
+        self.store_down = False
+        writes = [
+            lambda target=target: self._put_entry(target)
+            for target in self.targets.values()
+        ]
+        for write in [*writes, self._put_configuration]:
+            loops.call_later(self._random.uniform(0, _REWRITE_MS), write)
+
+    async def send_heartbeats(self) -> None:
+        """Makes all targets write their entries again and again."""
+        while True:
+            await loops.sleep(_HEARTBEAT_MS)
+            if not self.store_down:
+                for target in self.targets.values():
+                    self._put_entry(target)
+
     def send_datagram(self, sender: str, data: bytes, receiver: str) -> None:
         """Delivers a datagram after its transit time, or drops it."""
         partitioned = sender in self.isolated or receiver in self.isolated
@@ -264,7 +330,7 @@
 
     async def start(self) -> None:
         """Starts all instances and waits until they have read the targets."""
-        self.put("op", "config", json.dumps(self._config).encode())
+        self._put_configuration()
         for target in self.targets.values():
             target.on_change = self._put_entry
             self._put_entry(target)
@@ -272,9 +338,20 @@
             self.start_instance(name)
         await loops.sleep(_STARTUP_MS)
 
+    def _put_configuration(self) -> None:
+        self.put("op", "config", json.dumps(self._config).encode())
+
     def _put_entry(self, target: gateway_targets.Target) -> None:
-        value = json.dumps(target.entry()).encode()
-        self.put("servers", target.target_id, value)
+        """Writes the entry of a target, or removes it once the target is gone.
+
+        A row that has been removed is not written again.
+        """
+        row = ("servers", target.target_id)
+        value = None
+        if not target.unlisted:
+            value = json.dumps(target.entry()).encode()
+        if value is not None or self.rows.get(row, (0, None))[1] is not None:
+            self.put(*row, value)
 
     def start_instance(self, name: str) -> None:
         """Starts an instance."""
--- a/tests/support/gateway_targets.py
+++ b/tests/support/gateway_targets.py
@@ -52,6 +52,9 @@
         limit: Returns the limit in requests per second that it announces at
             a time in ms, None for no limit.
         run_ms: Duration of a request.
+
+    Attributes:
+        unlisted: Whether the platform's list no longer has it.
     """
 
     service = "plain"
@@ -69,6 +72,7 @@
         self.on_change: Callable[[Target], None] = lambda _: None
         self._limit_known_ms: dict[str, int] = {}
         self._state = "ready"
+        self.unlisted = False
 
     def entry(self) -> dict:
         """Returns its entry in the platform's list."""
@@ -118,6 +122,11 @@
         self._state = "draining"
         self.on_change(self)
 
+    def unlist(self) -> None:
+        """Removes the target from the platform's list; it goes on serving."""
+        self.unlisted = True
+        self.on_change(self)
+
     def note_limit_known(self, instance: str) -> None:
         """Records that an instance has received a response with a limit."""
         self._limit_known_ms.setdefault(instance, virtual_loop.now_ms())
--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -100,11 +100,19 @@
     writer.transport.abort()
 
 
+class StoreCopy(NamedTuple):
+    """Copy of the store's contents."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[int, str | None]]
+
+
 class StoreStandin:
     """In-memory fake of the platform's store.
 
     Attributes:
         down: Whether the store drops connections instead of responding.
+        era: Value of ``Store-Era`` in responses, None for no such header.
         calls: Targets of all received requests.
     """
 
@@ -113,6 +121,7 @@
         self._version = 0
         self._changed = asyncio.Event()
         self.down = False
+        self.era: str | None = None
         self._muted: set[asyncio.StreamWriter] = set()
         self._open: set[asyncio.StreamWriter] = set()
         self.calls: list[str] = []
@@ -136,6 +145,15 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy that the store can be restored from."""
+        return StoreCopy(self._version, dict(self._rows))
+
+    def restore(self, copy: StoreCopy, era: str | None) -> None:
+        """Replaces the contents by an older copy; begins a new era."""
+        self._version, self._rows = copy.version, dict(copy.rows)
+        self.era = era
+
     def mute(self) -> None:
         """Stops responding on the open connections; new ones work."""
         self._muted |= self._open
@@ -154,9 +172,11 @@
                 if writer in self._muted:
                     continue
                 data = json.dumps(body).encode()
+                head = b"HTTP/1.1 %d X\r\n" % status
+                if self.era is not None:
+                    head += b"Store-Era: %b\r\n" % self.era.encode()
                 writer.write(
-                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b"
-                    % (status, len(data), data)
+                    head + b"Content-Length: %d\r\n\r\n" % len(data) + data
                 )
 
     async def _respond(self, request: Request) -> tuple[int, dict]:
@@ -165,6 +185,8 @@
         if url.path.endswith("/rows-get"):
             return 200, self._get(query)
         if url.path.endswith("/rows-feed"):
+            if int(query["after"]) > self._version:
+                return 410, {}
             return 200, await self._feed(query)
         return self._transact(json.loads(request.body))
 
