Ignore entries of other writers that hide which run of a target they mean

What is known of a target (that it leaves, wants no requests, has named a limit) is kept for its id and the start of its run. An entry without a start, which only another writer can have written under the id of a target that names one, made a new run of it: a target that had said in an answer that it leaves got requests again.

Such an entry is malformed now, as is a start that is no whole number.

--- a/tanagerloft/coordination/target_entries.py
+++ b/tanagerloft/coordination/target_entries.py
@@ -56,6 +56,8 @@
         self._decode = decode
         self._versions: dict[str, int] = {}
         self._highest_numbers: dict[str, int] = {}
+        # Targets whose entries have named their start.
+        self._name_start: set[str] = set()
         self.base_version = 0
         self.known_version = 0
         self.by_target: dict[str, types.TargetEntry] = {}
@@ -132,7 +134,7 @@
         if row.value is None:
             self._remove(row.key, "removed")
             return False
-        entry = self._decode(row.key, row.value)
+        entry = self._check_start(self._decode(row.key, row.value))
         if isinstance(entry, errors.MalformedEntry):
             logger.warning(
                 "malformed target entry ignored", extra=entry._asdict()
@@ -141,6 +143,22 @@
             return False
         return self._put(entry, version)
 
+    def _check_start(
+        self, entry: types.TargetEntry | errors.MalformedEntry
+    ) -> types.TargetEntry | errors.MalformedEntry:
+        """Refuses an entry without a start of a target that has named one.
+
+        Such an entry is of another writer; what is known of an incarnation
+        would not hold for it.
+        """
+        if isinstance(entry, errors.MalformedEntry):
+            return entry
+        if entry.born_ms:
+            self._name_start.add(entry.target_id)
+        elif entry.target_id in self._name_start:
+            return errors.MalformedEntry(entry.target_id, "no start")
+        return entry
+
     def _is_newer(self, target_id: str, version: int, complete: bool) -> bool:
         """Records the version of a row as read; returns whether it is newer.
 
@@ -240,6 +258,7 @@
             extra={
                 "target": entry.target_id,
                 "service": entry.service,
+                "born_ms": entry.born_ms,
                 "leaving": entry.leaving,
                 "version": version,
             },
--- a/tanagerloft/fleet/types.py
+++ b/tanagerloft/fleet/types.py
@@ -213,7 +213,8 @@
         data_centre: Where it runs.
         leaving: Whether it must get no new requests.
         leaves_in_ms: Time until it is gone, None if not announced.
-        born_ms: Start of this incarnation, by the clock of the target.
+        born_ms: Start of this incarnation, by the clock of the target; 0 if
+            the entry does not name it.
         models: Loaded models, with the adapters loaded for each.
         in_memory: Models with a copy of the weights in its memory.
         on_disk: Models with a copy of the weights on its disk.
--- a/tanagerloft/platform/entries.py
+++ b/tanagerloft/platform/entries.py
@@ -37,13 +37,21 @@
         data_centre=str(body.get("zone") or ""),
         leaving=state != "ready",
         leaves_in_ms=None if remaining_ms is None else int(remaining_ms),
-        born_ms=int(body.get("born") or 0),
+        born_ms=_decode_start(body.get("born")),
         models=decode_models(body.get("models") or ()),
         in_memory=frozenset(copies.get("in_memory") or ()),
         on_disk=frozenset(copies.get("on_disk") or ()),
     )
 
 
+def _decode_start(value: Any) -> int:
+    if value is None:
+        return 0
+    if type(value) is not int:
+        raise TypeError(f"expected a whole number, got {value!r}")
+    return value
+
+
 def decode_report(body: bytes) -> types.TargetReport | errors.MalformedEntry:
     """Decodes an engine's report."""
     try:
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -43,6 +43,34 @@
     platform_lib.run(test)
 
 
+@pytest.mark.parametrize("born", [None, 1.5, "1", True])
+def test_an_entry_of_another_writer_does_not_hide_that_a_target_leaves(born):
+    async def test(platform):
+        leaves = await platform.add_target(_respond_with(Server_Leaving="1"))
+        assert platform_lib.status(await platform.call("GET", "/safe/x")) == 200
+        entry = {
+            "service": "plain",
+            "address": f"127.0.0.1:{leaves.port}",
+            "zone": "dc",
+            "state": "ready",
+            "born": born,
+        }
+        if born is None:
+            del entry["born"]
+        platform.store.put("servers", "t1", entry)
+        table = platform.instance.directory.table
+        version = table.known_version
+
+        async def read() -> bool:
+            return table.known_version > version
+
+        await platform.eventually(read)
+        await platform.call("POST", "/once/x", body=b"pay", Deadline_Ms="300")
+        assert len(leaves.requests) == 1
+
+    platform_lib.run(test)
+
+
 def test_other_values_of_the_leaving_header_are_ignored():
     async def test(platform):
         target = await platform.add_target(_respond_with(Server_Leaving="0"))
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -47,6 +47,9 @@
         {"address": 7},
         {"models": 3},
         {"models": [{"name": 1}]},
+        {"born": "5"},
+        {"born": 5.0},
+        {"born": True},
     ):
         value = json.dumps({**_ENTRY, **change}).encode()
         found = entries.decode_entry("t", value)
