Bar prompt parts that crash targets, over the whole fleet

Requests with one part in their prompts crash each engine that begins to answer them; no two are alike, so the quarantine by digest never acted.

Cause: what crashes a target was known by the whole request only.

Now each crash accuses the shared parts of those requests at the target that it had not begun to answer, and each answer that begins clears the parts of its request, whichever instance sees it. Three crashes under a part that nobody clears bar it. Evidence goes to the lease holder with reports and comes back with views; a verdict survives a change of the holder because instances report the verdicts they know.

--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -16,6 +16,7 @@
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import handover
 from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import prompt_quarantine
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 from tanagerloft.util import bounded
@@ -28,6 +29,9 @@
 _MIN_PLAN_INTERVAL_MS = 15
 # Shortest time between two checks for changes of the loaded models.
 _CHANGELOG_INTERVAL_MS = 5
+# Reports of each instance before a prompt part is barred: one brings the answer
+# that names it, the next one the objection.
+_OBJECTION_REPORTS = 2
 # Most recent leaving targets that views mention. The target list has them
 # within seconds.
 _MAX_LEAVING_TARGETS = 32
@@ -74,6 +78,7 @@
         self._reports = instance_reports.InstanceReports()
         self._totals = in_flight_totals.InFlightTotals()
         self._crashes = crash_quarantine.CrashLedger()
+        self._prompt_parts = prompt_quarantine.PartLedger()
         self._changelog = model_changelog.ModelChangelog()
         self._changelog_updated_ms = 0
         self._new_models: set[tuple[str, str]] = set()
@@ -187,6 +192,12 @@
         self._reports.record(report, send_view, now_ms)
         self._totals.record(report)
         self._crashes.update(_process_id(report), report.crashes, now_ms)
+        self._prompt_parts.update(
+            report.part_crashes,
+            report.sound_parts,
+            report.barred_parts,
+            now_ms,
+        )
         self._directory.feedback.on_shared_limits(report.limits)
         for target_id, born_ms in report.leaving_targets.items():
             if self._leaving_targets.get(target_id) != born_ms:
@@ -272,6 +283,8 @@
             models_version=report.models_seen[1],
             ready_in_ms={},
             quarantined=self._crashes.quarantined(now_ms),
+            suspect_parts=self._prompt_parts.suspects(now_ms),
+            barred_parts=self._barred_parts(now_ms),
             status=self._status(now_ms),
             leaving_targets=self._leaving_targets,
             targets=self._target_changes(report.targets_version),
@@ -279,6 +292,14 @@
             permits=[],
         )
 
+    def _barred_parts(self, now_ms: int) -> list[str]:
+        """Returns the prompt parts that no request may have."""
+        live_count = self._reports.live_count(now_ms)
+        objection_ms = _OBJECTION_REPORTS * instance_reports.interval_ms(
+            live_count
+        )
+        return self._prompt_parts.barred(objection_ms, now_ms)
+
     def _renewal_overdue(self, now_ms: int) -> bool:
         return self._lease.is_renewal_overdue(now_ms)
 
--- a/tanagerloft/coordination/holder_client.py
+++ b/tanagerloft/coordination/holder_client.py
@@ -7,6 +7,7 @@
 import logging
 
 from tanagerloft.coordination import account_needs
+from tanagerloft.coordination import instance_reports
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import model_etas
 from tanagerloft.coordination import request_counts
@@ -15,6 +16,7 @@
 from tanagerloft.decisions import account_tokens
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import prompt_quarantine
 from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
 from tanagerloft.util import loops
@@ -22,11 +24,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Time between reports; loads of targets are at most this old.
-_REPORT_MS = 100
-# The report interval grows with the number of instances, so that the holder's
-# work for periodic reports does not.
-_REPORT_PER_INSTANCE_MS = 5
 # Delay before tokens and models are requested, so that the requests of a burst
 # share a report.
 _BATCH_DELAY_MS = 1
@@ -60,6 +57,7 @@
         on_holder_status: Called with the holder's status, its changes of the
             target list and the send time of the report that it answers.
         crashes: Crashes of targets seen by this instance.
+        prompt_evidence: Prompt parts under these crashes.
 
     Attributes:
         permits: Permits for targets with a limit.
@@ -82,6 +80,7 @@
             [messages.HolderStatus, messages.TargetListDelta, int], None
         ],
         crashes: crash_quarantine.CrashCounts,
+        prompt_evidence: prompt_quarantine.PartEvidence,
     ):
         self._instance = instance
         self._incarnation = incarnation
@@ -94,6 +93,7 @@
         self._reads_store = reads_store
         self._on_holder_status = on_holder_status
         self._crashes = crashes
+        self._prompt_evidence = prompt_evidence
         self._quarantined: frozenset[str] = frozenset()
         self._sequence = 0
         self._sent_ms: dict[int, int] = {}
@@ -164,7 +164,7 @@
     @property
     def report_pause_ms(self) -> int:
         """Time between two reports while no request waits."""
-        return max(_REPORT_MS, self.instances * _REPORT_PER_INSTANCE_MS)
+        return instance_reports.interval_ms(self.instances)
 
     @property
     def last_answer_ms(self) -> int:
@@ -250,6 +250,11 @@
             reads_store=self._reads_store(),
             models_seen=self._models_seen,
             crashes=self._crashes.counts_to_share(now_ms),
+            part_crashes=self._prompt_evidence.crashes_to_share(
+                self._sequence, now_ms
+            ),
+            sound_parts=self._prompt_evidence.sound_to_share(now_ms),
+            barred_parts=self._prompt_evidence.barred_to_share(),
             leaving_targets=dict(
                 self._directory.feedback.notices.leaving_to_share()
             ),
@@ -277,6 +282,9 @@
         self._model_etas.on_view(view.ready_in_ms)
         self._count_instances(view.instances, new_term, now_ms)
         self._quarantined = frozenset(view.quarantined)
+        self._prompt_evidence.on_verdicts(
+            view.sequence, view.suspect_parts, view.barred_parts
+        )
         self._directory.feedback.notices.update_reported_leaving(
             frozenset(
                 target_notices.TargetIncarnation(*item)
--- a/tanagerloft/coordination/instance_reports.py
+++ b/tanagerloft/coordination/instance_reports.py
@@ -7,6 +7,12 @@
 
 from tanagerloft.coordination import messages
 
+# Shortest time between two reports of an instance; loads of targets are at most
+# this old.
+_REPORT_MS = 100
+# The report interval grows with the number of instances, so that the holder's
+# work for periodic reports does not.
+_REPORT_PER_INSTANCE_MS = 5
 # An instance without a report for this long is no longer counted.
 _MAX_AGE_MS = 2_000
 # Shortest time between two counts of the instances.
@@ -15,6 +21,15 @@
 SendView = Callable[[messages.View], None]
 
 
+def interval_ms(instances: int) -> int:
+    """Returns the time between two reports of an instance.
+
+    Args:
+        instances: Number of instances.
+    """
+    return max(_REPORT_MS, instances * _REPORT_PER_INSTANCE_MS)
+
+
 class ReceivedReport(NamedTuple):
     """A report and how to answer it.
 
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -58,6 +58,10 @@
         reads_store: Whether the instance has just read the lease row.
         models_seen: Fencing token and version of the models that it knows of.
         crashes: Crashes of targets by digest of the request.
+        part_crashes: Crashes under each prompt part that the instance
+            suspects.
+        sound_parts: Suspect parts that it knows to be sound.
+        barred_parts: Parts that a holder has barred.
         leaving_targets: Targets that have announced to it that they leave,
             with the start of their incarnation.
         targets_version: Version of the store up to which it knows the target
@@ -78,6 +82,9 @@
     reads_store: bool
     models_seen: tuple[int, int]
     crashes: dict[str, int]
+    part_crashes: dict[str, list[str]]
+    sound_parts: list[str]
+    barred_parts: list[str]
     leaving_targets: dict[str, int]
     targets_version: int
     limits: list[target_limits.SharedLimit]
@@ -157,6 +164,8 @@
         models_version: Version up to which the changes are included.
         ready_in_ms: Time until each requested model is expected to be loaded.
         quarantined: Digests of requests that crash targets.
+        suspect_parts: Prompt parts that were under crashes.
+        barred_parts: Prompt parts that no request may have.
         status: Status of the holder.
         leaving_targets: Targets that have announced to an instance that they
             leave, with the start of their incarnation.
@@ -176,6 +185,8 @@
     models_version: int
     ready_in_ms: dict[str, int]
     quarantined: list[str]
+    suspect_parts: list[str]
+    barred_parts: list[str]
     status: HolderStatus
     leaving_targets: dict[str, int]
     targets: TargetListDelta
--- a/tanagerloft/gateway/attempt.py
+++ b/tanagerloft/gateway/attempt.py
@@ -66,6 +66,7 @@
 
     Attributes:
         target: Target of the attempt.
+        begun: Whether the listener has recorded that the target answers.
     """
 
     def __init__(
@@ -94,6 +95,8 @@
         self._released = False
         self._permit_granted_ms = permit_granted_ms
         self.target = target
+        self._events_before = stream.events
+        self.begun = False
 
     def start(self) -> None:
         """Sends the request, on an idle connection or a new one."""
@@ -116,6 +119,11 @@
         loop = asyncio.get_running_loop()
         self._connecting = loop.create_task(self._connect(address))
 
+    @property
+    def events(self) -> int:
+        """Number of new events that the target has sent."""
+        return self._stream.events - self._events_before
+
     def release(self) -> None:
         """Ends the accounting of in-flight work at the target, once."""
         if self._released:
--- a/tanagerloft/gateway/codec.py
+++ b/tanagerloft/gateway/codec.py
@@ -25,6 +25,7 @@
         tokens: Tokens of the prompt and of the longest possible response;
             None if the request states no tokens.
         prompt_tokens: Tokens of the prompt, 0 if not known.
+        shared_parts: Parts of the prompt but the last, which is its own.
         last_event_id: Last event that the caller has, None for none.
         headers: Headers that are forwarded to the target.
     """
@@ -38,6 +39,7 @@
     adapter: str
     tokens: int | None
     prompt_tokens: int
+    shared_parts: tuple[str, ...]
     last_event_id: int | None
     headers: tuple[tuple[bytes, bytes], ...]
 
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -18,6 +18,7 @@
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import order_lease
+from tanagerloft.decisions import prompt_quarantine
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 from tanagerloft.gateway import deployment as deployment_lib
@@ -43,6 +44,7 @@
         deployment: Drivers of the deployment.
         wait_queue: Requests that wait for a model.
         crashes: Crashes of targets that this instance has seen.
+        prompt_evidence: Prompt parts under these crashes.
         now_ms: Clock.
 
     Attributes:
@@ -61,6 +63,7 @@
         deployment: deployment_lib.Deployment,
         wait_queue: wait_queue_lib.WaitQueue,
         crashes: crash_quarantine.CrashCounts,
+        prompt_evidence: prompt_quarantine.PartEvidence,
         now_ms: Callable[[], int],
     ):
         self._now_ms = now_ms
@@ -111,6 +114,7 @@
             self._reads_store,
             self._apply_holder_state,
             crashes,
+            prompt_evidence,
         )
         self._engines = engines = engine_controller.EngineController(
             self.lease,
--- a/tanagerloft/gateway/crash_detector.py
+++ b/tanagerloft/gateway/crash_detector.py
@@ -4,13 +4,17 @@
 
 import asyncio
 from collections.abc import Callable
+import logging
 
 from tanagerloft.decisions import crash_quarantine
+from tanagerloft.decisions import prompt_quarantine
 from tanagerloft.fleet import types
 from tanagerloft.net import connection_pool
 from tanagerloft.net import target_connection
 from tanagerloft.util import loops
 
+logger = logging.getLogger(__name__)
+
 # A crashed process no longer accepts connections after this time.
 _PROBE_DELAY_MS = 50
 # A target that accepts no connection for this long counts as down.
@@ -23,6 +27,7 @@
     Args:
         pool: Connections to targets.
         counts: Crashes that this instance has seen.
+        evidence: Prompt parts under crashes.
         now_ms: Clock.
     """
 
@@ -30,22 +35,32 @@
         self,
         pool: connection_pool.Pool,
         counts: crash_quarantine.CrashCounts,
+        evidence: prompt_quarantine.PartEvidence,
         now_ms: Callable[[], int],
     ):
         self._pool = pool
         self._counts = counts
+        self._evidence = evidence
         self._now_ms = now_ms
         self._probes: dict[str, asyncio.Task] = {}
 
     def record_lost_connection(
-        self, digest: str, target: types.TargetEntry
+        self,
+        digest: str,
+        suspect_parts: tuple[str, ...],
+        target: types.TargetEntry,
     ) -> None:
         """Records a connection lost during a request; probes its target.
 
         Args:
             digest: Digest of the request.
+            suspect_parts: Parts of its prompt; none if the target had begun to
+                answer it.
             target: Target that it was sent to.
         """
+        self._evidence.record_lost(
+            suspect_parts, target.target_id, self._now_ms()
+        )
         self._counts.record_lost_connection(
             digest, target.target_id, self._now_ms()
         )
@@ -73,7 +88,18 @@
         finally:
             del self._probes[target.target_id]
         if isinstance(connection, target_connection.ExchangeFailure):
-            self._counts.record_down(target.target_id, self._now_ms())
+            self._record_down(target)
         else:
             self._counts.record_up(target.target_id)
+            self._evidence.record_up(target.target_id)
             self._pool.release(connection)
+
+    def _record_down(self, target: types.TargetEntry) -> None:
+        now_ms = self._now_ms()
+        self._counts.record_down(target.target_id, now_ms)
+        crash_id = f"{target.target_id}/{target.born_ms}"
+        accused = self._evidence.record_down(target.target_id, crash_id, now_ms)
+        logger.info(
+            "target crashed under requests",
+            extra={"crash": crash_id, "suspect_parts": accused},
+        )
--- a/tanagerloft/gateway/dependencies.py
+++ b/tanagerloft/gateway/dependencies.py
@@ -7,6 +7,7 @@
 
 from tanagerloft.coordination import target_permits
 from tanagerloft.coordination import targets as targets_lib
+from tanagerloft.decisions import prompt_quarantine
 from tanagerloft.decisions import retry_budget
 from tanagerloft.gateway import codec as codec_lib
 from tanagerloft.gateway import context as context_lib
@@ -32,6 +33,7 @@
             has been withdrawn or cannot be confirmed, or if the request
             crashes targets.
         crash_detector: Detects requests that crash targets.
+        prompt_evidence: Prompt parts that targets answered or crashed under.
         report_soon: Sends a report to the lease holder soon.
         model_ready_in_ms: Returns the time until a model is ready, if known.
         holder_age_ms: Returns the age of the lease holder's last status.
@@ -47,6 +49,7 @@
     record_first_send: Callable[[str], None]
     recheck: Callable[[context_lib.RequestContext], errors.Refusal | None]
     crash_detector: crash_detector_lib.CrashDetector
+    prompt_evidence: prompt_quarantine.PartEvidence
     report_soon: Callable[[], None]
     model_ready_in_ms: Callable[[str], int | None]
     holder_age_ms: Callable[[], int]
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -38,6 +38,12 @@
     "This request took down each target that ran it.",
     retry_after_ms=60_000,
 )
+PROMPT_PART_CRASHES_TARGETS = Refusal(
+    "prompt_part_crashes_targets",
+    503,
+    "A part of this prompt took down each target that began to answer it.",
+    retry_after_ms=60_000,
+)
 TARGETS_BACK_OFF = Refusal(
     "targets_back_off", 503, "The targets take no requests for a time."
 )
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -26,6 +26,9 @@
 # Delay before a retry at the target that has just failed.
 _SAME_TARGET_RETRY_DELAY_MS = 100
 _SERVER_ERROR = 500
+# Events of an attempt after which its target has begun to answer: the first one
+# may still be sent by a target that crashes.
+_EVENTS_BEGUN = 2
 
 
 class Exchange:
@@ -180,14 +183,27 @@
 
     def on_events(self, info: codec_lib.ResponseInfo, data: bytes) -> None:
         """Forwards events to the caller."""
+        self._record_begun()
         self.response.send_events(info, data)
 
     def on_stream_end(self, info: codec_lib.ResponseInfo, rest: bytes) -> None:
         """Ends the response after a complete stream."""
+        self._record_begun(complete=True)
         self.response.send_events(info, rest)
         self._finish_answered(200)
         self.response.finish()
 
+    def _record_begun(self, complete: bool = False) -> None:
+        """Records that a target answers the request, once an attempt."""
+        attempt = self._attempt
+        if attempt is None or attempt.begun:
+            return
+        if complete or attempt.events >= _EVENTS_BEGUN:
+            attempt.begun = True
+            self._deps.prompt_evidence.record_begun(
+                self.context.decoded.shared_parts, self._deps.now_ms()
+            )
+
     def on_response(
         self, info: codec_lib.ResponseInfo, status: int, body: bytes
     ) -> None:
@@ -199,6 +215,8 @@
             self._abort("head of another answer is out")
         else:
             self.response.record_first_byte()
+            if status < _SERVER_ERROR:
+                self._record_begun(complete=True)
             self._finish_answered(status)
             self.response.send_whole(info, status, body)
 
@@ -225,9 +243,11 @@
         """Handles a connection that ended before the response was complete."""
         if self._attempt is None:
             return
-        target = self._attempt.target
+        suspect_parts = self.context.decoded.shared_parts
+        if self._attempt.events >= _EVENTS_BEGUN:
+            suspect_parts = ()
         self._deps.crash_detector.record_lost_connection(
-            self.context.digest, target
+            self.context.digest, suspect_parts, self._attempt.target
         )
         evidence = attempts.Evidence.UNKNOWN
         if self._stream.events:
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -10,6 +10,7 @@
 
 from tanagerloft.config import settings as settings_lib
 from tanagerloft.decisions import crash_quarantine
+from tanagerloft.decisions import prompt_quarantine
 from tanagerloft.decisions import retry_budget
 from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import control as control_lib
@@ -78,6 +79,7 @@
         self._stopping = False
         self._started_ms = clock.now_ms()
         self._crashes = crash_quarantine.CrashCounts()
+        self._prompt_evidence = prompt_quarantine.PartEvidence()
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self.wait_queue = wait_queue_lib.WaitQueue()
         self._metrics = metrics_lib.GatewayMetrics()
@@ -86,6 +88,7 @@
             self._deployment,
             self.wait_queue,
             self._crashes,
+            self._prompt_evidence,
             clock.now_ms,
         )
         self.directory = self.control.directory
@@ -103,8 +106,9 @@
             record_first_send=self._record_first_send,
             recheck=self._recheck,
             crash_detector=crash_detector_lib.CrashDetector(
-                self._pool, self._crashes, now_ms
+                self._pool, self._crashes, self._prompt_evidence, now_ms
             ),
+            prompt_evidence=self._prompt_evidence,
             report_soon=self.control.holder_client.report_soon,
             model_ready_in_ms=self.control.holder_client.model_ready_in_ms,
             holder_age_ms=self.control.holder_client.holder_age_ms,
@@ -254,6 +258,20 @@
     ) -> errors.Refusal | None:
         if self.control.holder_client.is_quarantined(lambda: context.digest):
             return errors.CRASHES_TARGETS
+        shared_parts = context.decoded.shared_parts
+        part = self._prompt_evidence.barred_part(
+            shared_parts, self._clock.now_ms()
+        )
+        if part is not None:
+            logger.info(
+                "request has a barred prompt part",
+                extra={
+                    "request": context.decoded.request_id,
+                    "part": part,
+                    "shared_parts": list(shared_parts),
+                },
+            )
+            return errors.PROMPT_PART_CRASHES_TARGETS
         configuration = (
             self.control.configuration.current or context.configuration
         )
--- a/tanagerloft/platform/requests.py
+++ b/tanagerloft/platform/requests.py
@@ -35,6 +35,9 @@
     | {wire.AUTHORIZATION, wire.DEADLINE_MS, wire.LAST_EVENT_ID}
 )
 _NUMBER = re.compile(rb"[0-9]{1,15}")
+# Parts of a prompt that are decoded, and the length of the name of each.
+_MAX_PARTS = 32
+_PART = re.compile(rb"([0-9a-fA-F]{1,32}):[0-9]{1,15}")
 _REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
 _STREAM_TYPE = b"text/event-stream"
 _REFUSAL_TYPE = (b"Content-Type", b"application/json")
@@ -54,6 +57,7 @@
         """Decodes a request of a caller, or returns why it is refused."""
         single_valued: dict[bytes, bytes] = {}
         forwarded = []
+        parts = []
         not_forwarded = _NOT_FORWARDED | _connection_headers(request.headers)
         for name, value in request.headers:
             lower_name = name.lower()
@@ -61,9 +65,11 @@
                 if lower_name in single_valued:
                     return errors.MALFORMED
                 single_valued[lower_name] = value.strip()
+            if lower_name == wire.PROMPT_PARTS:
+                parts += value.split(b",")
             if lower_name not in not_forwarded:
                 forwarded.append((name, value))
-        return _decode(request, single_valued, tuple(forwarded))
+        return _decode(request, single_valued, parts, tuple(forwarded))
 
     def encode(
         self,
@@ -190,6 +196,7 @@
 def _decode(
     request: responder_lib.Request,
     single_valued: dict[bytes, bytes],
+    parts: list[bytes],
     forwarded: tuple[tuple[bytes, bytes], ...],
 ) -> codec.DecodedRequest | errors.Refusal:
     request_id = single_valued.get(wire.REQUEST_ID, b"")
@@ -220,6 +227,7 @@
         adapter=adapter.decode("latin-1"),
         tokens=None if tokens is None else sum(tokens),
         prompt_tokens=0 if tokens is None else tokens[0],
+        shared_parts=_decode_shared_parts(parts),
         last_event_id=int(last_event) if last_event is not None else None,
         headers=forwarded,
     )
@@ -236,6 +244,13 @@
     return int(parts[0]), int(parts[1])
 
 
+def _decode_shared_parts(parts: list[bytes]) -> tuple[str, ...]:
+    """Returns the names of all parts but the last; skips malformed ones."""
+    decoded = [_PART.fullmatch(part.strip()) for part in parts[:-1]]
+    names = [part[1].decode().lower() for part in decoded if part]
+    return tuple(names[:_MAX_PARTS])
+
+
 def _decode_key(value: bytes | None) -> str | None:
     if value is None or not value.lower().startswith(_BEARER):
         return None
--- a/tanagerloft/platform/wire.py
+++ b/tanagerloft/platform/wire.py
@@ -5,6 +5,7 @@
 DEADLINE_MS = b"deadline-ms"
 MODEL = b"model"
 TOKENS = b"token-counts"
+PROMPT_PARTS = b"prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
 AUTHORIZATION = b"authorization"
 
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from tanagerloft.coordination import errors
 from tanagerloft.fleet import types
@@ -155,6 +156,24 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        ("5c1e07a2:800,91BD3F06:410, e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        ("e4402b7d:250", ()),
+        ("", ()),
+        ("5c:8,xyz:1,:3,91:,7f:5,e4:1", ("5c", "7f")),
+        (",,,", ()),
+        ("a" * 40 + ":1,5c:8,e4:1", ("5c",)),
+        (",".join(["5c:8"] * 900), ("5c",) * 32),
+    ],
+)
+def test_the_shared_parts_of_a_prompt_are_decoded(value, parts):
+    decoded = _decode(**{"Prompt-Prefix": value})
+    assert isinstance(decoded, codec.DecodedRequest)
+    assert decoded.shared_parts == parts
+
+
 def test_hop_by_hop_headers_are_not_forwarded():
     decoded = _decode(
         **{"Connection": "X-Mine, close", "X-Mine": "1", "X-Yours": "2"}
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -59,6 +59,8 @@
         models_version=0,
         ready_in_ms={},
         quarantined=[],
+        suspect_parts=[],
+        barred_parts=[],
         status=messages.HolderStatus(
             1, 0, False, False, messages.KnownState(1, 0, 4, 0)
         ),
@@ -124,6 +126,9 @@
         reads_store=False,
         models_seen=(0, 0),
         crashes={},
+        part_crashes={},
+        sound_parts=[],
+        barred_parts=[],
         leaving_targets={},
         targets_version=0,
         limits=[],
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -42,6 +42,8 @@
 _RESTORE_MS = 300
 _REWRITE_MS = 1_500
 _HEARTBEAT_MS = 1_200
+# Time for which a target is down after a crash.
+_DOWN_MS = 3_000
 
 
 class Reply(NamedTuple):
@@ -75,6 +77,7 @@
         self._instance = instance
         self._target = target
         self._receiver: target_connection.Receiver | None = None
+        target.connections.add(self)
 
     def send(self, data: bytes, receiver) -> None:
         self._receiver = receiver
@@ -86,7 +89,23 @@
         head, took_ms = self._target.receive(self._instance, data)
         names_limit = head.get(b"server-limit") is not None
         response_ms = took_ms + _TRANSIT_MS
-        loops.call_later(response_ms, lambda: self._respond(head, names_limit))
+        if self._target.crashes_under(data):
+            loops.call_later(took_ms, self._crash_target)
+        else:
+            loops.call_later(
+                response_ms, lambda: self._respond(head, names_limit)
+            )
+
+    def _crash_target(self) -> None:
+        if self._receiver is not None and not self._target.is_down:
+            self._target.crash(_DOWN_MS)
+
+    def on_crash(self) -> None:
+        receiver = self._receiver
+        self.cancel()
+        if receiver is not None:
+            failure = target_connection.ExchangeFailure.CLOSED
+            loops.call_later(_TRANSIT_MS, lambda: receiver.on_failure(failure))
 
     def _respond(
         self, head: target_connection.ResponseHead, names_limit: bool
@@ -94,6 +113,7 @@
         receiver, self._receiver = self._receiver, None
         if receiver is None:
             return
+        self._target.connections.discard(self)
         receiver.on_head(head)
         receiver.on_end()
         if names_limit:
@@ -101,6 +121,7 @@
 
     def cancel(self) -> None:
         self._receiver = None
+        self._target.connections.discard(self)
 
     close = cancel
 
@@ -115,13 +136,16 @@
         self._fleet = fleet
         self._instance = instance
 
+    def release(self, connection):
+        connection.close()
+
     def acquire_idle(self, _address, _max_idle_ms=None):
         return None
 
     async def connect(self, address, _timeout_ms=0):
         await loops.sleep(_TRANSIT_MS)
         target = self._fleet.targets.get(address[0])
-        if target is None:
+        if target is None or target.is_down:
             return target_connection.ExchangeFailure.NOT_CONNECTED
         return _Connection(self._instance, target)
 
@@ -246,6 +270,7 @@
         loss: Fraction of datagrams lost.
         delay_ms: Maximum extra delay of datagrams.
         replies: Responses to callers.
+        starts_ms: Times of the starts of each instance.
     """
 
     def __init__(
@@ -265,6 +290,7 @@
         self.version = 0
         self.era = 0
         self._copies: list[_Copy] = []
+        self.starts_ms: dict[str, list[int]] = {n: [] for n in self.names}
         self.store_down = False
         self.writes_fail = False
         self.isolated: set[str] = set()
@@ -355,6 +381,7 @@
 
     def start_instance(self, name: str) -> None:
         """Starts an instance."""
+        self.starts_ms[name].append(virtual_loop.now_ms())
 
         def build(_pool, _address, _name):
             base = deployment.build(_pool, _address, _name)
--- a/tests/support/gateway_targets.py
+++ b/tests/support/gateway_targets.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
+from typing import Protocol
 
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import order_progress
@@ -27,6 +28,13 @@
 _SLACK = 5
 
 
+class Connection(Protocol):
+    """A connection to a target."""
+
+    def on_crash(self) -> None:
+        """The target has crashed."""
+
+
 class Arrival(NamedTuple):
     """A request received by a target.
 
@@ -55,6 +63,8 @@
 
     Attributes:
         unlisted: Whether the platform's list no longer has it.
+        crashes: Times of its crashes.
+        connections: Open connections.
     """
 
     service = "plain"
@@ -72,7 +82,10 @@
         self.on_change: Callable[[Target], None] = lambda _: None
         self._limit_known_ms: dict[str, int] = {}
         self._state = "ready"
+        self._down_until_ms = 0
         self.unlisted = False
+        self.crashes: list[int] = []
+        self.connections: set[Connection] = set()
 
     def entry(self) -> dict:
         """Returns its entry in the platform's list."""
@@ -117,6 +130,22 @@
         """Returns status and duration in ms of a request."""
         return 200, self.run_ms
 
+    def crashes_under(self, _data: bytes) -> bool:
+        """Returns whether the target crashes when it answers a request."""
+        return False
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the target accepts no connections after a crash."""
+        return virtual_loop.now_ms() < self._down_until_ms
+
+    def crash(self, down_ms: int) -> None:
+        """Loses all connections and is down for some time."""
+        self.crashes.append(virtual_loop.now_ms())
+        self._down_until_ms = virtual_loop.now_ms() + down_ms
+        for connection in list(self.connections):
+            connection.on_crash()
+
     def leave(self) -> None:
         """Marks the target as leaving in the platform's list."""
         self._state = "draining"
