Keep verdicts on prompt parts in the store

The holder writes the list of barred parts to a row of its own when it changes, and each process reads it once at its start.

--- a/tanagerloft/coordination/holder_client.py
+++ b/tanagerloft/coordination/holder_client.py
@@ -254,7 +254,7 @@
                 self._sequence, now_ms
             ),
             sound_parts=self._prompt_evidence.sound_to_share(now_ms),
-            barred_parts=self._prompt_evidence.barred_to_share(),
+            barred_parts=self._prompt_evidence.barred_to_share(self._sequence),
             leaving_targets=dict(
                 self._directory.feedback.notices.leaving_to_share()
             ),
--- a/tanagerloft/decisions/prompt_quarantine.py
+++ b/tanagerloft/decisions/prompt_quarantine.py
@@ -67,6 +67,9 @@
         self._shared_in: dict[str, int] = {}
         self._sound_ms: dict[str, int] = {}
         self._barred: frozenset[str] = frozenset()
+        # Verdicts read from the store, with the report in which each was first
+        # shared, None before.
+        self._adopted: dict[str, int | None] = {}
         self._fleet_suspects: frozenset[str] = frozenset()
 
     def record_lost(
@@ -146,10 +149,33 @@
         suspects = self._fleet_suspects | self._barred
         return sorted(part for part in suspects if self._is_sound(part, now_ms))
 
-    def barred_to_share(self) -> list[str]:
-        """Returns the parts that a holder has barred, for the next holder."""
+    @property
+    def barred(self) -> list[str]:
+        """Parts that a holder has barred."""
         return sorted(self._barred)
 
+    def adopt(self, barred: Iterable[str]) -> None:
+        """Applies verdicts of an earlier holder, read from the store."""
+        new = set(barred) - self._barred
+        self._adopted |= dict.fromkeys(new)
+        self._set_barred(self._barred | new)
+
+    def barred_to_share(self, sequence: int) -> list[str]:
+        """Returns the parts that a holder has barred, for the next holder.
+
+        Args:
+            sequence: Sequence number of the report that shares them.
+        """
+        for part, shared_in in self._adopted.items():
+            if shared_in is None:
+                self._adopted[part] = sequence
+        return self.barred
+
+    def _set_barred(self, barred: frozenset[str]) -> None:
+        if barred != self._barred:
+            self._barred = barred
+            logger.warning("prompt parts barred", extra={"parts": self.barred})
+
     def on_verdicts(
         self, sequence: int, suspects: Iterable[str], barred: Iterable[str]
     ) -> None:
@@ -162,11 +188,13 @@
             barred: Parts that no request may have.
         """
         self._fleet_suspects = frozenset(suspects)
-        if self._barred != frozenset(barred):
-            self._barred = frozenset(barred)
-            logger.warning(
-                "prompt parts barred", extra={"parts": sorted(self._barred)}
-            )
+        # The holder does not know yet of verdicts that are not shared.
+        self._adopted = {
+            part: shared_in
+            for part, shared_in in self._adopted.items()
+            if shared_in is None or shared_in > sequence
+        }
+        self._set_barred(frozenset(barred) | self._adopted.keys())
         for part, shared_in in list(self._shared_in.items()):
             if shared_in <= sequence and part not in self._fleet_suspects:
                 self._drop(part)
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -14,6 +14,7 @@
 from tanagerloft.coordination import holder_client as holder_client_lib
 from tanagerloft.coordination import lease_manager
 from tanagerloft.coordination import messages
+from tanagerloft.coordination import prompt_verdicts
 from tanagerloft.coordination import target_list
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import crash_quarantine
@@ -116,6 +117,9 @@
             crashes,
             prompt_evidence,
         )
+        self._prompt_verdicts = prompt_verdicts.PromptVerdicts(
+            deployment.store, prompt_evidence, self.lease, now_ms
+        )
         self._engines = engines = engine_controller.EngineController(
             self.lease,
             self.directory,
@@ -171,6 +175,7 @@
             self.lease_manager.run(),
             self.holder_client.run(),
             self._holder.run(),
+            self._prompt_verdicts.run(),
         ]
 
     def keys_are_current(self) -> bool:
--- a/tests/decisions/test_prompt_quarantine.py
+++ b/tests/decisions/test_prompt_quarantine.py
@@ -16,7 +16,7 @@
     ledger.update(
         evidence.crashes_to_share(sequence, now_ms),
         evidence.sound_to_share(now_ms),
-        evidence.barred_to_share(),
+        evidence.barred_to_share(sequence),
         now_ms,
     )
     evidence.on_verdicts(
@@ -109,6 +109,19 @@
     assert evidence.barred_part(("bad",), 5_000) == "bad"
 
 
+def test_a_verdict_read_from_the_store_lasts_until_the_holder_knows_it():
+    evidence = prompt_quarantine.PartEvidence()
+    ledger = prompt_quarantine.PartLedger()
+    evidence.adopt(["bad"])
+    evidence.on_verdicts(1, [], [])
+    assert evidence.barred_part(("bad",), 0) == "bad"
+    _report(ledger, evidence, 2, 100)
+    assert evidence.barred_part(("bad",), 100) == "bad"
+    assert ledger.barred(_OBJECTION_MS, 61_000) == []
+    _report(ledger, evidence, 3, 61_000)
+    assert evidence.barred_part(("bad",), 61_000) is None
+
+
 def test_a_verdict_ends_and_the_next_crash_renews_it_for_longer():
     ledger = prompt_quarantine.PartLedger()
     crashes = ["a/1", "b/1", "c/1"]
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -60,13 +60,16 @@
 ) -> None:
     while True:
         await loops.sleep(rng.expovariate(per_s) * 1_000)
+        names = fleet.ready_names()
+        if not names:
+            continue
         sent_ms.append(virtual_loop.now_ms())
         count = len(sent_ms)
         other = f"{rng.randrange(4):x}"
         name = part or f"a{rng.randrange(20):x}"
         prefix = f"f00:350,{name}:400,{other}:80,e{count:x}{part}:20"
         fleet.send_request(
-            rng.choice(fleet.names),
+            rng.choice(names),
             f"/safe/{count}{part}",
             **{"Prompt-Prefix": prefix},
         )
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -463,6 +463,15 @@
         await loops.sleep(down_ms)
         self.start_instance(name)
 
+    def ready_names(self) -> list[str]:
+        """Returns the instances that report to be ready."""
+        return [
+            name
+            for name, (instance, _) in self._running.items()
+            if instance.control.configuration.current is not None
+            and instance.control.targets.known
+        ]
+
     def holder(self) -> str | None:
         """Returns the lease holder that answers reports, if there is one."""
         for name, (instance, _) in self._running.items():
