Take a stream that ends inside an event for broken off

Such a stream was forwarded as complete, with the part of an event, whether it ended with its connection or with its last chunk; callers could not tell that it lacked events.

Now it is resumed where the route allows, else truncated visibly. The four cases of tests/gateway/test_relay.py failed before (events 1 and 2, complete; 1 expected).

--- a/tanagerloft/gateway/attempt.py
+++ b/tanagerloft/gateway/attempt.py
@@ -193,6 +193,9 @@
         if not info.matches_request:
             self._info = None
             connection.skip_response(self)
+        elif self._is_stream(info) and self._stream.is_inside_event:
+            connection.close()
+            self._listener.on_connection_lost("stream ends inside an event")
         elif self._is_stream(info):
             self._listener.on_stream_end(info, self._stream.rest())
         elif info.not_run:
--- a/tanagerloft/gateway/events.py
+++ b/tanagerloft/gateway/events.py
@@ -32,6 +32,12 @@
         *blocks, self._rest = self._rest.split(_END)
         return [Event(block + _END, _event_id(block)) for block in blocks]
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the last event is not whole."""
+        is_whole = self._rest.endswith(b"\r\n\r\n")
+        return bool(self._rest.strip()) and not is_whole
+
     def rest(self) -> bytes:
         """Returns the bytes after the last whole event."""
         return self._rest
--- a/tanagerloft/gateway/stream_relay.py
+++ b/tanagerloft/gateway/stream_relay.py
@@ -58,6 +58,11 @@
         """Returns the fields of log lines about the stream."""
         return {"events": self.events, "longest_gap_ms": self.longest_gap_ms}
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the last event is not whole."""
+        return self._splitter.is_inside_event
+
     def rest(self) -> bytes:
         """Returns the bytes after the last whole event."""
         return self._splitter.rest()
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -368,6 +368,77 @@
     platform_lib.run(test)
 
 
+def _end_inside_event(chunked: bool):
+    async def script(request, writer):
+        data = platform_lib.event(1) + platform_lib.event(2)[:-3]
+        head = platform_lib.stream_head(request)
+        if chunked:
+            data = platform_lib.chunk(data) + platform_lib.chunk(b"")
+        else:
+            head = head.replace(b"Transfer-Encoding: chunked\r\n", b"")
+        writer.write(head + data)
+        await writer.drain()
+        writer.close()
+
+    return script
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_stream_that_ends_inside_an_event_is_visibly_truncated(chunked):
+    async def test(platform):
+        await platform.add_target(_end_inside_event(chunked), "engines")
+        reader, writer = await platform.connect()
+        writer.write(
+            platform_lib.request_bytes("POST", "/stream/x", Model="m1")
+        )
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            while piece := await reader.read(1_000):
+                data += piece
+        assert _events(data) == [1]
+        assert not _is_complete(data)
+
+    platform_lib.run(test)
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_stream_that_ends_inside_an_event_is_resumed(chunked):
+    async def test(platform):
+        async def resume(request, writer):
+            assert request.headers["last-event-id"] == "1"
+            writer.write(platform_lib.stream_head(request))
+            for number in (2, 3):
+                writer.write(platform_lib.chunk(platform_lib.event(number)))
+            writer.write(platform_lib.chunk(b""))
+
+        await platform.add_target(_end_inside_event(chunked), "engines", "t1")
+        await platform.add_target(resume, "engines", "t2")
+        data = await platform.call("POST", "/resume/x", Model="m1")
+        assert _is_complete(data)
+        assert _events(data) == [1, 2, 3]
+
+    platform_lib.run(test)
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_a_stream_without_a_length_ends_with_its_connection(line_end):
+    async def test(platform):
+        async def unframed(request, writer):
+            head = platform_lib.stream_head(request)
+            writer.write(head.replace(b"Transfer-Encoding: chunked\r\n", b""))
+            data = platform_lib.event(1) + platform_lib.event(2)
+            writer.write(data.replace(b"\n", line_end))
+            await writer.drain()
+            writer.close()
+
+        await platform.add_target(unframed, "engines")
+        data = await platform.call("POST", "/stream/x", Model="m1")
+        assert _is_complete(data)
+        assert _events(data.replace(b"\r\n", b"\n")) == [1, 2]
+
+    platform_lib.run(test)
+
+
 def test_a_started_stream_gets_no_second_head():
     # The only target breaks its stream and the model cannot be ready in time:
     # the caller must see a truncated response, not a refusal inside it.
