Hold notices for an incarnation that the list shows later

A target may start again under its id; an instance whose list of targets lags (cut off from the store, a restore, an outage) then knows the run before. It takes the answer of the new run, which says that it leaves, for a notice of the old one, and when the list shows the new run it sends requests there again.

Now the last notice of a target is kept by its id. When the list shows another run that had started when the notice arrived, by the wall clocks and 5 s for their differences, it holds for that run: for the time that the target has named, or for 30 s where it leaves, since a run that leaves has ended by then, and one that has just started may not be the one that said so.

A limit that a target names is not carried over: the next answer names it again.

--- a/tanagerloft/coordination/target_entries.py
+++ b/tanagerloft/coordination/target_entries.py
@@ -50,6 +50,7 @@
             changes.
         known_version: Version up to which it knows them.
         by_target: The entries.
+        on_added: Called with the entry of each new incarnation.
     """
 
     def __init__(self, decode: DecodeEntry):
@@ -61,6 +62,7 @@
         self.base_version = 0
         self.known_version = 0
         self.by_target: dict[str, types.TargetEntry] = {}
+        self.on_added: Callable[[types.TargetEntry], None] = lambda _: None
 
     def on_rows(self, snapshot: store_lib.Snapshot, complete: bool) -> bool:
         """Applies rows read from the store.
@@ -253,6 +255,7 @@
                     extra={"target": entry.target_id, "version": version},
                 )
             return previous.models != entry.models
+        self.on_added(entry)
         logger.info(
             "target added",
             extra={
--- a/tanagerloft/coordination/target_feedback.py
+++ b/tanagerloft/coordination/target_feedback.py
@@ -6,14 +6,36 @@
 from collections.abc import Iterable
 import logging
 import math
+from typing import NamedTuple
 
 from tanagerloft.coordination import target_entries
 from tanagerloft.decisions import target_limits
 from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
+from tanagerloft.util import bounded
 
 logger = logging.getLogger(__name__)
 
+# Bound on the differences of wall clocks of targets and instances.
+_CLOCK_TOLERANCE_MS = 5_000
+# Time for which a notice that may be of a later incarnation keeps requests from
+# it: a target that leaves has ended by then.
+_CARRIED_MS = 30_000
+# Targets whose last notices are remembered, the latest.
+_MAX_HEARD = 1_024
+
+
+class _Heard(NamedTuple):
+    """Last notice of a target, whichever incarnation has sent it.
+
+    Attributes:
+        received_ms: When it arrived.
+        until_ms: Time until which it keeps requests from the target.
+    """
+
+    received_ms: int
+    until_ms: int
+
 
 class TargetFeedback:
     """Notices and limits of targets, received directly or from other instances.
@@ -21,6 +43,7 @@
     Args:
         table: Entries of the target list.
         now_ms: Clock.
+        wall_ms: Wall clock.
         incarnation: Identity of this process.
 
     Attributes:
@@ -32,10 +55,14 @@
         self,
         table: target_entries.TargetEntries,
         now_ms: Callable[[], int],
+        wall_ms: Callable[[], int],
         incarnation: str,
     ):
         self._table = table
         self._now_ms = now_ms
+        self._wall_ms = wall_ms
+        self._heard: dict[str, _Heard] = {}
+        table.on_added = self._carry_over
         self.notices = target_notices.TargetNotices()
         self.limits = target_limits.TargetLimits(incarnation)
 
@@ -80,6 +107,7 @@
                 responded.
         """
         for incarnation in self._possible_senders(entry, misdirected):
+            self._record_heard(incarnation.target_id, _CARRIED_MS)
             if self.notices.record_leaving(incarnation):
                 logger.info(
                     "target announced that it leaves",
@@ -94,12 +122,45 @@
             for_ms: Duration.
         """
         incarnation = incarnation_of(entry)
+        self._record_heard(incarnation.target_id, for_ms)
         self.notices.record_backoff(incarnation, for_ms, self._now_ms())
         logger.info(
             "target backs off",
             extra={**incarnation._asdict(), "for_ms": for_ms},
         )
 
+    def _record_heard(self, target_id: str, for_ms: int) -> None:
+        now_ms = self._now_ms()
+        heard = self._heard.get(target_id, _Heard(now_ms, now_ms))
+        heard = _Heard(now_ms, max(heard.until_ms, now_ms + for_ms))
+        bounded.put_newest(self._heard, target_id, heard, _MAX_HEARD)
+
+    def _carry_over(self, entry: types.TargetEntry) -> None:
+        """Applies the last notice of a target to another incarnation of it.
+
+        The list of targets may lag behind: a response may be of an incarnation
+        that this instance learns of later.
+        """
+        heard = self._heard.get(entry.target_id)
+        incarnation = incarnation_of(entry)
+        if heard is None or self.notices.is_leaving(incarnation):
+            return
+        now_ms = self._now_ms()
+        started_ms = now_ms - (self._wall_ms() - entry.born_ms)
+        left_ms = heard.until_ms - now_ms
+        if started_ms > heard.received_ms + _CLOCK_TOLERANCE_MS or left_ms <= 0:
+            return
+        self.notices.record_backoff(incarnation, left_ms, now_ms)
+        logger.info(
+            "notice may be of a later incarnation",
+            extra={
+                **incarnation._asdict(),
+                "heard_ago_ms": now_ms - heard.received_ms,
+                "started_ago_ms": now_ms - started_ms,
+                "for_ms": left_ms,
+            },
+        )
+
     def note_limit(
         self,
         entry: types.TargetEntry,
--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -10,7 +10,9 @@
 from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
 from tanagerloft.util import bounded
+from tanagerloft.util import clock as clock_lib
 
+_SYSTEM_CLOCK = clock_lib.Clock()
 # Time after which a target that has reported a missing model is tried again.
 # Entries of the target list lag behind by up to one poll.
 _MISSING_MODEL_RETRY_MS = 100
@@ -53,6 +55,7 @@
         now_ms: Clock.
         data_centre: Data centre of this instance.
         incarnation: Identity of this process.
+        wall_ms: Wall clock.
 
     Attributes:
         table: Entries of the target list.
@@ -67,6 +70,7 @@
         now_ms: Callable[[], int],
         data_centre: str,
         incarnation: str = "",
+        wall_ms: Callable[[], int] = _SYSTEM_CLOCK.wall_ms,
     ):
         self.table = target_entries.TargetEntries(decode)
         self._now_ms = now_ms
@@ -79,7 +83,7 @@
         self.in_flight: dict[str, dict[str, int]] = {}
         self.prefilling: dict[str, int] = {}
         self.feedback = target_feedback.TargetFeedback(
-            self.table, now_ms, incarnation
+            self.table, now_ms, wall_ms, incarnation
         )
 
     @property
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Coroutine
 import hashlib
 import logging
@@ -25,6 +24,7 @@
 from tanagerloft.gateway import deployment as deployment_lib
 from tanagerloft.gateway import wait_queue as wait_queue_lib
 from tanagerloft.net import datagrams
+from tanagerloft.util import clock as clock_lib
 from tanagerloft.util import ids
 
 logger = logging.getLogger(__name__)
@@ -46,7 +46,7 @@
         wait_queue: Requests that wait for a model.
         crashes: Crashes of targets that this instance has seen.
         prompt_evidence: Prompt parts under these crashes.
-        now_ms: Clock.
+        clock: Clock.
 
     Attributes:
         directory: State of the targets.
@@ -65,9 +65,9 @@
         wait_queue: wait_queue_lib.WaitQueue,
         crashes: crash_quarantine.CrashCounts,
         prompt_evidence: prompt_quarantine.PartEvidence,
-        now_ms: Callable[[], int],
+        clock: clock_lib.Clock,
     ):
-        self._now_ms = now_ms
+        self._now_ms = now_ms = clock.now_ms
         self._datagrams = datagrams.DatagramSocket(self._receive)
         name = settings.get("instance", "id")
         incarnation = ids.short_id()
@@ -76,6 +76,7 @@
             now_ms,
             settings.get("instance", "data_centre"),
             incarnation,
+            clock.wall_ms,
         )
         self.targets = target_list.TargetList(
             deployment.store,
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -89,7 +89,7 @@
             self.wait_queue,
             self._crashes,
             self._prompt_evidence,
-            clock.now_ms,
+            clock,
         )
         self.directory = self.control.directory
         self._build_gateway()
--- a/tanagerloft/util/clock.py
+++ b/tanagerloft/util/clock.py
@@ -15,15 +15,28 @@
     """Monotonic clock.
 
     Its zero point has no meaning, so readings of two processes never compare.
+
+    Args:
+        source_ns: Returns the reading in nanoseconds.
+        wall_source_ns: Returns the Unix time in nanoseconds.
     """
 
-    def __init__(self, source_ns: Callable[[], int] = _boottime_ns):
+    def __init__(
+        self,
+        source_ns: Callable[[], int] = _boottime_ns,
+        wall_source_ns: Callable[[], int] = time.time_ns,
+    ):
         self._source_ns = source_ns
+        self._wall_source_ns = wall_source_ns
 
     def now_ms(self) -> int:
         """Returns the present reading in milliseconds."""
         return self._source_ns() // _NS_PER_MS
 
+    def wall_ms(self) -> int:
+        """Returns the Unix time in milliseconds, which may jump."""
+        return self._wall_source_ns() // _NS_PER_MS
+
 
 class ManualClock(Clock):
     """Clock that moves only when told to, for tests and simulations."""
--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -1,4 +1,4 @@
-"""Targets that leave while the store comes back from an older copy.
+"""Targets that leave, also while the store comes back from an older copy.
 
 The tests run a fleet on a virtual clock, with faults by seed;
 ``SEEDS=50 pytest tests/gateway/test_leaving_targets.py`` runs more seeds.
@@ -103,3 +103,92 @@
     }
     age_ms = rng.randint(500, 9_000)
     assert not _play(seed, leaves, restores, age_ms, rng.random() < 0.5)
+
+
+class _Announcing(gateway_targets.Target):
+    """A target that announces in its responses that it leaves."""
+
+    def __init__(self, target_id: str, fleet_sent_ms: dict[str, int]):
+        super().__init__(target_id, lambda _: self.limit_per_s)
+        self.limit_per_s: float | None = None
+        self.announces = False
+        self.late: list[tuple[str, str]] = []
+        self._sent_ms = fleet_sent_ms
+        self._told_ms: dict[str, int] = {}
+
+    def extra_headers(self, _status):
+        return [(b"server-leaving", b"1")] if self.announces else []
+
+    def receive(self, instance, data):
+        request_id = gateway_targets.header(data, b"Attempt-Id").decode()
+        told_ms = self._told_ms.get(instance)
+        if told_ms is not None:
+            since_ms = self._sent_ms[request_id] - told_ms
+            if since_ms > _DRAIN_MS:
+                self.late.append((instance, request_id))
+        return super().receive(instance, data)
+
+    def on_response(self, instance, head):
+        if head.get(b"server-leaving") is not None:
+            self._told_ms.setdefault(instance, virtual_loop.now_ms())
+
+    def forget_limit_known(self, instance):
+        super().forget_limit_known(instance)
+        self._told_ms.pop(instance, None)
+
+    def start_again(self):
+        super().start_again()
+        self.announces = False
+        self.limit_per_s = None
+        self._told_ms.clear()
+
+
+@pytest.mark.parametrize("seed", range(_SEEDS))
+def test_no_target_that_announces_its_leaving_gets_later_requests(seed):
+    rng = random.Random(seed)
+    sent_ms: dict[str, int] = {}
+    targets = [_Announcing(f"t{n}", sent_ms) for n in range(_TARGETS)]
+    fleet = gateway_fleet.GatewayFleet(_INSTANCES, targets, seed)
+    fleet.sent_ms = sent_ms
+
+    def announce(target: _Announcing) -> None:
+        target.announces = True
+
+    def set_limit(target: _Announcing) -> None:
+        target.limit_per_s = rng.choice((None, 1, 5, 20))
+
+    def cut(_target) -> None:
+        fleet.isolated = set(rng.sample(fleet.names, rng.randint(0, 2)))
+
+    def report_leaving(target: _Announcing) -> None:
+        announce(target)
+        target.leave()
+
+    async def cause_trouble():
+        while True:
+            await loops.sleep(rng.uniform(200, 1_000))
+            actions = (
+                announce,
+                set_limit,
+                report_leaving,
+                cut,
+                _Announcing.start_again,
+            )
+            rng.choice(actions)(rng.choice(targets))
+            if rng.random() < 0.1 and not fleet.store_down:
+                await fleet.restore(rng.randint(500, 3_000))
+
+    async def play():
+        await fleet.start()
+        tasks = [
+            asyncio.create_task(fleet.send_heartbeats()),
+            asyncio.create_task(cause_trouble()),
+        ]
+        await fleet.send_traffic(_REQUESTS_PER_S, 30_000, path="/safe/x")
+        for task in tasks:
+            task.cancel()
+        await fleet.close()
+
+    virtual_loop.run(play())
+    assert not [target.late for target in targets if target.late]
+    assert sum(reply.status == 200 for reply in fleet.replies) > 500
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tanagerloft.util import clock as clock_lib
 from tests.support import users_platform as platform_lib
 
 _PIECE = b"x" * 65_536
@@ -43,28 +44,55 @@
     platform_lib.run(test)
 
 
+async def _put_entry(platform, target, born) -> None:
+    """Writes another entry of the target ``t1``, and waits until it is read."""
+    entry = {
+        "service": "plain",
+        "address": f"127.0.0.1:{target.port}",
+        "zone": "dc",
+        "state": "ready",
+    }
+    if born is not None:
+        entry["born"] = born
+    platform.store.put("servers", "t1", entry)
+    table = platform.instance.directory.table
+    version = table.known_version
+
+    async def read() -> bool:
+        return table.known_version > version
+
+    await platform.eventually(read)
+
+
+@pytest.mark.parametrize(
+    ("started_in_ms", "gets_requests"),
+    [(-60_000, False), (0, False), (60_000, True)],
+)
+@pytest.mark.parametrize("notice", ["leaves", "backs off"])
+def test_a_notice_holds_for_an_incarnation_that_the_list_shows_later(
+    notice, started_in_ms, gets_requests
+):
+    async def test(platform):
+        script = _respond_with(Server_Leaving="1")
+        if notice == "backs off":
+            script = _back_off
+        target = await platform.add_target(script)
+        await platform.call("POST", "/once/x", body=b"pay")
+        assert len(target.requests) == 1
+        born_ms = clock_lib.Clock().wall_ms() + started_in_ms
+        await _put_entry(platform, target, born_ms)
+        await platform.call("POST", "/once/x", body=b"pay", Deadline_Ms="300")
+        assert len(target.requests) == 1 + gets_requests
+
+    platform_lib.run(test)
+
+
 @pytest.mark.parametrize("born", [None, 1.5, "1", True])
 def test_an_entry_of_another_writer_does_not_hide_that_a_target_leaves(born):
     async def test(platform):
         leaves = await platform.add_target(_respond_with(Server_Leaving="1"))
         assert platform_lib.status(await platform.call("GET", "/safe/x")) == 200
-        entry = {
-            "service": "plain",
-            "address": f"127.0.0.1:{leaves.port}",
-            "zone": "dc",
-            "state": "ready",
-            "born": born,
-        }
-        if born is None:
-            del entry["born"]
-        platform.store.put("servers", "t1", entry)
-        table = platform.instance.directory.table
-        version = table.known_version
-
-        async def read() -> bool:
-            return table.known_version > version
-
-        await platform.eventually(read)
+        await _put_entry(platform, leaves, born)
         await platform.call("POST", "/once/x", body=b"pay", Deadline_Ms="300")
         assert len(leaves.requests) == 1
 
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -116,6 +116,7 @@
         self._target.connections.discard(self)
         receiver.on_head(head)
         receiver.on_end()
+        self._target.on_response(self._instance, head)
         if names_limit:
             self._target.note_limit_known(self._instance)
 
@@ -270,6 +271,7 @@
         loss: Fraction of datagrams lost.
         delay_ms: Maximum extra delay of datagrams.
         replies: Responses to callers.
+        sent_ms: When callers sent each request, by its id.
         starts_ms: Times of the starts of each instance.
     """
 
@@ -290,6 +292,7 @@
         self.version = 0
         self.era = 0
         self._copies: list[_Copy] = []
+        self.sent_ms: dict[str, int] = {}
         self.starts_ms: dict[str, list[int]] = {n: [] for n in self.names}
         self.store_down = False
         self.writes_fail = False
@@ -412,7 +415,10 @@
         )
         assert isinstance(settings, settings_lib.Settings), settings
         pool = _Pool(self, name)
-        clock = clock_lib.Clock(lambda: virtual_loop.now_ms() * 1_000_000)
+        clock = clock_lib.Clock(
+            lambda: virtual_loop.now_ms() * 1_000_000,
+            lambda: virtual_loop.now_ms() * 1_000_000,
+        )
         with (
             mock.patch.object(datagrams, "DatagramSocket", new_socket),
             mock.patch.object(connection_pool, "Pool", lambda _now_ms: pool),
@@ -488,6 +494,7 @@
         instance, _ = self._running[name]
         began_ms = virtual_loop.now_ms()
         self._request_count += 1
+        self.sent_ms[f"a-{self._request_count}"] = began_ms
         fields = {
             "Host": "h.example",
             "Attempt-Id": f"a-{self._request_count}",
--- a/tests/support/gateway_targets.py
+++ b/tests/support/gateway_targets.py
@@ -62,6 +62,7 @@
         run_ms: Duration of a request.
 
     Attributes:
+        born: Start of its incarnation, as it names it.
         unlisted: Whether the platform's list no longer has it.
         crashes: Times of its crashes.
         connections: Open connections.
@@ -83,6 +84,7 @@
         self._limit_known_ms: dict[str, int] = {}
         self._state = "ready"
         self._down_until_ms = 0
+        self.born = 1
         self.unlisted = False
         self.crashes: list[int] = []
         self.connections: set[Connection] = set()
@@ -94,7 +96,7 @@
             "address": f"{self.target_id}:{PORT}",
             "zone": "dc",
             "state": self._state,
-            "born": 1,
+            "born": self.born,
         }
 
     def receive(
@@ -130,6 +132,11 @@
         """Returns status and duration in ms of a request."""
         return 200, self.run_ms
 
+    def on_response(
+        self, instance: str, head: target_connection.ResponseHead
+    ) -> None:
+        """Called when an instance has received a response."""
+
     def crashes_under(self, _data: bytes) -> bool:
         """Returns whether the target crashes when it answers a request."""
         return False
@@ -151,6 +158,13 @@
         self._state = "draining"
         self.on_change(self)
 
+    def start_again(self) -> None:
+        """Starts again under the same name."""
+        self.crash(0)
+        self.born = virtual_loop.now_ms()
+        self._state = "ready"
+        self.on_change(self)
+
     def unlist(self) -> None:
         """Removes the target from the platform's list; it goes on serving."""
         self.unlisted = True
