Refuse late responses of an earlier era of the store

Found in the read-through of the restore: a response that names an earlier era than the last one, such as a late one, was read as one of the present, so its high versions would have hidden the rows written since.

--- a/tanagerloft/coordination/table_reader.py
+++ b/tanagerloft/coordination/table_reader.py
@@ -70,6 +70,13 @@
         if isinstance(snapshot, errors.StoreError):
             self._note_error(snapshot)
             return None
+        if self._era is not None and snapshot.era < self._era:
+            self._note_error(
+                errors.StoreError(
+                    errors.StoreFailure.UNKNOWN, "response of an earlier era"
+                )
+            )
+            return None
         if self.failures:
             logger.info("store reachable again", extra={"table": self._table})
         self.failures = 0
--- a/tanagerloft/platform/store.py
+++ b/tanagerloft/platform/store.py
@@ -122,9 +122,12 @@
             "puts": [{**row_key, "value": base64.b64encode(value).decode()}],
             "remove": [],
         }
-        body = await self._call(
+        response = await self._exchange(
             "POST", "/tanagerloft/rows-tx", orjson.dumps(transaction), 0
         )
+        if isinstance(response, errors.StoreError):
+            return response
+        body = _decode_response(response)
         if isinstance(body, errors.StoreError):
             return body
         return _version_of(body)
@@ -133,14 +136,17 @@
         self, path: str, query: dict[str, Any], wait_ms: int = 0
     ) -> _Page | errors.StoreError:
         target = f"{path}?{parse.urlencode(query)}"
-        body = await self._call("GET", target, None, wait_ms)
+        response = await self._exchange("GET", target, None, wait_ms)
+        if isinstance(response, errors.StoreError):
+            return response
+        body = _decode_response(response)
         if isinstance(body, errors.StoreError):
             return body
-        return _decode_page(body, self._era)
+        return _decode_page(body, self._era_of(response.head))
 
-    async def _call(
+    async def _exchange(
         self, method: str, target: str, payload: bytes | None, wait_ms: int
-    ) -> dict | errors.StoreError:
+    ) -> http_client.Response | errors.StoreError:
         headers = _JSON if payload is not None else []
         request = http_client.encode_request(
             method, target, self._host, headers, payload
@@ -153,21 +159,21 @@
             if response.sent:
                 failure = errors.StoreFailure.UNKNOWN
             return errors.StoreError(failure, response.reason)
-        self._update_era(response.head)
-        return _decode_response(response)
+        return response
 
-    def _update_era(self, head: target_connection.ResponseHead) -> None:
-        """Records the era that a response names; it never falls."""
+    def _era_of(self, head: target_connection.ResponseHead) -> int:
+        """Returns the era of a response; the last one if it names none."""
         value = head.get(wire.STORE_ERA)
         if value is None:
-            return
-        if not _ERA.fullmatch(value.strip()) or int(value) < self._era:
+            return self._era
+        if not _ERA.fullmatch(value.strip()):
             logger.warning(
                 "malformed era of the store ignored",
                 extra={"value": value.decode("latin-1"), "known": self._era},
             )
-            return
-        self._era = int(value)
+            return self._era
+        self._era = max(self._era, int(value))
+        return int(value)
 
 
 def _decode_response(
