--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -65,6 +65,7 @@
             await loops.sleep(began_ms + at_ms - virtual_loop.now_ms())
             await fleet.restore(copy_age_ms)
         await traffic
+        assert not heartbeats.done()
         heartbeats.cancel()
         await fleet.close()
 
@@ -186,6 +187,7 @@
         ]
         await fleet.send_traffic(_REQUESTS_PER_S, 30_000, path="/safe/x")
         for task in tasks:
+            assert not task.done()
             task.cancel()
         await fleet.close()
 
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -106,6 +106,8 @@
         ]
         await loops.sleep(_DAY_MS)
         for sender in senders:
+            if sender.done():
+                sender.result()
             sender.cancel()
         await loops.sleep(1_000)
         await fleet.close()
--- a/tests/gateway/test_retries.py
+++ b/tests/gateway/test_retries.py
@@ -134,6 +134,7 @@
         await fleet.start()
         task = asyncio.create_task(cause_trouble())
         await fleet.send_traffic(_REQUESTS_PER_S, _DAY_MS, path="/safe/x")
+        assert not task.done()
         task.cancel()
         await fleet.close()
 
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -317,12 +317,16 @@
         Targets and operator write their rows again within seconds.
 
         Args:
-            age_ms: Age of the copy.
+            age_ms: Age of the copy; the oldest one is taken if there is none
+                of that age.
         """
         self.store_down = True
         copied_ms = virtual_loop.now_ms() - age_ms
         await loops.sleep(_RESTORE_MS)
-        copy = max(c for c in self._copies if c.at_ms <= copied_ms)
+        copy = max(
+            (c for c in self._copies if c.at_ms <= copied_ms),
+            default=self._copies[0],
+        )
         self.version, self.rows = copy.version, dict(copy.rows)
         self._copies = [copy]
         self.era += 1
