--- a/tanagerloft/coordination/holder_client.py
+++ b/tanagerloft/coordination/holder_client.py
@@ -16,7 +16,7 @@
 from tanagerloft.decisions import account_tokens
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import order_lease
-from tanagerloft.decisions import prompt_quarantine
+from tanagerloft.decisions import prompt_evidence as evidence_lib
 from tanagerloft.decisions import target_notices
 from tanagerloft.fleet import types
 from tanagerloft.util import loops
@@ -80,7 +80,7 @@
             [messages.HolderStatus, messages.TargetListDelta, int], None
         ],
         crashes: crash_quarantine.CrashCounts,
-        prompt_evidence: prompt_quarantine.PartEvidence,
+        prompt_evidence: evidence_lib.PartEvidence,
     ):
         self._instance = instance
         self._incarnation = incarnation
--- a/tanagerloft/coordination/prompt_verdicts.py
+++ b/tanagerloft/coordination/prompt_verdicts.py
@@ -14,7 +14,7 @@
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.decisions import order_lease
-from tanagerloft.decisions import prompt_quarantine
+from tanagerloft.decisions import prompt_evidence
 from tanagerloft.util import loops
 
 logger = logging.getLogger(__name__)
@@ -40,7 +40,7 @@
     def __init__(
         self,
         store: store_lib.Store,
-        evidence: prompt_quarantine.PartEvidence,
+        evidence: prompt_evidence.PartEvidence,
         lease: order_lease.OrderLease,
         now_ms: Callable[[], int],
     ):
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -18,7 +18,7 @@
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import order_lease
-from tanagerloft.decisions import prompt_quarantine
+from tanagerloft.decisions import prompt_evidence as evidence_lib
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 from tanagerloft.gateway import deployment as deployment_lib
@@ -64,7 +64,7 @@
         deployment: deployment_lib.Deployment,
         wait_queue: wait_queue_lib.WaitQueue,
         crashes: crash_quarantine.CrashCounts,
-        prompt_evidence: prompt_quarantine.PartEvidence,
+        prompt_evidence: evidence_lib.PartEvidence,
         clock: clock_lib.Clock,
     ):
         self._now_ms = now_ms = clock.now_ms
--- a/tanagerloft/gateway/crash_detector.py
+++ b/tanagerloft/gateway/crash_detector.py
@@ -7,7 +7,7 @@
 import logging
 
 from tanagerloft.decisions import crash_quarantine
-from tanagerloft.decisions import prompt_quarantine
+from tanagerloft.decisions import prompt_evidence
 from tanagerloft.fleet import types
 from tanagerloft.net import connection_pool
 from tanagerloft.net import target_connection
@@ -35,7 +35,7 @@
         self,
         pool: connection_pool.Pool,
         counts: crash_quarantine.CrashCounts,
-        evidence: prompt_quarantine.PartEvidence,
+        evidence: prompt_evidence.PartEvidence,
         now_ms: Callable[[], int],
     ):
         self._pool = pool
--- a/tanagerloft/gateway/dependencies.py
+++ b/tanagerloft/gateway/dependencies.py
@@ -7,7 +7,7 @@
 
 from tanagerloft.coordination import target_permits
 from tanagerloft.coordination import targets as targets_lib
-from tanagerloft.decisions import prompt_quarantine
+from tanagerloft.decisions import prompt_evidence as evidence_lib
 from tanagerloft.decisions import retry_budget
 from tanagerloft.gateway import codec as codec_lib
 from tanagerloft.gateway import context as context_lib
@@ -49,7 +49,7 @@
     record_first_send: Callable[[str], None]
     recheck: Callable[[context_lib.RequestContext], errors.Refusal | None]
     crash_detector: crash_detector_lib.CrashDetector
-    prompt_evidence: prompt_quarantine.PartEvidence
+    prompt_evidence: evidence_lib.PartEvidence
     report_soon: Callable[[], None]
     model_ready_in_ms: Callable[[str], int | None]
     holder_age_ms: Callable[[], int]
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -10,7 +10,7 @@
 
 from tanagerloft.config import settings as settings_lib
 from tanagerloft.decisions import crash_quarantine
-from tanagerloft.decisions import prompt_quarantine
+from tanagerloft.decisions import prompt_evidence
 from tanagerloft.decisions import retry_budget
 from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import control as control_lib
@@ -79,7 +79,7 @@
         self._stopping = False
         self._started_ms = clock.now_ms()
         self._crashes = crash_quarantine.CrashCounts()
-        self._prompt_evidence = prompt_quarantine.PartEvidence()
+        self._prompt_evidence = prompt_evidence.PartEvidence()
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self.wait_queue = wait_queue_lib.WaitQueue()
         self._metrics = metrics_lib.GatewayMetrics()
--- a/tests/coordination/test_holder_client.py
+++ b/tests/coordination/test_holder_client.py
@@ -7,7 +7,7 @@
 from tanagerloft.coordination import targets
 from tanagerloft.decisions import crash_quarantine
 from tanagerloft.decisions import order_lease
-from tanagerloft.decisions import prompt_quarantine
+from tanagerloft.decisions import prompt_evidence
 from tanagerloft.decisions import target_notices
 from tanagerloft.util import loops
 from tests.support import engines
@@ -27,7 +27,7 @@
         lambda: False,
         lambda *_: None,
         crash_quarantine.CrashCounts(),
-        prompt_quarantine.PartEvidence(),
+        prompt_evidence.PartEvidence(),
     )
 
 
--- a/tests/coordination/test_prompt_verdicts.py
+++ b/tests/coordination/test_prompt_verdicts.py
@@ -8,7 +8,7 @@
 from tanagerloft.coordination import prompt_verdicts
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.decisions import order_lease
-from tanagerloft.decisions import prompt_quarantine
+from tanagerloft.decisions import prompt_evidence
 from tests.support import engines
 from tests.support import virtual_loop
 
@@ -41,7 +41,7 @@
 
 def _run(store: _Store, work, is_holder: bool = True) -> None:
     """Runs the task beside ``work(evidence)``."""
-    evidence = prompt_quarantine.PartEvidence()
+    evidence = prompt_evidence.PartEvidence()
     lease = order_lease.OrderLease("a", "1", "a:1", 1_500, 3_000)
     if is_holder:
         lease = engines.held_lease()
--- a/tests/decisions/test_prompt_quarantine.py
+++ b/tests/decisions/test_prompt_quarantine.py
@@ -1,5 +1,6 @@
 """Quarantine of prompt parts that crash targets."""
 
+from tanagerloft.decisions import prompt_evidence
 from tanagerloft.decisions import prompt_quarantine
 
 _OBJECTION_MS = 200
@@ -26,18 +27,9 @@
     )
 
 
-def test_a_part_under_three_crashes_is_barred_and_others_are_not():
-    evidence = prompt_quarantine.PartEvidence()
-    for number in range(3):
-        evidence.record_begun(("first", f"other-{number}"), 1_000 * number)
-        _crash(evidence, ("first", "bad"), number, 1_000 * number)
-    assert evidence.barred_part(("first", "other-0"), 3_000) is None
-    assert evidence.barred_part(("first", "bad"), 3_000) == "bad"
-
-
 def test_crashes_seen_by_different_instances_are_counted_together():
     ledger = prompt_quarantine.PartLedger()
-    instances = [prompt_quarantine.PartEvidence() for _ in range(4)]
+    instances = [prompt_evidence.PartEvidence() for _ in range(4)]
     for number in range(3):
         _crash(instances[number], ("bad",), number, 1_000 * number)
         for sequence, evidence in enumerate(instances):
@@ -48,7 +40,7 @@
 
 def test_one_crash_seen_by_many_instances_counts_once():
     ledger = prompt_quarantine.PartLedger()
-    instances = [prompt_quarantine.PartEvidence() for _ in range(9)]
+    instances = [prompt_evidence.PartEvidence() for _ in range(9)]
     for evidence in instances:
         _crash(evidence, ("rare",), 1, 0)
         _report(ledger, evidence, 1, 100)
@@ -58,8 +50,8 @@
 def test_a_part_that_is_sound_elsewhere_is_not_barred():
     # Three targets crash at once, under requests that share a part.
     ledger = prompt_quarantine.PartLedger()
-    unlucky = prompt_quarantine.PartEvidence()
-    other = prompt_quarantine.PartEvidence()
+    unlucky = prompt_evidence.PartEvidence()
+    other = prompt_evidence.PartEvidence()
     for number in range(3):
         _crash(unlucky, ("shared",), number, 0)
     other.record_begun(("shared",), 50)
@@ -72,26 +64,9 @@
     assert not unlucky.crashes_to_share(500, 500)
 
 
-def test_an_answer_clears_a_part():
-    evidence = prompt_quarantine.PartEvidence()
-    for number in range(2):
-        _crash(evidence, ("p",), number, 0)
-    evidence.record_begun(("p",), 100)
-    _crash(evidence, ("p",), 2, 20_000)
-    assert evidence.crashes_to_share(1, 20_100) == {"p": ["t2/1"]}
-
-
-def test_a_part_that_was_sound_before_is_barred_later():
-    evidence = prompt_quarantine.PartEvidence()
-    evidence.record_begun(("p",), 0)
-    for number in range(3):
-        _crash(evidence, ("p",), number, 15_000 + number)
-    assert evidence.barred_part(("p",), 15_100) == "p"
-
-
 def test_a_part_is_not_barred_for_crashes_under_another_part():
     ledger = prompt_quarantine.PartLedger()
-    evidence = prompt_quarantine.PartEvidence()
+    evidence = prompt_evidence.PartEvidence()
     for number in range(3):
         _crash(evidence, ("bad", "companion"), number, 1_000 * number)
     _crash(evidence, ("bad",), 3, 3_000)
@@ -102,7 +77,7 @@
 
 
 def test_a_verdict_passes_to_the_next_holder():
-    evidence = prompt_quarantine.PartEvidence()
+    evidence = prompt_evidence.PartEvidence()
     evidence.on_verdicts(1, ["bad"], ["bad"])
     ledger = prompt_quarantine.PartLedger()
     _report(ledger, evidence, 2, 5_000)
@@ -110,7 +85,7 @@
 
 
 def test_a_verdict_read_from_the_store_lasts_until_the_holder_knows_it():
-    evidence = prompt_quarantine.PartEvidence()
+    evidence = prompt_evidence.PartEvidence()
     ledger = prompt_quarantine.PartLedger()
     evidence.adopt(["bad"])
     evidence.on_verdicts(1, [], [])
@@ -144,18 +119,10 @@
 
 
 def test_ever_new_parts_take_bounded_memory():
-    evidence = prompt_quarantine.PartEvidence()
+    evidence = prompt_evidence.PartEvidence()
     ledger = prompt_quarantine.PartLedger()
     for number in range(2_000):
         _crash(evidence, (f"p{number}",), number, number)
         _report(ledger, evidence, number, number)
     assert len(evidence.crashes_to_share(9_999, 2_000)) <= 64
     assert len(ledger.suspects(2_000)) <= 256
-
-
-def test_a_target_that_accepts_connections_accuses_no_part():
-    evidence = prompt_quarantine.PartEvidence()
-    for number in range(5):
-        evidence.record_lost(("p",), "t", 1_000 * number)
-        evidence.record_up("t")
-        assert evidence.record_down("t", f"t/{number}", 1_000 * number) == []
