Log how much of a configuration arrived before its read failed

Failures are now logged by powers of two with the bytes received and whether the read was a scan; a version in force with its size, the time to read and to decode it and the time since it was announced. New gauge configuration_behind_ms. No logic changes.

--- a/tanagerloft/coordination/configuration.py
+++ b/tanagerloft/coordination/configuration.py
@@ -73,12 +73,21 @@
         )
         self.current: types.Configuration | None = None
         self.proved_ms = 0
+        self._announced_version = 0
+        self._announced_ms = 0
 
     @property
     def version(self) -> int:
         """Version in force, 0 for none."""
         return self.current.version if self.current else 0
 
+    @property
+    def behind_ms(self) -> int:
+        """Time since a newer version than the one in force was announced."""
+        if self._announced_version <= self.version:
+            return 0
+        return self._now_ms() - self._announced_ms
+
     def on_proof(self, version: int, age_ms: int, asked_ms: int) -> None:
         """Applies the holder's proof of the version in force.
 
@@ -91,10 +100,26 @@
             return
         self.deferral.on_status(age_ms, asked_ms)
         if version > self.version:
+            self._on_announced(version, age_ms)
             self.deferral.read_now.set()
         elif version == self.version:
             self.proved_ms = max(self.proved_ms, asked_ms - age_ms)
 
+    def _on_announced(self, version: int, age_ms: int) -> None:
+        """Records that the holder has a newer version in force."""
+        if version <= self._announced_version:
+            return
+        self._announced_version = version
+        self._announced_ms = self._now_ms()
+        logger.info(
+            "newer configuration announced",
+            extra={
+                "version": version,
+                "known_version": self.version,
+                "age_ms": age_ms,
+            },
+        )
+
     def keys_are_current(self, now_ms: int) -> bool:
         """Returns whether the proof is recent enough to accept keys.
 
@@ -109,7 +134,7 @@
             started_ms = self._now_ms()
             snapshot = await self._reader.read(_WAIT_MS)
             if snapshot is not None:
-                self._apply_rows(snapshot.rows)
+                self._apply_rows(snapshot.rows, started_ms)
                 self.proved_ms = max(self.proved_ms, started_ms)
             elif self._reader.failures:
                 delay_ms = min(
@@ -125,13 +150,16 @@
             self.deferral.read_now.clear()
             self._reader.restart()
 
-    def _apply_rows(self, rows: tuple[store_lib.Row, ...]) -> None:
+    def _apply_rows(
+        self, rows: tuple[store_lib.Row, ...], started_ms: int
+    ) -> None:
         for row in rows:
             if row.key == self._key and row.value is not None:
-                self._apply(row)
+                self._apply(row, started_ms)
 
-    def _apply(self, row: store_lib.Row) -> None:
+    def _apply(self, row: store_lib.Row, started_ms: int) -> None:
         assert row.value is not None
+        now_ms = self._now_ms()
         decoded = self._decode(row.value)
         if isinstance(decoded, errors.MalformedEntry):
             logger.error(
@@ -148,6 +176,16 @@
                 "row_version": row.version,
                 "routes": sum(map(len, decoded.routes.values())),
                 "accounts": len(decoded.accounts),
+                "bytes": len(row.value),
+                "read_ms": now_ms - started_ms,
+                "decode_ms": self._now_ms() - now_ms,
+                "announced_ago_ms": self._announced_ago_ms(decoded.version),
             },
         )
         self._changed(decoded)
+
+    def _announced_ago_ms(self, version: int) -> int | None:
+        """Returns the time since a version was announced, if it was."""
+        if not self._announced_version or version < self._announced_version:
+            return None
+        return self._now_ms() - self._announced_ms
--- a/tanagerloft/coordination/errors.py
+++ b/tanagerloft/coordination/errors.py
@@ -19,10 +19,12 @@
     Attributes:
         failure: How it failed.
         reason: Reason for the log.
+        received_bytes: Bytes of the response's body that have arrived.
     """
 
     failure: StoreFailure
     reason: str
+    received_bytes: int = 0
 
 
 class MalformedEntry(NamedTuple):
--- a/tanagerloft/coordination/table_reader.py
+++ b/tanagerloft/coordination/table_reader.py
@@ -78,7 +78,10 @@
             )
             return None
         if self.failures:
-            logger.info("store reachable again", extra={"table": self._table})
+            logger.info(
+                "store reachable again",
+                extra={"table": self._table, "failures": self.failures},
+            )
         self.failures = 0
         if self._after_version is not None and snapshot.era != self._era:
             # Changes since a version of another era are not all changes.
@@ -101,8 +104,15 @@
             self.restart()
             return
         self.failures += 1
-        if self.failures == 1:
+        # Powers of two, which bound the lines of a long outage.
+        if self.failures & (self.failures - 1) == 0:
             logger.warning(
                 "store unreachable",
-                extra={"table": self._table, "reason": error.reason},
+                extra={
+                    "table": self._table,
+                    "reason": error.reason,
+                    "received_bytes": error.received_bytes,
+                    "full_scan": self.is_full_scan,
+                    "failures": self.failures,
+                },
             )
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -136,6 +136,11 @@
             "Version in force.",
             self._configuration_version,
         )
+        gauge(
+            "configuration_behind_ms",
+            "Time since a newer version was announced that is not in force.",
+            lambda: self.control.configuration.behind_ms,
+        )
         gauge(
             "key_proof_age_ms",
             "Age of the proof of keys.",
--- a/tanagerloft/net/http_client.py
+++ b/tanagerloft/net/http_client.py
@@ -31,10 +31,12 @@
     Attributes:
         sent: Whether the request was sent, so that it may have taken effect.
         reason: Text for logs.
+        received_bytes: Bytes of the response's body that have arrived.
     """
 
     sent: bool
     reason: str
+    received_bytes: int = 0
 
 
 class _Collector:
@@ -46,18 +48,18 @@
         )
         self._head: target_connection.ResponseHead | None = None
         self._body: list[bytes] = []
-        self._body_bytes = 0
+        self.body_bytes = 0
 
     def on_head(self, head: target_connection.ResponseHead) -> None:
         self._head = head
 
     def on_body(self, data: bytes) -> None:
-        self._body_bytes += len(data)
-        if self._body_bytes <= _MAX_BODY_BYTES:
+        self.body_bytes += len(data)
+        if self.body_bytes <= _MAX_BODY_BYTES:
             self._body.append(data)
         elif not self.outcome.done():
             self._body.clear()
-            self.outcome.set_result(NoResponse(True, "answer without end"))
+            self._fail("answer without end")
 
     def on_end(self) -> None:
         if not self.outcome.done() and self._head is not None:
@@ -65,7 +67,10 @@
 
     def on_failure(self, failure: target_connection.ExchangeFailure) -> None:
         if not self.outcome.done():
-            self.outcome.set_result(NoResponse(True, failure.value))
+            self._fail(failure.value)
+
+    def _fail(self, reason: str) -> None:
+        self.outcome.set_result(NoResponse(True, reason, self.body_bytes))
 
 
 async def exchange(
@@ -87,6 +92,7 @@
         timeout_ms: Timeout of the exchange, including opening a connection.
     """
     connection = pool.acquire_idle(address)
+    collector = _Collector()
     try:
         async with loops.timeout(timeout_ms):
             if connection is None:
@@ -94,7 +100,6 @@
                 if isinstance(opened, target_connection.ExchangeFailure):
                     return NoResponse(False, opened.value)
                 connection = opened
-            collector = _Collector()
             connection.send(data, collector)
             response = await collector.outcome
         if isinstance(response, NoResponse):
@@ -104,7 +109,7 @@
         if connection is None:
             return NoResponse(False, "timeout")
         connection.cancel()
-        return NoResponse(True, "timeout")
+        return NoResponse(True, "timeout", collector.body_bytes)
     except asyncio.CancelledError:
         if connection is not None:
             connection.cancel()
--- a/tanagerloft/platform/store.py
+++ b/tanagerloft/platform/store.py
@@ -158,7 +158,9 @@
             failure = errors.StoreFailure.NOT_DONE
             if response.sent:
                 failure = errors.StoreFailure.UNKNOWN
-            return errors.StoreError(failure, response.reason)
+            return errors.StoreError(
+                failure, response.reason, response.received_bytes
+            )
         return response
 
     def _era_of(self, head: target_connection.ResponseHead) -> int:
