--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -168,7 +168,7 @@
                 if self.down:
                     writer.transport.abort()
                     return
-                status, body = await self._respond(request)
+                status, body = await self.respond(request)
                 if writer in self._muted:
                     continue
                 data = json.dumps(body).encode()
@@ -179,7 +179,8 @@
                     head + b"Content-Length: %d\r\n\r\n" % len(data) + data
                 )
 
-    async def _respond(self, request: Request) -> tuple[int, dict]:
+    async def respond(self, request: Request) -> tuple[int, dict]:
+        """Returns the status and body of the response to a request."""
         url = parse.urlsplit(request.target)
         query = dict(parse.parse_qsl(url.query))
         if url.path.endswith("/rows-get"):
