Do not defer polls before the holder has reported

A steady clock that reads less than the deferral counted as a report of the holder at time 0, so the first polls after a boot of the machine were up to 1.6 s late. The new test failed before.

--- a/tanagerloft/coordination/poll_deferral.py
+++ b/tanagerloft/coordination/poll_deferral.py
@@ -37,12 +37,14 @@
         self._max_age_ms = max_age_ms
         self._deferral_ms = bound_ms - max_age_ms - margin_ms
         self._now_ms = now_ms
-        self._last_status_ms = 0
+        self._last_status_ms: int | None = None
         self.read_now = asyncio.Event()
 
     @property
     def deferred_until_ms(self) -> int:
-        """Time until which the own poll is deferred."""
+        """Time until which the own poll is deferred, 0 if it never was."""
+        if self._last_status_ms is None:
+            return 0
         return self._last_status_ms + self._deferral_ms
 
     def on_status(self, age_ms: int, asked_ms: int) -> bool:
--- a/tests/coordination/test_poll_deferral.py
+++ b/tests/coordination/test_poll_deferral.py
@@ -8,6 +8,7 @@
 
 from tanagerloft.coordination import configuration
 from tanagerloft.coordination import messages
+from tanagerloft.coordination import poll_deferral
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import target_list
 from tanagerloft.coordination import targets
@@ -71,3 +72,11 @@
     listing = _listing(4_000)
     listing.on_delta(_nothing_new(500), asked_ms=10_000)
     assert listing.deferral.deferred_until_ms >= 10_000 + 2 * pause_ms
+
+
+@pytest.mark.parametrize("bound_ms", _BOUNDS_MS)
+def test_nothing_is_deferred_before_the_first_status(bound_ms):
+    deferral = poll_deferral.PollDeferral(bound_ms, 1_250, 150, lambda: 0)
+    assert deferral.deferred_until_ms == 0
+    deferral.on_status(0, asked_ms=0)
+    assert deferral.deferred_until_ms > 0
