Bound the silence of a response, not the time that it takes

Cause: a call to the store ended 1 s after its start, whether or not bytes arrived. A row that takes longer over the instance's link was thrown away and read again from its first byte, for ever; and word of a newer version turned the next read into a full scan, which had half a second less than the change feed.

A time-out now bounds the time to the head of a response and the pause between two of its parts; a minimum rate ends a response that trickles. All calls of the control path share it. Word of a newer version makes the instance read the changes, at once.

--- a/tanagerloft/coordination/configuration.py
+++ b/tanagerloft/coordination/configuration.py
@@ -146,9 +146,7 @@
         """Waits while the holder's proof defers the read."""
         if self.current is not None:
             await self.deferral.wait()
-        if self.deferral.read_now.is_set():
-            self.deferral.read_now.clear()
-            self._reader.restart()
+        self.deferral.read_now.clear()
 
     def _apply_rows(
         self, rows: tuple[store_lib.Row, ...], started_ms: int
--- a/tanagerloft/net/http_client.py
+++ b/tanagerloft/net/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from tanagerloft.net import connection_pool
@@ -11,6 +12,8 @@
 
 # A page of the store is a megabyte, and a third more in base64.
 _MAX_BODY_BYTES = 8_388_608
+# Mean rate below which a response is given up although bytes go on arriving.
+_MIN_BYTES_PER_MS = 32
 
 
 class Response(NamedTuple):
@@ -39,10 +42,47 @@
     received_bytes: int = 0
 
 
+class _ProgressTimeout:
+    """Timeout that is extended while a response goes on arriving.
+
+    Args:
+        silence_ms: Longest time without a part of the response.
+        wait_ms: Further time until its first part.
+
+    Attributes:
+        context: Context that raises ``TimeoutError``.
+    """
+
+    def __init__(self, silence_ms: int, wait_ms: int):
+        self._silence_ms = silence_ms
+        self._started_ms = loops.now_ms()
+        self._first_bound_ms = wait_ms + silence_ms
+        self.context = loops.timeout(self._first_bound_ms)
+
+    def extend(self, received_bytes: int) -> None:
+        """Extends the timeout after a part of the response has arrived.
+
+        Args:
+            received_bytes: Bytes of the body that have arrived.
+        """
+        if self.context.expired():
+            return
+        silent_ms = loops.now_ms() + self._silence_ms
+        slow_ms = self._started_ms + self._first_bound_ms
+        slow_ms += received_bytes / _MIN_BYTES_PER_MS
+        loops.reschedule(self.context, min(silent_ms, slow_ms))
+
+
 class _Collector:
-    """Receiver that collects a complete response."""
+    """Receiver that collects a complete response.
 
-    def __init__(self):
+    Args:
+        on_progress: Called when a part of the response has arrived, with the
+            bytes of its body so far.
+    """
+
+    def __init__(self, on_progress: Callable[[int], None]):
+        self._on_progress = on_progress
         self.outcome: asyncio.Future[Response | NoResponse] = (
             asyncio.get_running_loop().create_future()
         )
@@ -52,9 +92,12 @@
 
     def on_head(self, head: target_connection.ResponseHead) -> None:
         self._head = head
+        self._on_progress(0)
 
     def on_body(self, data: bytes) -> None:
         self.body_bytes += len(data)
+        if not self.outcome.done():
+            self._on_progress(self.body_bytes)
         if self.body_bytes <= _MAX_BODY_BYTES:
             self._body.append(data)
         elif not self.outcome.done():
@@ -78,9 +121,13 @@
     address: tuple[str, int],
     data: bytes,
     timeout_ms: int,
+    wait_ms: int = 0,
 ) -> Response | NoResponse:
     """Sends a request and waits for its complete response.
 
+    A response may take as long as its size needs: time-outs apply to silence
+    of the peer, and to the mean rate at which the response arrives.
+
     A connection is closed if its exchange fails, so that a connection to a
     silent peer is not reused and no part of a request is sent after its
     timeout.
@@ -89,12 +136,15 @@
         pool: Connections.
         address: Host and port of the server.
         data: The encoded request.
-        timeout_ms: Timeout of the exchange, including opening a connection.
+        timeout_ms: Longest time until the head of the response, including
+            opening a connection, and between two parts of the response.
+        wait_ms: Further time that the peer may wait before it responds.
     """
     connection = pool.acquire_idle(address)
-    collector = _Collector()
+    timeout = _ProgressTimeout(timeout_ms, wait_ms)
+    collector = _Collector(timeout.extend)
     try:
-        async with loops.timeout(timeout_ms):
+        async with timeout.context:
             if connection is None:
                 opened = await pool.connect(address)
                 if isinstance(opened, target_connection.ExchangeFailure):
--- a/tanagerloft/platform/store.py
+++ b/tanagerloft/platform/store.py
@@ -22,9 +22,9 @@
 logger = logging.getLogger(__name__)
 
 _JSON = [(b"Content-Type", b"application/json")]
-# The store responds in 4 ms. A call that takes this long is on a dead
+# The store responds in 4 ms. A call without a byte for this long is on a dead
 # connection or meets a failing store, and is retried on a new connection.
-_CALL_TIMEOUT_MS = 1_000
+_SILENCE_TIMEOUT_MS = 1_000
 # Most rows in one response of the store.
 _MAX_PAGE_ROWS = 500
 _ERA = re.compile(rb"[0-9]{1,4}")
@@ -152,7 +152,7 @@
             method, target, self._host, headers, payload
         )
         response = await http_client.exchange(
-            self._pool, self._address, request, wait_ms + _CALL_TIMEOUT_MS
+            self._pool, self._address, request, _SILENCE_TIMEOUT_MS, wait_ms
         )
         if isinstance(response, http_client.NoResponse):
             failure = errors.StoreFailure.NOT_DONE
--- a/tanagerloft/util/loops.py
+++ b/tanagerloft/util/loops.py
@@ -14,6 +14,16 @@
     return asyncio.timeout(delay_ms / _MS_PER_S)
 
 
+def now_ms() -> float:
+    """Returns the time of the running loop, which timeouts refer to."""
+    return asyncio.get_running_loop().time() * _MS_PER_S
+
+
+def reschedule(context: asyncio.Timeout, at_ms: float) -> None:
+    """Sets when a context from ``timeout`` raises, by ``now_ms``."""
+    context.reschedule(at_ms / _MS_PER_S)
+
+
 async def sleep(delay_ms: float) -> None:
     """Waits for a time."""
     await asyncio.sleep(delay_ms / _MS_PER_S)
