Refuse truthfully what a newer configuration may allow

What callers saw (CONFIG, DENIED): an instance that knew of a newer version and could not read it answered new routes with 404 and new keys with 401, which end the caller's request, and went on serving by the old version for as long as it lived.

An instance that is behind now refuses what only its old version does not allow with 503 configuration_outdated and a Retry-After; once the time to apply the version is over it refuses everything so and is not ready. Tests failed before: 404 and 401, and 200 without end.

--- a/tanagerloft/coordination/configuration.py
+++ b/tanagerloft/coordination/configuration.py
@@ -68,6 +68,7 @@
         self._now_ms = now_ms
         self._changed = changed
         self._key_proof_ms = key_proof_ms
+        self._apply_ms = apply_ms
         self.deferral = poll_deferral.PollDeferral(
             apply_ms, _MAX_DEFERRING_AGE_MS, _READ_MARGIN_MS, now_ms
         )
@@ -81,12 +82,20 @@
         """Version in force, 0 for none."""
         return self.current.version if self.current else 0
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a newer version than the one in force was announced."""
+        return self._announced_version > self.version
+
     @property
     def behind_ms(self) -> int:
         """Time since a newer version than the one in force was announced."""
-        if self._announced_version <= self.version:
-            return 0
-        return self._now_ms() - self._announced_ms
+        return self._now_ms() - self._announced_ms if self.is_behind else 0
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether an announced version should have been in force by now."""
+        return self.behind_ms > self._apply_ms
 
     def on_proof(self, version: int, age_ms: int, asked_ms: int) -> None:
         """Applies the holder's proof of the version in force.
--- a/tanagerloft/filters/errors.py
+++ b/tanagerloft/filters/errors.py
@@ -91,6 +91,12 @@
     "What is left of the account's limit is not known here now.",
     retry_after_ms=1_000,
 )
+CONFIGURATION_OUTDATED = Refusal(
+    "configuration_outdated",
+    503,
+    "This instance has not read the newest configuration yet.",
+    retry_after_ms=500,
+)
 NOT_CONFIGURED = Refusal(
     "not_configured",
     503,
--- a/tanagerloft/gateway/gateway.py
+++ b/tanagerloft/gateway/gateway.py
@@ -25,6 +25,12 @@
     413: errors.TOO_LARGE,
     431: errors.HEADERS_TOO_LARGE,
 }
+# Refusals that another version of the configuration may not call for.
+_BY_CONFIGURATION = (
+    errors.UNKNOWN_ROUTE,
+    errors.KEY_MISSING,
+    errors.KEY_UNKNOWN,
+)
 # During a graceful stop, requests are accepted while at least this much time
 # remains until the process ends. Nearly all streams and all plain responses
 # complete within it.
@@ -125,25 +131,42 @@
         if isinstance(decoded, errors.Refusal):
             self._refuse(responder, decoded, "", "")
             return
-        configuration = self._configuration.current
-        if configuration is None:
-            self._refuse(
-                responder, errors.NOT_CONFIGURED, decoded.request_id, ""
-            )
-            return
-        if len(self._open) >= _MAX_OPEN_REQUESTS:
-            self._refuse(responder, errors.OVERLOADED, decoded.request_id, "")
+        configuration = self._usable_configuration()
+        if isinstance(configuration, errors.Refusal):
+            self._refuse(responder, configuration, decoded.request_id, "")
             return
         context = context_lib.RequestContext(
             request, responder, decoded, configuration
         )
+        refusal = self._check(context)
+        if refusal is not None:
+            detail = f"{decoded.host}{decoded.path}"
+            self._refuse(responder, refusal, decoded.request_id, detail)
+            return
+        self._charge(context)
+
+    def _usable_configuration(self) -> types.Configuration | errors.Refusal:
+        """Returns the configuration in force, or why nothing is accepted."""
+        configuration = self._configuration.current
+        if configuration is None:
+            return errors.NOT_CONFIGURED
+        if self._configuration.is_outdated:
+            return errors.CONFIGURATION_OUTDATED
+        if len(self._open) >= _MAX_OPEN_REQUESTS:
+            return errors.OVERLOADED
+        return configuration
+
+    def _check(
+        self, context: context_lib.RequestContext
+    ) -> errors.Refusal | None:
+        """Returns why a request is refused, None if it is forwarded."""
         for step in (*self._steps, self._refuse_late):
             refusal = step(context)
+            if refusal in _BY_CONFIGURATION and self._configuration.is_behind:
+                return errors.CONFIGURATION_OUTDATED
             if refusal is not None:
-                detail = f"{decoded.host}{decoded.path}"
-                self._refuse(responder, refusal, decoded.request_id, detail)
-                return
-        self._charge(context)
+                return refusal
+        return None
 
     def _refuse_late(
         self, context: context_lib.RequestContext
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -315,6 +315,8 @@
             or not self.control.targets.known
         ):
             return plain_pages.Page(503, b"not configured\n")
+        if self.control.configuration.is_outdated:
+            return plain_pages.Page(503, b"configuration outdated\n")
         return plain_pages.Page(200, b"ready\n")
 
     def _metrics_page(self) -> plain_pages.Page:
