Decode the software version of targets and the attempt that a caller resumes

Both are logged with the end of a request, with a failed attempt and with a target that is added. No logic changes.

--- a/tanagerloft/coordination/target_entries.py
+++ b/tanagerloft/coordination/target_entries.py
@@ -262,6 +262,7 @@
                 "target": entry.target_id,
                 "service": entry.service,
                 "born_ms": entry.born_ms,
+                "software": entry.software_version,
                 "leaving": entry.leaving,
                 "version": version,
             },
--- a/tanagerloft/fleet/types.py
+++ b/tanagerloft/fleet/types.py
@@ -215,6 +215,8 @@
         leaves_in_ms: Time until it is gone, None if not announced.
         born_ms: Start of this incarnation, by the clock of the target; 0 if
             the entry does not name it.
+        software_version: Version of its software, empty if not named. A stream
+            may only go on at the version that began it.
         models: Loaded models, with the adapters loaded for each.
         in_memory: Models with a copy of the weights in its memory.
         on_disk: Models with a copy of the weights on its disk.
@@ -228,6 +230,7 @@
     leaving: bool
     leaves_in_ms: int | None
     born_ms: int
+    software_version: str
     models: dict[str, frozenset[str]]
     in_memory: frozenset[str]
     on_disk: frozenset[str]
--- a/tanagerloft/gateway/codec.py
+++ b/tanagerloft/gateway/codec.py
@@ -27,6 +27,8 @@
         prompt_tokens: Tokens of the prompt, 0 if not known.
         shared_parts: Parts of the prompt but the last, which is its own.
         last_event_id: Last event that the caller has, None for none.
+        resumed_id: Identity of the attempt that brought the first event of a
+            stream that the caller resumes; None if it names none.
         headers: Headers that are forwarded to the target.
     """
 
@@ -41,6 +43,7 @@
     prompt_tokens: int
     shared_parts: tuple[str, ...]
     last_event_id: int | None
+    resumed_id: str | None
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/tanagerloft/gateway/context.py
+++ b/tanagerloft/gateway/context.py
@@ -105,6 +105,8 @@
             "route": self.route.name,
             "account": self.account_name,
             "model": self.model_key,
+            "resumed": self.decoded.resumed_id,
+            "after_event": self.decoded.last_event_id,
             "configuration": self.configuration.version,
             "holder_age_ms": self.holder_age_ms,
             "expected_ms": self.expected_ms,
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -258,15 +258,16 @@
         """Retries or gives up after an attempt without a complete response."""
         if self._ended or self._attempt is None:
             return
-        target_id = self._attempt.target.target_id
+        target = self._attempt.target
         self._release_attempt()
         if evidence is not attempts.Evidence.REFUSED:
-            self._deps.directory.note_failure(target_id)
+            self._deps.directory.note_failure(target.target_id)
         logger.info(
             "attempt failed",
             extra={
                 "request": self.context.decoded.request_id,
-                "target": target_id,
+                "target": target.target_id,
+                "software": target.software_version,
                 "evidence": evidence.value,
                 "reason": reason,
                 "sends": self.history.sends,
@@ -274,7 +275,7 @@
             },
         )
         if self.history.may_retry(evidence):
-            self._retry(target_id)
+            self._retry(target.target_id)
         else:
             self._give_up(reason)
 
@@ -356,7 +357,7 @@
         if self._ended:
             return
         self._ended = True
-        target_id = self._attempt.target.target_id if self._attempt else ""
+        target = self._attempt.target if self._attempt else None
         self._release_attempt()
         for timer in (self._deadline_timer, self._retry_timer):
             if timer is not None:
@@ -371,7 +372,8 @@
                 "outcome": outcome,
                 "status": status,
                 "reason": reason,
-                "target": target_id,
+                "target": target.target_id if target else "",
+                "software": target.software_version if target else "",
                 "sends": self.history.sends,
                 "model_later_ms": ready_in_ms,
                 **self._stream.log_fields(),
--- a/tanagerloft/platform/entries.py
+++ b/tanagerloft/platform/entries.py
@@ -38,6 +38,8 @@
         leaving=state != "ready",
         leaves_in_ms=None if remaining_ms is None else int(remaining_ms),
         born_ms=_decode_start(body.get("born")),
+        # Inside ``models`` this name is the version of the weights.
+        software_version=_require_text(body.get("version", "")),
         models=decode_models(body.get("models") or ()),
         in_memory=frozenset(copies.get("in_memory") or ()),
         on_disk=frozenset(copies.get("on_disk") or ()),
--- a/tanagerloft/platform/requests.py
+++ b/tanagerloft/platform/requests.py
@@ -26,6 +26,7 @@
         wire.MODEL,
         wire.TOKENS,
         wire.LAST_EVENT_ID,
+        wire.RESUMED_ID,
         wire.AUTHORIZATION,
     )
 )
@@ -229,6 +230,7 @@
         prompt_tokens=0 if tokens is None else tokens[0],
         shared_parts=_decode_shared_parts(parts),
         last_event_id=int(last_event) if last_event is not None else None,
+        resumed_id=_decode_resumed_id(single_valued.get(wire.RESUMED_ID)),
         headers=forwarded,
     )
 
@@ -251,6 +253,13 @@
     return tuple(names[:_MAX_PARTS])
 
 
+def _decode_resumed_id(value: bytes | None) -> str | None:
+    """Returns the named attempt; a malformed name names none."""
+    if value is None or not _REQUEST_ID.fullmatch(value):
+        return None
+    return value.decode("latin-1")
+
+
 def _decode_key(value: bytes | None) -> str | None:
     if value is None or not value.lower().startswith(_BEARER):
         return None
--- a/tanagerloft/platform/wire.py
+++ b/tanagerloft/platform/wire.py
@@ -7,6 +7,7 @@
 TOKENS = b"token-counts"
 PROMPT_PARTS = b"prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
+RESUMED_ID = b"resumes"
 AUTHORIZATION = b"authorization"
 
 # Headers that the instance sets for the target.
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -22,6 +22,7 @@
     "service": "s",
     "address": "10.1.2.3:80",
     "zone": "z",
+    "version": "v3",
     "state": "ready",
     # Counts heartbeats in an entry, and orders in a report.
     "sequence": 900,
@@ -37,6 +38,7 @@
     assert (entry.host, entry.port) == ("10.1.2.3", 80)
     assert entry.models == {"m": frozenset(["a1"])}
     assert entry.on_disk == {"m", "n"}
+    assert entry.software_version == "v3"
     assert not entry.leaving
 
 
@@ -51,6 +53,7 @@
         {"born": "5"},
         {"born": 5.0},
         {"born": True},
+        {"version": 3},
     ):
         value = json.dumps({**_ENTRY, **change}).encode()
         found = entries.decode_entry("t", value)
@@ -174,6 +177,18 @@
     assert decoded.shared_parts == parts
 
 
+@pytest.mark.parametrize(
+    ("value", "resumed_id"),
+    [("a-7", "a-7"), ("", None), ("a 7", None), ("a" * 129, None)],
+)
+def test_the_attempt_that_began_a_stream_is_decoded(value, resumed_id):
+    decoded = _decode(Resumes=value)
+    assert isinstance(decoded, codec.DecodedRequest)
+    assert decoded.resumed_id == resumed_id
+    repeated = _decode(Resumes="a-7", resumes="a-8")
+    assert repeated == gateway_errors.MALFORMED
+
+
 def test_hop_by_hop_headers_are_not_forwarded():
     decoded = _decode(
         **{"Connection": "X-Mine, close", "X-Mine": "1", "X-Yours": "2"}
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -83,6 +83,7 @@
         leaving=False,
         leaves_in_ms=None,
         born_ms=1,
+        software_version="",
         models={},
         in_memory=_NONE,
         on_disk=_NONE,
