--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -74,9 +74,10 @@
     """Simulated connection of an instance to a target."""
 
     def __init__(self, instance: str, target: gateway_targets.Target):
-        self._instance = instance
         self._target = target
         self._receiver: target_connection.Receiver | None = None
+        self._stream: asyncio.Task | None = None
+        self.instance = instance
         target.connections.add(self)
 
     def send(self, data: bytes, receiver) -> None:
@@ -86,16 +87,37 @@
     def _deliver_request(self, data: bytes) -> None:
         if self._receiver is None:
             return
-        head, took_ms = self._target.receive(self._instance, data)
+        head, took_ms = self._target.receive(self.instance, data)
         names_limit = head.get(b"server-limit") is not None
         response_ms = took_ms + _TRANSIT_MS
-        if self._target.crashes_under(data):
+        events = self._target.events(data) if head.status == 200 else ()
+        if events:
+            self._stream = asyncio.create_task(
+                self._send_events(head, response_ms, events)
+            )
+        elif self._target.crashes_under(data):
             loops.call_later(took_ms, self._crash_target)
         else:
             loops.call_later(
                 response_ms, lambda: self._respond(head, names_limit)
             )
 
+    async def _send_events(
+        self,
+        head: target_connection.ResponseHead,
+        response_ms: int,
+        events: Iterable[bytes],
+    ) -> None:
+        await loops.sleep(response_ms)
+        assert self._receiver is not None
+        self._receiver.on_head(head)
+        for event in events:
+            self._receiver.on_body(event)
+            await loops.sleep(self._target.event_interval_ms)
+        receiver, self._receiver = self._receiver, None
+        self._target.connections.discard(self)
+        receiver.on_end()
+
     def _crash_target(self) -> None:
         if self._receiver is not None and not self._target.is_down:
             self._target.crash(_DOWN_MS)
@@ -116,12 +138,14 @@
         self._target.connections.discard(self)
         receiver.on_head(head)
         receiver.on_end()
-        self._target.on_response(self._instance, head)
+        self._target.on_response(self.instance, head)
         if names_limit:
-            self._target.note_limit_known(self._instance)
+            self._target.note_limit_known(self.instance)
 
     def cancel(self) -> None:
         self._receiver = None
+        if self._stream is not None:
+            self._stream.cancel()
         self._target.connections.discard(self)
 
     close = cancel
@@ -232,21 +256,34 @@
 
 
 class _Caller:
-    """Simulated connection of a caller to the gateway of an instance."""
+    """Simulated connection of a caller to the gateway of an instance.
+
+    Attributes:
+        data: Bytes received so far.
+    """
 
     def __init__(self, handler, on_response: Callable[[bytes], None]):
         self.handler = handler
         self._on_response = on_response
-        self._data = b""
+        self.data = b""
+        self._cut = False
 
     def send(self, data: bytes) -> None:
-        self._data += data
+        if not self._cut:
+            self.data += data
+
+    def cut(self) -> None:
+        """Loses the connection, as the instance has been killed."""
+        self._cut = True
+        self._on_response(b"HTTP/1.1 0 cut\r\n")
 
     def on_response_sent(self, _keep_alive: bool) -> None:
-        self._on_response(self._data)
+        if not self._cut:
+            self._on_response(self.data)
 
     def abort(self) -> None:
-        self._on_response(b"HTTP/1.1 0 cut\r\n")
+        if not self._cut:
+            self.cut()
 
 
 class GatewayFleet:
@@ -287,6 +324,7 @@
         self._running: dict[str, tuple[instance_lib.Instance, list]] = {}
         self._sockets: dict[str, _Datagrams] = {}
         self._request_count = 0
+        self._callers: dict[str, set[_Caller]] = {n: set() for n in self.names}
         self.targets = {target.target_id: target for target in targets}
         self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
         self.version = 0
@@ -454,6 +492,11 @@
             task.cancel()
         for target in self.targets.values():
             target.forget_limit_known(name)
+            for connection in list(target.connections):
+                if connection.instance == name:
+                    connection.cancel()
+        for caller in list(self._callers[name]):
+            caller.cut()
 
     def controller_errors(self) -> list[BaseException]:
         """Returns the errors of failed controllers.
@@ -498,20 +541,8 @@
         instance, _ = self._running[name]
         began_ms = virtual_loop.now_ms()
         self._request_count += 1
-        self.sent_ms[f"a-{self._request_count}"] = began_ms
-        fields = {
-            "Host": "h.example",
-            "Attempt-Id": f"a-{self._request_count}",
-            "Authorization": f"Bearer {users_platform.KEY}",
-            **headers,
-        }
-        request = responder_lib.Request(
-            "GET",
-            path.encode(),
-            tuple((k.encode(), v.encode()) for k, v in fields.items()),
-            b"",
-            began_ms,
-        )
+        request_id = f"a-{self._request_count}"
+        self.sent_ms[request_id] = began_ms
 
         def on_response(data: bytes) -> None:
             head = data.partition(b"\r\n\r\n")[0].lower()
@@ -525,9 +556,57 @@
                 )
             )
 
+        self._handle(instance, path, request_id, headers, on_response)
+
+    def _handle(
+        self,
+        instance: instance_lib.Instance,
+        path: str,
+        request_id: str,
+        headers: dict[str, str],
+        on_response: Callable[[bytes], None],
+    ) -> _Caller:
+        """Passes a request to the gateway of an instance."""
+        fields = {
+            "Host": "h.example",
+            "Attempt-Id": request_id,
+            "Authorization": f"Bearer {users_platform.KEY}",
+            **headers,
+        }
+        request = responder_lib.Request(
+            "GET",
+            path.encode(),
+            tuple((k.encode(), v.encode()) for k, v in fields.items()),
+            b"",
+            virtual_loop.now_ms(),
+        )
         caller = _Caller(instance.gateway, on_response)
         responder = responder_lib.Responder(caller, keep_alive=True)
         instance.gateway.handle(request, responder)
+        return caller
+
+    async def exchange(
+        self, name: str, path: str, request_id: str, headers: dict[str, str]
+    ) -> tuple[bytes, bool]:
+        """Sends a request to an instance and waits until its response ends.
+
+        Returns:
+            What arrived of the response, and whether it is complete.
+        """
+        if name not in self._running:
+            return b"", False
+        done = asyncio.get_running_loop().create_future()
+
+        def on_response(data: bytes) -> None:
+            if not done.done():
+                done.set_result(not data.startswith(b"HTTP/1.1 0 "))
+
+        instance, _ = self._running[name]
+        caller = self._handle(instance, path, request_id, headers, on_response)
+        self._callers[name].add(caller)
+        complete = await done
+        self._callers[name].discard(caller)
+        return caller.data, complete
 
     async def send_traffic(
         self, per_s: float, for_ms: int, **request: str
--- a/tests/support/gateway_targets.py
+++ b/tests/support/gateway_targets.py
@@ -29,11 +29,20 @@
 
 
 class Connection(Protocol):
-    """A connection to a target."""
+    """A connection to a target.
+
+    Attributes:
+        instance: Name of the instance that opened it.
+    """
+
+    instance: str
 
     def on_crash(self) -> None:
         """The target has crashed."""
 
+    def cancel(self) -> None:
+        """The instance closes the connection."""
+
 
 class Arrival(NamedTuple):
     """A request received by a target.
@@ -69,6 +78,7 @@
     """
 
     service = "plain"
+    event_interval_ms = 100
 
     def __init__(
         self,
@@ -132,6 +142,10 @@
         """Returns status and duration in ms of a request."""
         return 200, self.run_ms
 
+    def events(self, _data: bytes) -> list[bytes]:
+        """Returns the events of the response; none if it is no stream."""
+        return []
+
     def on_response(
         self, instance: str, head: target_connection.ResponseHead
     ) -> None:
