Go on with a stream only at the software version that began it

Cause: the version of a target took no part in the choice of a target. It is now a part of what a request needs, from the first event that its caller gets; a request whose version nobody can serve any more ends at once and truthfully. A model that only targets of another version hold is not waited for.

Joins over several attempts of a caller remain: their tests are still listed.

--- a/tanagerloft/coordination/targets.py
+++ b/tanagerloft/coordination/targets.py
@@ -28,6 +28,22 @@
 _MAX_FAILURE_RECORDS = 1_024
 
 
+class Requirement(NamedTuple):
+    """What a target needs to run a request.
+
+    Attributes:
+        service: Service.
+        model: Model, empty on a plain service.
+        adapter: Adapter, empty for none.
+        software_version: Version of the target's software, None for any.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    software_version: str | None = None
+
+
 class _Failures(NamedTuple):
     weight: float
     at_ms: int
@@ -129,7 +145,7 @@
         return self._shared_models.get(entry.target_id, entry.models)
 
     def choose(
-        self, service: str, model: str, adapter: str, avoid: frozenset[str]
+        self, requirement: Requirement, avoid: frozenset[str]
     ) -> types.TargetEntry | None:
         """Returns the target that should run a request, None if none can.
 
@@ -138,16 +154,14 @@
         targets which fail or slow down get fewer requests.
 
         Args:
-            service: Service of the request.
-            model: Model, empty on a plain service.
-            adapter: Adapter, empty for none.
+            requirement: What the target needs.
             avoid: Targets that are chosen only if there are no others.
         """
         now_ms = self._now_ms()
         best = None
         best_key: tuple | None = None
         for entry in self.entries.values():
-            if not self._is_eligible(entry, service, model, adapter, now_ms):
+            if not self._is_eligible(entry, requirement, now_ms):
                 continue
             incarnation = target_feedback.incarnation_of(entry)
             if not self.feedback.accepts_now(incarnation, now_ms):
@@ -171,9 +185,12 @@
                 best, best_key = entry, key
         return best
 
-    def pause(self, service: str, model: str, adapter: str) -> Pause | None:
+    def pause(self, requirement: Requirement) -> Pause | None:
         """Returns the time until an eligible target may be sent a request.
 
+        Args:
+            requirement: What the target needs.
+
         Returns:
             The pause of the target that ends it first, None if there is no
             such target.
@@ -185,7 +202,7 @@
         pauses = []
         for entry in self.entries.values():
             incarnation = target_feedback.incarnation_of(entry)
-            fits = self._is_eligible(entry, service, model, adapter, now_ms)
+            fits = self._is_eligible(entry, requirement, now_ms)
             if not fits or notices.is_leaving(incarnation):
                 continue
             backoff_ms = notices.backoff_ms(incarnation, now_ms)
@@ -199,17 +216,34 @@
         )
 
     def can_run(
-        self,
-        entry: types.TargetEntry,
-        service: str,
-        model: str,
-        adapter: str,
+        self, entry: types.TargetEntry, requirement: Requirement
     ) -> bool:
         """Returns whether a chosen target can still run a request."""
         return self.accepts(entry) and self._is_eligible(
-            entry, service, model, adapter, self._now_ms()
+            entry, requirement, self._now_ms()
         )
 
+    def may_be_met(self, requirement: Requirement) -> bool:
+        """Returns whether a target may come to meet a requirement.
+
+        A model is not loaded at a target of one software version while one of
+        another version holds it.
+        """
+        version = requirement.software_version
+        if version is None or not self.table.known_version:
+            return True
+        any_version = requirement._replace(software_version=None)
+        now_ms = self._now_ms()
+        has_version = False
+        for entry in self.entries.values():
+            if entry.service != requirement.service or entry.leaving:
+                continue
+            if entry.software_version == version:
+                has_version = True
+            elif self._is_eligible(entry, any_version, now_ms):
+                return False
+        return has_version
+
     def accepts(self, entry: types.TargetEntry) -> bool:
         """Returns whether a chosen target still accepts requests."""
         current = self.entries.get(entry.target_id)
@@ -276,19 +310,21 @@
     def _is_eligible(
         self,
         entry: types.TargetEntry,
-        service: str,
-        model: str,
-        adapter: str,
+        requirement: Requirement,
         now_ms: int,
     ) -> bool:
         """Returns whether a target can run a request, its feedback aside."""
-        if entry.service != service or entry.leaving:
+        if entry.service != requirement.service or entry.leaving:
+            return False
+        version = requirement.software_version
+        if version is not None and entry.software_version != version:
             return False
-        return not model or self._holds(entry, model, adapter, now_ms)
+        return not requirement.model or self._holds(entry, requirement, now_ms)
 
     def _holds(
-        self, entry: types.TargetEntry, model: str, adapter: str, now_ms: int
+        self, entry: types.TargetEntry, requirement: Requirement, now_ms: int
     ) -> bool:
+        model, adapter = requirement.model, requirement.adapter
         adapters = self.loaded_models(entry).get(model)
         if adapters is None or (adapter and adapter not in adapters):
             return False
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -45,6 +45,11 @@
     "A part of this prompt took down each target that began to answer it.",
     retry_after_ms=60_000,
 )
+SOFTWARE_VERSION_GONE = Refusal(
+    "software_version_gone",
+    503,
+    "No target of the version that began this stream can go on with it.",
+)
 TARGETS_BACK_OFF = Refusal(
     "targets_back_off", 503, "The targets take no requests for a time."
 )
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -184,8 +184,15 @@
     def on_events(self, info: codec_lib.ResponseInfo, data: bytes) -> None:
         """Forwards events to the caller."""
         self._record_begun()
+        if not self.response.started:
+            self._bind_stream()
         self.response.send_events(info, data)
 
+    def _bind_stream(self) -> None:
+        """Binds the stream to the software version that begins it."""
+        assert self._attempt is not None
+        self._selector.require_version(self._attempt.target.software_version)
+
     def on_stream_end(self, info: codec_lib.ResponseInfo, rest: bytes) -> None:
         """Ends the response after a complete stream."""
         self._record_begun(complete=True)
--- a/tanagerloft/gateway/target_selection.py
+++ b/tanagerloft/gateway/target_selection.py
@@ -14,7 +14,6 @@
 from tanagerloft.gateway import dependencies
 from tanagerloft.gateway import errors
 from tanagerloft.gateway import prompt_hold
-from tanagerloft.gateway import wait_queue as wait_queue_lib
 
 logger = logging.getLogger(__name__)
 
@@ -67,7 +66,7 @@
         self._context = context
         decoded, route = context.decoded, context.route
         arrived_ms = context.request.arrived_ms
-        self.requirement = wait_queue_lib.Requirement(
+        self.requirement = targets_lib.Requirement(
             context.service, decoded.model, decoded.adapter
         )
         self.objective_at_ms = arrived_ms + route.latency_objective_ms
@@ -80,6 +79,12 @@
         self._permitted_target: types.TargetEntry | None = None
         self._next_permit_request_ms: int | None = None
 
+    def require_version(self, software_version: str) -> None:
+        """Restricts the request to targets of one software version."""
+        self.requirement = self.requirement._replace(
+            software_version=software_version
+        )
+
     def select(self, history: send_history.SendHistory) -> Selection:
         """Returns the target of the next send, or what to do instead.
 
@@ -94,7 +99,7 @@
         target = permitted
         if target is None:
             avoid = frozenset(history.tried)
-            target = deps.directory.choose(*self.requirement, avoid)
+            target = deps.directory.choose(self.requirement, avoid)
         now_ms = deps.now_ms()
         if target is None:
             return self._select_without_target(now_ms)
@@ -145,7 +150,7 @@
             self._next_permit_request_ms = min(
                 self._next_permit_request_ms, permit_request_ms
             )
-        elif directory.can_run(target, *self.requirement):
+        elif directory.can_run(target, self.requirement):
             self._permitted_target = target
 
     def has_alternative(
@@ -153,14 +158,16 @@
     ) -> bool:
         """Returns whether an untried target could accept the request now."""
         avoid = frozenset(history.tried | {failed_target_id})
-        alternative = self._deps.directory.choose(*self.requirement, avoid)
+        alternative = self._deps.directory.choose(self.requirement, avoid)
         return alternative is not None and alternative.target_id not in avoid
 
     def _select_without_target(self, now_ms: int) -> Selection:
         """Refuses the request if no target can become available in time."""
-        pause = self._deps.directory.pause(*self.requirement)
+        pause = self._deps.directory.pause(self.requirement)
         if pause is not None:
             return self._select_paused(pause, now_ms)
+        if not self._deps.directory.may_be_met(self.requirement):
+            return errors.SOFTWARE_VERSION_GONE
         ready_in_ms = self._deps.model_ready_in_ms(self._context.decoded.model)
         if (
             ready_in_ms is not None
--- a/tanagerloft/gateway/wait_queue.py
+++ b/tanagerloft/gateway/wait_queue.py
@@ -2,30 +2,16 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
 from typing import Protocol
 
 from tanagerloft.coordination import messages
+from tanagerloft.coordination import targets
 
 # Most waiting requests for one requirement that are reported to the lease
 # holder: more would not change its plan.
 _MAX_REPORTED_WAITERS = 16
 
 
-class Requirement(NamedTuple):
-    """What a target needs to run a request.
-
-    Attributes:
-        service: Service.
-        model: Model, empty on a plain service.
-        adapter: Adapter, empty for none.
-    """
-
-    service: str
-    model: str
-    adapter: str
-
-
 class Waiter(Protocol):
     """A request that waits.
 
@@ -49,13 +35,13 @@
     """Waiting requests by requirement, oldest first."""
 
     def __init__(self):
-        self._waiting: dict[Requirement, dict[Waiter, None]] = {}
+        self._waiting: dict[targets.Requirement, dict[Waiter, None]] = {}
 
-    def add(self, requirement: Requirement, waiter: Waiter) -> None:
+    def add(self, requirement: targets.Requirement, waiter: Waiter) -> None:
         """Adds a request."""
         self._waiting.setdefault(requirement, {})[waiter] = None
 
-    def remove(self, requirement: Requirement, waiter: Waiter) -> None:
+    def remove(self, requirement: targets.Requirement, waiter: Waiter) -> None:
         """Removes a request, if it waits."""
         waiters = self._waiting.get(requirement)
         if waiters is not None:
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -116,8 +116,7 @@
     assert not play.joined()
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
-def test_a_stream_is_not_resumed_at_another_version_within_an_answer(seed):
+def _play_crashing_targets(seed: int) -> _Play:
     play = _Play(seed, old=3, new=3)
 
     async def run():
@@ -132,7 +131,19 @@
         await play.finish()
 
     virtual_loop.run(run())
-    _check(play, killed_ms=0)
+    return play
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_one_answer_has_events_of_one_version(seed):
+    play = _play_crashing_targets(seed)
+    attempts = [a for c in play.callers for a in c.attempts]
+    assert all(len(attempt.versions) <= 1 for attempt in attempts)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_stream_is_not_resumed_at_another_version_within_an_answer(seed):
+    _check(_play_crashing_targets(seed), killed_ms=0)
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
--- a/tests/gateway/test_wait_queue.py
+++ b/tests/gateway/test_wait_queue.py
@@ -1,8 +1,9 @@
 """Summary of waiting requests for the lease holder."""
 
+from tanagerloft.coordination import targets
 from tanagerloft.gateway import wait_queue
 
-_REQUIREMENT = wait_queue.Requirement("s", "m", "")
+_REQUIREMENT = targets.Requirement("s", "m", "")
 
 
 class _Waiter:
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -55,12 +55,14 @@
         resumes: Whether it takes up a stream.
         events: Number of events that it brought.
         status: Status of the response, 0 for none.
+        versions: Software versions that the events are from.
     """
 
     at_ms: int
     resumes: bool
     events: int
     status: int
+    versions: frozenset[str]
 
 
 class StreamCaller:
@@ -130,7 +132,10 @@
         status = _STATUS.match(data)
         code = int(status[1]) if status else 0
         self.complete = ended and code == 200
-        self.attempts.append(Attempt(at_ms, resumes, len(found), code))
+        versions = frozenset(version.decode() for _, version in found)
+        self.attempts.append(
+            Attempt(at_ms, resumes, len(found), code, versions)
+        )
         retry = _RETRY_AFTER.search(data)
         return round(float(retry[1]) * 1_000) if retry else 0
 
