Record the software versions of streams that the base version did not begin

Cause: what had begun a stream was known in the memory of one instance only. The class is state that must outlive a process, kept in the process.

Each service now has a base version, a row of the store that the lease holder writes. A stream that another version is to begin is recorded in the row of its instance before it is sent; one without a record was begun by the base version. The base version changes only after none of its targets was listed for longer than any process relies on what it knew of it. A caller that resumes a stream names the attempt that began it; the version is looked up by a read that begins after the request arrived. If it is not certain, the caller is refused at once and truthfully. While records cannot be written, new streams begin at the base version only. A fleet of one version writes one row in all.

--- a/tanagerloft/gateway/context.py
+++ b/tanagerloft/gateway/context.py
@@ -79,6 +79,22 @@
         self.expected_ms: int | None = None
         self._digest: str | None = None
 
+    @property
+    def resumable_until_ms(self) -> int:
+        """Time after which the caller no longer resumes the stream."""
+        timeout_ms = self.decoded.timeout_ms
+        if timeout_ms is None:
+            return self.deadline_ms
+        return max(self.deadline_ms, self.times.arrived_ms + timeout_ms)
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller has a part of a stream and resumes it."""
+        decoded = self.decoded
+        return self.route.resumable and (
+            decoded.last_event_id is not None or decoded.resumed_id is not None
+        )
+
     @property
     def model_key(self) -> str:
         """Model, or model and adapter, under which the request is counted."""
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -14,6 +14,7 @@
 from tanagerloft.coordination import lease_manager
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import prompt_verdicts
+from tanagerloft.coordination import stream_versions as stream_versions_lib
 from tanagerloft.coordination import target_list
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import crash_quarantine
@@ -56,6 +57,7 @@
         lease_manager: Reads and writes the lease row.
         holder_client: Sends reports to the lease holder and applies its
             answers.
+        stream_versions: Software versions that began streams.
     """
 
     def __init__(
@@ -121,6 +123,14 @@
         self._prompt_verdicts = prompt_verdicts.PromptVerdicts(
             deployment.store, prompt_evidence, self.lease, now_ms
         )
+        self.stream_versions = stream_versions_lib.StreamVersions(
+            deployment.store,
+            name,
+            self.directory.table,
+            self.lease,
+            now_ms,
+            clock.wall_ms,
+        )
         self._engines = engines = engine_controller.EngineController(
             self.lease,
             self.directory,
@@ -177,6 +187,8 @@
             self.holder_client.run(),
             self._holder.run(),
             self._prompt_verdicts.run(),
+            self.stream_versions.run_reads(),
+            self.stream_versions.run_writes(),
         ]
 
     def keys_are_current(self) -> bool:
@@ -185,6 +197,7 @@
 
     def _apply_configuration(self, configuration: types.Configuration) -> None:
         self.holder_client.configure(configuration)
+        self.stream_versions.configure(configuration)
         self._holder.configure(configuration)
 
     def _make_known_state(self) -> messages.KnownState:
--- a/tanagerloft/gateway/dependencies.py
+++ b/tanagerloft/gateway/dependencies.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from tanagerloft.coordination import stream_versions as stream_versions_lib
 from tanagerloft.coordination import target_permits
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import prompt_evidence as evidence_lib
@@ -25,6 +26,7 @@
         directory: Targets.
         pool: Connections to targets.
         permits: Permits for targets with a rate limit.
+        stream_versions: Software versions that began streams.
         wait_queue: Requests that wait for a model.
         acquire_retry: Takes a retry from the retry budget of a service, if
             there is one left.
@@ -44,6 +46,7 @@
     directory: targets_lib.TargetDirectory
     pool: connection_pool.Pool
     permits: target_permits.TargetPermits
+    stream_versions: stream_versions_lib.StreamVersions
     wait_queue: wait_queue_lib.WaitQueue
     acquire_retry: Callable[[str], retry_budget.Decision]
     record_first_send: Callable[[str], None]
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -50,6 +50,18 @@
     503,
     "No target of the version that began this stream can go on with it.",
 )
+SOFTWARE_VERSION_UNKNOWN = Refusal(
+    "software_version_unknown",
+    503,
+    "The version that began this stream cannot be told now.",
+    retry_after_ms=500,
+)
+STREAM_NOT_RECORDED = Refusal(
+    "stream_not_recorded",
+    503,
+    "The version that would begin this stream cannot be recorded now.",
+    retry_after_ms=500,
+)
 TARGETS_BACK_OFF = Refusal(
     "targets_back_off", 503, "The targets take no requests for a time."
 )
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -72,6 +72,7 @@
         self._retry_timer: asyncio.TimerHandle | None = None
         self._cancel_permit_request: Callable[[], None] | None = None
         self._permit_granted_ms: int | None = None
+        self._version_pending = False
 
     def start(self) -> None:
         """Starts the deadline timer and makes the first attempt."""
@@ -84,9 +85,26 @@
         context.responder.on_flow_control = self._set_reading
         context.holder_age_ms = deps.holder_age_ms()
         context.expected_ms = deps.model_ready_in_ms(context.decoded.model)
-        if not self.try_send():
+        if context.resumes_stream:
+            self._version_pending = True
+            deps.stream_versions.look_up(
+                context.decoded.resumed_id, context.service, self._on_version
+            )
+        elif not self.try_send():
             deps.report_soon()
 
+    def _on_version(self, software_version: str | None) -> None:
+        """Goes on with a stream at the version that has begun it."""
+        self._version_pending = False
+        if self._ended:
+            return
+        if software_version is None:
+            self._refuse(errors.SOFTWARE_VERSION_UNKNOWN)
+            return
+        self._selector.require_version(software_version)
+        if not self.try_send():
+            self._deps.report_soon()
+
     def refuse_unsent(self, refusal: errors.Refusal) -> None:
         """Refuses the request if it has not been sent to any target."""
         if not self._ended and self.context.times.sent_ms is None:
@@ -111,6 +129,8 @@
         )
         if self._ended or any(action is not None for action in pending):
             return True
+        if self._version_pending:
+            return True
         selection = self._selector.select(self.history)
         if selection is target_selection.NoTarget.NOW:
             self._deps.wait_queue.add(self._selector.requirement, self)
@@ -120,12 +140,36 @@
             self._give_up(selection.detail, selection)
         elif isinstance(selection, target_selection.RetryLater):
             self._schedule_retry(selection.delay_ms)
+        elif isinstance(selection, target_selection.NeedsRecord):
+            self._record_version(selection.software_version)
         elif isinstance(selection, target_selection.NeedsPermit):
             self._request_permit(selection.target)
         else:
             self._send(selection)
         return True
 
+    def _record_version(self, software_version: str) -> None:
+        """Records the software version that is to begin the stream."""
+        self._version_pending = True
+
+        def on_recorded(recorded: bool) -> None:
+            self._version_pending = False
+            if self._ended:
+                return
+            if not recorded:
+                self._give_up("stream not recorded", errors.STREAM_NOT_RECORDED)
+                return
+            self._selector.on_recorded(software_version)
+            if not self.try_send():
+                self._deps.report_soon()
+
+        self._deps.stream_versions.record(
+            self.context.decoded.request_id,
+            software_version,
+            self.context.resumable_until_ms,
+            on_recorded,
+        )
+
     def _request_permit(self, target: types.TargetEntry) -> None:
         """Requests a permit to send to a target with a rate limit."""
         permits, incarnation = (
@@ -191,7 +235,12 @@
     def _bind_stream(self) -> None:
         """Binds the stream to the software version that begins it."""
         assert self._attempt is not None
-        self._selector.require_version(self._attempt.target.software_version)
+        version = self._attempt.target.software_version
+        self._selector.require_version(version)
+        if self.context.route.resumable and not self.context.resumes_stream:
+            self._deps.stream_versions.note_begun(
+                self.context.decoded.request_id, version
+            )
 
     def on_stream_end(self, info: codec_lib.ResponseInfo, rest: bytes) -> None:
         """Ends the response after a complete stream."""
@@ -281,6 +330,8 @@
                 "events": self._stream.events,
             },
         )
+        if not self.response.started:
+            self._selector.allow_any_version()
         if self.history.may_retry(evidence):
             self._retry(target.target_id)
         else:
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -101,6 +101,7 @@
             directory=self.directory,
             pool=self._pool,
             permits=self.control.holder_client.permits,
+            stream_versions=self.control.stream_versions,
             wait_queue=self.wait_queue,
             acquire_retry=self._acquire_retry,
             record_first_send=self._record_first_send,
--- a/tanagerloft/gateway/target_selection.py
+++ b/tanagerloft/gateway/target_selection.py
@@ -33,6 +33,12 @@
     NOW = "now"
 
 
+class NeedsRecord(NamedTuple):
+    """The software version that is to begin the stream must be recorded."""
+
+    software_version: str
+
+
 class NeedsPermit(NamedTuple):
     """The request needs a permit, as its target has announced a limit."""
 
@@ -40,7 +46,12 @@
 
 
 Selection = (
-    types.TargetEntry | RetryLater | NoTarget | NeedsPermit | errors.Refusal
+    types.TargetEntry
+    | RetryLater
+    | NoTarget
+    | NeedsRecord
+    | NeedsPermit
+    | errors.Refusal
 )
 
 
@@ -76,6 +87,8 @@
         self._hold = prompt_hold.PromptHold(
             decoded.prompt_tokens, self.objective_at_ms
         )
+        self._begins_stream = route.resumable and not context.resumes_stream
+        self._recorded_version: str | None = None
         self._permitted_target: types.TargetEntry | None = None
         self._next_permit_request_ms: int | None = None
 
@@ -85,6 +98,16 @@
             software_version=software_version
         )
 
+    def allow_any_version(self) -> None:
+        """Lifts the restriction, as the caller has no event of the stream."""
+        if self._begins_stream:
+            self.requirement = self.requirement._replace(software_version=None)
+
+    def on_recorded(self, software_version: str) -> None:
+        """Handles the record of the version that is to begin the stream."""
+        self._recorded_version = software_version
+        self.require_version(software_version)
+
     def select(self, history: send_history.SendHistory) -> Selection:
         """Returns the target of the next send, or what to do instead.
 
@@ -103,6 +126,8 @@
         now_ms = deps.now_ms()
         if target is None:
             return self._select_without_target(now_ms)
+        if self._lacks_record(target):
+            return self._select_unrecorded(target, history)
         if context.deadline_ms - now_ms < _MIN_REMAINING_MS:
             return errors.OUT_OF_TIME
         queued_tokens = deps.directory.prefill_tokens(target.target_id)
@@ -118,6 +143,36 @@
             return errors.NO_BUDGET
         return target
 
+    def _lacks_record(self, target: types.TargetEntry) -> bool:
+        """Returns whether the stream needs a record before it is sent."""
+        version = target.software_version
+        return (
+            self._begins_stream
+            and version != self._recorded_version
+            and self._deps.stream_versions.needs_record(
+                self._context.decoded.request_id,
+                self._context.service,
+                version,
+            )
+        )
+
+    def _select_unrecorded(
+        self, target: types.TargetEntry, history: send_history.SendHistory
+    ) -> Selection:
+        """Has the version recorded, or selects one that needs no record."""
+        versions = self._deps.stream_versions
+        if versions.can_record:
+            return NeedsRecord(target.software_version)
+        base = versions.base_version(self._context.service)
+        if (
+            base is None
+            or self._recorded_version is not None
+            or self.requirement.software_version is not None
+        ):
+            return errors.STREAM_NOT_RECORDED
+        self.require_version(base)
+        return self.select(history)
+
     def _acquire_retry(self) -> bool:
         decision = self._deps.acquire_retry(self._context.service)
         logger.info(
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -123,7 +123,7 @@
         at_ms = virtual_loop.now_ms()
         instance = self._rng.choice(self._fleet.names)
         data, ended = await self._fleet.exchange(
-            instance, "/resume/x", attempt_id, headers
+            instance, f"/resume/{self._name}", attempt_id, headers
         )
         found = _EVENT.findall(data)
         if found and not resumes:
