Take a request that changes its version out of the queue it waited in

A request that waited for its model and then was bound to the base version, as none could be recorded, stayed in the queue of its first requirement for ever, and was reported as waiting.

--- a/tanagerloft/coordination/stream_versions.py
+++ b/tanagerloft/coordination/stream_versions.py
@@ -223,6 +223,8 @@
             self._write_now.set()
 
     def _refresh_ms(self) -> int:
+        if not self._services:
+            return _VALID_MS
         if self._services <= self._bases.keys():
             return _REFRESH_MS
         return _MISSING_REFRESH_MS
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -131,7 +131,10 @@
             return True
         if self._version_pending:
             return True
+        requirement = self._selector.requirement
         selection = self._selector.select(self.history)
+        if requirement != self._selector.requirement:
+            self._deps.wait_queue.remove(requirement, self)
         if selection is target_selection.NoTarget.NOW:
             self._deps.wait_queue.add(self._selector.requirement, self)
             return False
--- a/tanagerloft/gateway/target_selection.py
+++ b/tanagerloft/gateway/target_selection.py
@@ -171,7 +171,10 @@
         ):
             return errors.STREAM_NOT_RECORDED
         self.require_version(base)
-        return self.select(history)
+        selection = self.select(history)
+        if selection == errors.SOFTWARE_VERSION_GONE:
+            return errors.STREAM_NOT_RECORDED
+        return selection
 
     def _acquire_retry(self) -> bool:
         decision = self._deps.acquire_retry(self._context.service)
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -44,6 +44,7 @@
         """Waits for all callers and stops the fleet."""
         await asyncio.gather(*self._tasks)
         assert not self.fleet.controller_errors()
+        assert not self.fleet.waiting_count()
         await self.fleet.close()
 
     def list_new(self) -> None:
@@ -202,3 +203,52 @@
     virtual_loop.run(run())
     _check(play, killed_ms=11_000)
     assert all(c.complete for c in play.callers)
+
+
+def test_streams_begin_at_the_base_version_while_none_can_be_recorded():
+    play = _Play(1, old=1, new=4)
+
+    async def run():
+        await play.fleet.start()
+        play.list_new()
+        await loops.sleep(1_000)
+        play.fleet.writes_fail = True
+        await play.call(20, 4_000)
+        play.fleet.targets["old0"].leave()
+        await play.call(20, 2_000)
+        play.fleet.writes_fail = False
+        await play.call(20, 2_000)
+        await play.finish()
+
+    virtual_loop.run(run())
+    assert not play.joined()
+    began = [c for c in play.callers if c.events]
+    assert {c.events[0][1] for c in began[:40]} == {"v1"}
+    assert all(c.complete for c in play.callers[-20:])
+
+
+def test_a_request_leaves_the_queue_when_its_version_cannot_be_recorded():
+    play = _Play(1, old=1, new=1)
+    new = play.fleet.targets["new0"]
+
+    async def run():
+        for target in play.fleet.targets.values():
+            target.hold([])
+        await play.fleet.start()
+        play.list_new()
+        play.fleet.writes_fail = True
+        # New processes know the models of engines from the list alone.
+        await play.kill_all()
+        await loops.sleep(5_000)
+        assert play.fleet.holder() is None
+        calls = asyncio.create_task(play.call(20, 6_000))
+        new.hold(["m1"])
+        await loops.sleep(1_500)
+        new.hold([])
+        await loops.sleep(1_500)
+        assert play.fleet.waiting_count()
+        new.hold(["m1"])
+        await calls
+        await play.finish()
+
+    virtual_loop.run(run())
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -529,6 +529,13 @@
         await loops.sleep(down_ms)
         self.start_instance(name)
 
+    def waiting_count(self) -> int:
+        """Returns the number of requests in the queues of all instances."""
+        return sum(
+            instance.wait_queue.count()
+            for instance, _ in self._running.values()
+        )
+
     def ready_names(self) -> list[str]:
         """Returns the instances that report to be ready."""
         return [
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -28,6 +28,11 @@
         self.version = version
         self.run_ms = 100
 
+    def hold(self, models: Iterable[str]) -> None:
+        """Replaces the models that the engine holds."""
+        self._held = set(models)
+        self.on_change(self)
+
     def entry(self) -> dict:
         """Returns its entry in the platform's list."""
         return {**super().entry(), "version": self.version}
