Resume streams of the only version while the store is away

A look-up without the store was refused after a second, also where all targets are of the base version and nothing was recorded. While the store is away nothing can be recorded, so such a stream goes on at once.

--- a/tanagerloft/coordination/stream_versions.py
+++ b/tanagerloft/coordination/stream_versions.py
@@ -202,7 +202,7 @@
                 await self._maintain_bases()
                 await loops.wait(self._read_now, self._refresh_ms())
             else:
-                self._look_ups = self._expire_look_ups(asked) + self._look_ups
+                self._look_ups = self._answer_offline(asked) + self._look_ups
                 if self._reader.failures:
                     await loops.sleep(_RETRY_DELAY_MS)
 
@@ -281,12 +281,7 @@
         base = self.base_version(look_up.service)
         if look_up.stream is None:
             # Without a name, only the absence of all records is certain.
-            wall_ms = self._wall_ms()
-            has_records = any(
-                logged.versions and logged.expires_wall_ms > wall_ms
-                for logged in self._logged.values()
-            )
-            found = None if has_records else base
+            found = None if self._has_records() else base
         else:
             recorded = (
                 logged.versions.get(look_up.stream)
@@ -305,12 +300,39 @@
         )
         return found
 
-    def _expire_look_ups(self, asked: list[_LookUp]) -> list[_LookUp]:
+    def _has_records(self) -> bool:
+        """Returns whether any stream has a record, as of the last read."""
+        wall_ms = self._wall_ms()
+        return any(
+            logged.versions and logged.expires_wall_ms > wall_ms
+            for logged in self._logged.values()
+        )
+
+    def _answer_offline(self, asked: list[_LookUp]) -> list[_LookUp]:
+        """Answers look-ups without the store; returns those that wait for it.
+
+        While the store is away nothing can be recorded, so a service whose
+        targets are all of the base version has no other streams.
+        """
         oldest_ms = self._now_ms() - _WAIT_TIMEOUT_MS
+        waiting = []
         for look_up in asked:
-            if look_up.asked_ms < oldest_ms:
-                look_up.done(None)
-        return [item for item in asked if item.asked_ms >= oldest_ms]
+            only_version = self._only_version(look_up.service)
+            if only_version is not None or look_up.asked_ms < oldest_ms:
+                look_up.done(only_version)
+            else:
+                waiting.append(look_up)
+        return waiting
+
+    def _only_version(self, service: str) -> str | None:
+        """Returns the base version if it is the only one, else None."""
+        base = self.base_version(service)
+        listed = {
+            entry.software_version
+            for entry in self._targets.by_target.values()
+            if entry.service == service
+        }
+        return base if listed == {base} and not self._has_records() else None
 
     def _expire_records(
         self, pending: list[_PendingRecord]
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -205,6 +205,28 @@
     assert all(c.complete for c in play.callers)
 
 
+def test_streams_of_the_only_version_go_on_while_the_store_is_away():
+    play = _Play(1, old=4, new=0)
+
+    async def run():
+        await play.fleet.start()
+        await loops.sleep(1_000)
+        calls = asyncio.create_task(play.call(10, 2_000))
+        await loops.sleep(1_500)
+        play.fleet.store_down = True
+        await loops.sleep(200)
+        await play.fleet.restart("i0", 300, cut=True)
+        play.fleet.targets["old0"].crash(3_000)
+        await calls
+        await play.finish()
+
+    virtual_loop.run(run())
+    resumed = [a for c in play.callers for a in c.attempts if a.resumes]
+    assert any(attempt.events for attempt in resumed)
+    went_on_share = streams.went_on_share(play.callers, 0)
+    assert went_on_share >= 0.5
+
+
 def test_streams_begin_at_the_base_version_while_none_can_be_recorded():
     play = _Play(1, old=1, new=4)
 
