--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -274,3 +274,26 @@
         await play.finish()
 
     virtual_loop.run(run())
+
+
+def test_streams_are_not_joined_when_a_target_changes_its_version_unlisted():
+    play = _Play(1, old=3, new=0)
+    changed = play.fleet.targets["old0"]
+
+    async def run():
+        await play.fleet.start()
+        await loops.sleep(1_000)
+        calls = asyncio.create_task(play.call(30, 6_000))
+        await loops.sleep(2_000)
+        changed.crash(0)
+        changed.version, changed.born = "v2", virtual_loop.now_ms()
+        # The list shows the new incarnation by half a second late.
+        await loops.sleep(500)
+        changed.on_change(changed)
+        await loops.sleep(500)
+        await play.kill_all()
+        await calls
+        await play.finish()
+
+    virtual_loop.run(run())
+    assert not play.joined()
