--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -1,6 +1,8 @@
 """Streams while targets of two software versions serve one service."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import random
 
 import pytest
@@ -67,6 +69,17 @@
         return [c for c in self.callers if len(c.versions) > 1]
 
 
+def _run(play: _Play, scene: Callable[[], Awaitable[None]]) -> None:
+    """Starts the fleet, plays a scene and waits for all callers."""
+
+    async def run():
+        await play.fleet.start()
+        await scene()
+        await play.finish()
+
+    virtual_loop.run(run())
+
+
 def _check(play: _Play, killed_ms: int) -> None:
     assert not play.joined()
     for caller in play.callers:
@@ -82,17 +95,15 @@
 def test_streams_are_not_joined_after_all_instances_were_killed(seed):
     play = _Play(seed, old=3, new=3)
 
-    async def run():
-        await play.fleet.start()
+    async def scene():
         calls = asyncio.create_task(play.call(10, 20_000))
         await loops.sleep(4_000)
         play.list_new()
         await loops.sleep(8_000)
         await play.kill_all()
         await calls
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
     _check(play, killed_ms=15_000)
 
 
@@ -100,8 +111,7 @@
 def test_streams_are_not_joined_when_the_old_version_has_just_left(seed):
     play = _Play(seed, old=3, new=3)
 
-    async def run():
-        await play.fleet.start()
+    async def scene():
         calls = asyncio.create_task(play.call(10, 20_000))
         await loops.sleep(8_000)
         play.list_new()
@@ -111,17 +121,15 @@
         await loops.sleep(500)
         await play.kill_all()
         await calls
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
     assert not play.joined()
 
 
 def _play_crashing_targets(seed: int) -> _Play:
     play = _Play(seed, old=3, new=3)
 
-    async def run():
-        await play.fleet.start()
+    async def scene():
         play.list_new()
         calls = asyncio.create_task(play.call(10, 15_000))
         for _ in range(12):
@@ -129,9 +137,8 @@
             target = play.rng.choice(list(play.fleet.targets.values()))
             target.crash(1_000)
         await calls
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
     return play
 
 
@@ -153,8 +160,7 @@
 ):
     play = _Play(seed, old=3, new=3)
 
-    async def run():
-        await play.fleet.start()
+    async def scene():
         calls = asyncio.create_task(play.call(10, 24_000))
         await loops.sleep(2_000)
         play.list_new()
@@ -165,42 +171,37 @@
             play.fleet.store_down = round_number in (2, 3, 6)
         play.fleet.store_down = False
         await calls
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
     assert not play.joined()
 
 
 def test_a_caller_that_names_no_attempt_gets_no_joined_stream():
     play = _Play(1, old=3, new=3)
 
-    async def run():
-        await play.fleet.start()
+    async def scene():
         play.list_new()
         calls = asyncio.create_task(play.call(10, 10_000, names_attempt=False))
         await loops.sleep(5_000)
         await play.kill_all()
         await calls
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
     assert not play.joined()
 
 
 def test_streams_go_on_elsewhere_while_there_is_one_version():
     play = _Play(1, old=4, new=0)
 
-    async def run():
-        await play.fleet.start()
+    async def scene():
         calls = asyncio.create_task(play.call(10, 15_000))
         await loops.sleep(5_000)
         play.fleet.targets["old0"].crash(3_000)
         await loops.sleep(3_000)
         await play.kill_all()
         await calls
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
     _check(play, killed_ms=11_000)
     assert all(c.complete for c in play.callers)
 
@@ -208,8 +209,7 @@
 def test_streams_of_the_only_version_go_on_while_the_store_is_away():
     play = _Play(1, old=4, new=0)
 
-    async def run():
-        await play.fleet.start()
+    async def scene():
         await loops.sleep(1_000)
         calls = asyncio.create_task(play.call(10, 2_000))
         await loops.sleep(1_500)
@@ -218,9 +218,8 @@
         await play.fleet.restart("i0", 300, cut=True)
         play.fleet.targets["old0"].crash(3_000)
         await calls
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
     resumed = [a for c in play.callers for a in c.attempts if a.resumes]
     assert any(attempt.events for attempt in resumed)
     went_on_share = streams.went_on_share(play.callers, 0)
@@ -230,8 +229,7 @@
 def test_streams_begin_at_the_base_version_while_none_can_be_recorded():
     play = _Play(1, old=1, new=4)
 
-    async def run():
-        await play.fleet.start()
+    async def scene():
         play.list_new()
         await loops.sleep(1_000)
         play.fleet.writes_fail = True
@@ -240,9 +238,8 @@
         await play.call(20, 2_000)
         play.fleet.writes_fail = False
         await play.call(20, 2_000)
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
     assert not play.joined()
     began = [c for c in play.callers if c.events]
     assert {c.events[0][1] for c in began[:40]} == {"v1"}
@@ -253,10 +250,10 @@
     play = _Play(1, old=1, new=1)
     new = play.fleet.targets["new0"]
 
-    async def run():
-        for target in play.fleet.targets.values():
-            target.hold([])
-        await play.fleet.start()
+    for target in play.fleet.targets.values():
+        target.hold([])
+
+    async def scene():
         play.list_new()
         play.fleet.writes_fail = True
         # New processes know the models of engines from the list alone.
@@ -271,17 +268,15 @@
         assert play.fleet.waiting_count()
         new.hold(["m1"])
         await calls
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
 
 
 def test_streams_are_not_joined_when_a_target_changes_its_version_unlisted():
     play = _Play(1, old=3, new=0)
     changed = play.fleet.targets["old0"]
 
-    async def run():
-        await play.fleet.start()
+    async def scene():
         await loops.sleep(1_000)
         calls = asyncio.create_task(play.call(30, 6_000))
         await loops.sleep(2_000)
@@ -293,7 +288,6 @@
         await loops.sleep(500)
         await play.kill_all()
         await calls
-        await play.finish()
 
-    virtual_loop.run(run())
+    _run(play, scene)
     assert not play.joined()
