Accept no connection between the last check of a graceful stop and the end

Cause: when no connection was left, the process wrote the lease row for up to 200 ms while it still accepted connections, then ended. It now stops listening first and looks once more for connections that were accepted just before.

--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -77,6 +77,7 @@
         self._connections: set[caller_connection.CallerConnection] = set()
         self._tasks: list[asyncio.Task] = []
         self._stopping = False
+        self._caller_server: asyncio.Server
         self._started_ms = clock.now_ms()
         self._crashes = crash_quarantine.CrashCounts()
         self._prompt_evidence = prompt_evidence.PartEvidence()
@@ -202,7 +203,9 @@
             },
             self._clock.now_ms,
         )
-        await self._serve("callers", self.gateway, self._connections)
+        self._caller_server = await self._serve(
+            "callers", self.gateway, self._connections
+        )
         ready = self._settings.get("listen", "ready")
         page_connections: set[caller_connection.CallerConnection] = set()
         await self._serve("ready", pages, page_connections)
@@ -214,10 +217,10 @@
         key: str,
         handler: responder_lib.Handler,
         connections: set[caller_connection.CallerConnection],
-    ) -> None:
+    ) -> asyncio.Server:
         address = self._settings.get("listen", key)
         try:
-            await asyncio.get_running_loop().create_server(
+            return await asyncio.get_running_loop().create_server(
                 lambda: caller_connection.CallerConnection(
                     handler, connections
                 ),
@@ -242,8 +245,12 @@
             for connection in list(self._connections):
                 connection.close_if_idle()
             if not self._connections:
-                break
+                if not self._caller_server.is_serving():
+                    break
+                # A connection may have been accepted just before.
+                self._caller_server.close()
             await loops.sleep(_STOP_POLL_INTERVAL_MS)
+        self._caller_server.close()
         cut_requests = self.gateway.open_count
         self.gateway.end_all()
         with contextlib.suppress(TimeoutError):
--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -349,6 +349,7 @@
     Attributes:
         store: The store.
         ports: Ports of the instance's listeners by name.
+        running: Task that runs the instance.
     """
 
     def __init__(self, **config_changes):
@@ -374,7 +375,7 @@
         self.instance = instance_lib.Instance(
             settings, deployment.build, clock_lib.Clock()
         )
-        task = asyncio.create_task(self.instance.run())
+        self.running = task = asyncio.create_task(self.instance.run())
         self._stack.callback(task.cancel)
 
         async def ready_or_ended() -> bool:
