--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -225,7 +225,9 @@
             )
             return
         self.advance_store_loads()
+        known_copies = state.orders.copies.all()
         late_model = state.orders.on_report(report, asked_ms)
+        self._log_evicted(state, known_copies - state.orders.copies.all())
         if state.orders.known and not state.models_logged:
             state.models_logged = True
             _log_engine(state, report)
@@ -241,6 +243,26 @@
                 },
             )
 
+    def _log_evicted(self, state: EngineState, evicted: frozenset[str]) -> None:
+        """Logs copies that an engine has dropped to make room for others."""
+        if not evicted:
+            return
+        elsewhere = {
+            model
+            for other in self.by_target.values()
+            if other is not state
+            for model in other.orders.copies.all()
+        }
+        logger.info(
+            "copies evicted",
+            extra={
+                "target": state.target_id,
+                "models": sorted(evicted),
+                "last_copies": sorted(evicted - elsewhere),
+                "store_load": state.store_load,
+            },
+        )
+
     def _observe_store_load(
         self,
         state: EngineState,
--- a/tanagerloft/util/log_lines.py
+++ b/tanagerloft/util/log_lines.py
@@ -27,6 +27,17 @@
     return None
 
 
+def collected_s(line: str) -> float:
+    """Returns the time in seconds that a collector has put before a line.
+
+    It is 0 if there is none.
+    """
+    try:
+        return float(line.partition("{")[0].split()[0])
+    except (IndexError, ValueError):
+        return 0.0
+
+
 def path_of(request_id: str, lines: Iterable[str]) -> list[dict[str, Any]]:
     """Returns the lines that tell of a request, in the order given.
 
