--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from tanagerloft.coordination import engine_controller
+from tanagerloft.coordination import errors
 from tanagerloft.coordination import in_flight_totals
 from tanagerloft.coordination import messages
 from tanagerloft.coordination import order_sender
@@ -23,26 +24,52 @@
 # Interval between requests for each model or adapter in use.
 _REQUEST_INTERVAL_MS = 500
 _LATENCY_OBJECTIVE_MS = 300
-_CALLER_TIMEOUT_MS = 2_400
-_REQUEST_DURATION_MS = 300
 # An instance reports request counts for this long after the last request.
 _USAGE_REPORT_MS = 2_000
 
 
+class Habits(NamedTuple):
+    """How callers wait for a model.
+
+    Attributes:
+        wait_ms: Longest wait for the first event of one try.
+        deadline_ms: Time from the first try until a caller gives up.
+        retries: Further tries after a refusal. A caller comes back at the time
+            that it is told, but after a third of the time it has left at most.
+        run_ms: Duration of a request.
+    """
+
+    wait_ms: int = 2_400
+    deadline_ms: int = 2_400
+    retries: int = 0
+    run_ms: int = 300
+
+
+class _Caller(NamedTuple):
+    model: str
+    at_ms: int
+    deadline_ms: int
+    retries: int
+
+
 class _EngineState(NamedTuple):
     at_ms: int
     held: dict[str, frozenset[str]]
     loading: str
     until_ms: int
     sequence: int
-    on_disk: frozenset[str]
+    on_disk: tuple[str, ...]
 
 
 class _Engine:
-    def __init__(self, held: Iterable[str]):
+    def __init__(
+        self, held: Iterable[str], copies: Iterable[str], registered_ms: int
+    ):
         models = dict.fromkeys(held, _NONE)
-        first = _EngineState(-10_000, models, "", 0, 0, frozenset(models))
+        on_disk = tuple(dict.fromkeys([*copies, *models]))
+        first = _EngineState(-10_000, models, "", 0, 0, on_disk)
         self.history = [first]
+        self.registered_ms = registered_ms
 
     @property
     def current(self) -> _EngineState:
@@ -61,6 +88,11 @@
         store_concurrency: Concurrent loads that the weight store serves at
             full speed.
         lease: Lease of the controller; None for one that allows orders.
+        copies: Copies on the disk of each engine at the start, least recently
+            used first.
+        disk_mb: Size of each disk.
+        registers_ms: Time until each engine is in the list of targets.
+        habits: How callers wait.
 
     Attributes:
         service: The current service configuration.
@@ -72,6 +104,8 @@
         peak_store_loads: Peak number of concurrent loads from the store.
         over_capacity: Models and adapters held by engines after each order
             that exceeded their capacity.
+        repeated_loads: Models loaded from the store while another engine held,
+            loaded or had a copy of them.
     """
 
     def __init__(
@@ -80,34 +114,60 @@
         held: list[list[str]],
         store_concurrency,
         lease: order_lease.OrderLease | None = None,
+        copies: list[list[str]] | None = None,
+        disk_mb: float = float("inf"),
+        registers_ms: list[int] | None = None,
+        habits: Habits = Habits(),
     ):
+        self._disk_mb = disk_mb
+        self._habits = habits
         self.service = service
         self.now_ms = 10_000
         self.load_starts_ms: list[int] = []
         self.loaded: set[str] = set()
         self.over_capacity: list[dict[str, frozenset[str]]] = []
+        self.repeated_loads: list[str] = []
+        self._list_version = 0
         self._store_concurrency = store_concurrency
         self.served: set[str] = set()
-        self._waiting_callers: list[tuple[str, int]] = []
+        self._waiting_callers: list[_Caller] = []
+        self._returning_callers: list[_Caller] = []
         self._running: list[tuple[str, str, int]] = []
         self.peak_store_loads = 0
         self._request_counts: dict[str, int] = {}
         self._last_request_ms: dict[str, int] = {}
         self._engines = {
-            f"e{n}": _Engine(models) for n, models in enumerate(held)
+            f"e{n}": _Engine(
+                models,
+                copies[n] if copies else (),
+                self.now_ms + (registers_ms[n] if registers_ms else 0),
+            )
+            for n, models in enumerate(held)
         }
         self._directory = targets.TargetDirectory(
             lambda key, _value: engines.entry(key), lambda: self.now_ms, "dc"
         )
-        rows = tuple(store_lib.Row(name, b"", 1) for name in self._engines)
-        self._directory.table.on_rows(
-            store_lib.Snapshot(rows, 1), complete=True
-        )
+        self._list_engines()
         self.controller = self._new_controller(
             lease or engines.held_lease(self.now_ms)
         )
         self.configure(service)
 
+    def _list_engines(self) -> None:
+        """Adds engines that have registered to the list of targets."""
+        listed = self._directory.entries
+        names = [
+            name
+            for name, engine in self._engines.items()
+            if name not in listed and engine.registered_ms <= self.now_ms
+        ]
+        if names:
+            version = self._list_version = self._list_version + 1
+            rows = tuple(store_lib.Row(name, b"", version) for name in names)
+            self._directory.table.on_rows(
+                store_lib.Snapshot(rows, version), complete=not listed
+            )
+
     def _new_controller(
         self, lease: order_lease.OrderLease
     ) -> engine_controller.EngineController:
@@ -119,6 +179,20 @@
             lambda: self.now_ms,
         )
 
+    @property
+    def engine_names(self) -> list[str]:
+        """Names of the engines."""
+        return list(self._engines)
+
+    def lose_engine(self, name: str) -> None:
+        """Removes an engine with its copies for good."""
+        del self._engines[name]
+        version = self._list_version = self._list_version + 1
+        gone = store_lib.Row(name, None, version)
+        self._directory.table.on_rows(
+            store_lib.Snapshot((gone,), version), complete=False
+        )
+
     def change_holder(self) -> None:
         """Replaces a lost lease holder by another instance."""
         handover_state = self.controller.handover_state(self.now_ms)
@@ -151,6 +225,14 @@
             for engine in self._engines.values()
         )
 
+    def on_disks(self) -> set[str]:
+        """Returns the models with a copy on any disk."""
+        return {
+            name
+            for engine in self._engines.values()
+            for name in engine.current.on_disk
+        }
+
     async def run(
         self,
         for_ms: int,
@@ -168,12 +250,20 @@
                 unless the controller predicts that it would be in vain.
         """
         for model in requested:
-            self._count_request(model)
-            self._waiting_callers.append((model, self.now_ms))
+            self._add_caller(
+                _Caller(
+                    model,
+                    self.now_ms,
+                    self.now_ms + self._habits.deadline_ms,
+                    self._habits.retries,
+                )
+            )
         until_ms = self.now_ms + for_ms
         while self.now_ms < until_ms:
             self.now_ms += _STEP_MS
+            self._list_engines()
             self._finish_loads()
+            self._return_callers()
             report = self._serve_callers(self._instance_report(waiting))
             self._record_usage({*filter(self.holds, waiting), *refused})
             self.controller.update(self.now_ms)
@@ -201,12 +291,39 @@
         )
         self._last_request_ms[model_key] = self.now_ms
 
+    def _add_caller(self, caller: _Caller) -> None:
+        self._count_request(caller.model)
+        self._waiting_callers.append(caller)
+
+    def _return_callers(self) -> None:
+        """Lets refused callers try again that were told to come back now."""
+        due = [c for c in self._returning_callers if c.at_ms <= self.now_ms]
+        self._returning_callers = [
+            c for c in self._returning_callers if c.at_ms > self.now_ms
+        ]
+        for caller in due:
+            self._add_caller(caller)
+
+    def _refuse(self, caller: _Caller, ready_in_ms: int) -> None:
+        if caller.retries:
+            max_delay_ms = (caller.deadline_ms - self.now_ms) // 3
+            self._returning_callers.append(
+                caller._replace(
+                    at_ms=self.now_ms + min(ready_in_ms, max_delay_ms),
+                    retries=caller.retries - 1,
+                )
+            )
+
     def _serve_callers(self, report: messages.Report) -> messages.Report:
         """Routes callers to loaded models; adds waiting callers to a report."""
         waiting = []
         left_ms_by_model: dict[str, list[int]] = {}
-        for model, at_ms in self._waiting_callers:
-            left_ms = at_ms + _CALLER_TIMEOUT_MS - self.now_ms
+        for caller in self._waiting_callers:
+            model = caller.model
+            left_ms = (
+                min(caller.at_ms + self._habits.wait_ms, caller.deadline_ms)
+                - self.now_ms
+            )
             holder = next(
                 (
                     target_id
@@ -218,11 +335,15 @@
             if holder:
                 self.served.add(model)
                 self._running.append(
-                    (holder, model, self.now_ms + _REQUEST_DURATION_MS)
+                    (holder, model, self.now_ms + self._habits.run_ms)
                 )
-            elif self.controller.ready_in_ms.get(model, 0) <= left_ms:
-                waiting.append((model, at_ms))
+                continue
+            ready_in_ms = self.controller.ready_in_ms.get(model, 0)
+            if ready_in_ms <= left_ms:
+                waiting.append(caller)
                 left_ms_by_model.setdefault(model, []).append(left_ms)
+            else:
+                self._refuse(caller, ready_in_ms)
         self._waiting_callers = waiting
         self._running = [run for run in self._running if run[2] > self.now_ms]
         in_flight: dict[str, dict[str, int]] = {}
@@ -234,7 +355,7 @@
                 model,
                 "",
                 [
-                    remaining_ms - _CALLER_TIMEOUT_MS + _LATENCY_OBJECTIVE_MS
+                    remaining_ms - self._habits.wait_ms + _LATENCY_OBJECTIVE_MS
                     for remaining_ms in all_left_ms
                 ],
                 all_left_ms,
@@ -271,13 +392,27 @@
                 self.now_ms,
                 held={**state.held, model: _NONE},
                 loading="",
-                on_disk=state.on_disk | {model},
+                on_disk=self._disk_after_load(state.on_disk, model),
             )
 
+    def _disk_after_load(
+        self, on_disk: tuple[str, ...], model: str
+    ) -> tuple[str, ...]:
+        """Returns the copies on a disk; those used least recently give way."""
+        models = self.service.models
+        copies = [name for name in on_disk if name != model] + [model]
+        while sum(models[name].size_mb for name in copies) > self._disk_mb:
+            copies.pop(0)
+        return tuple(copies)
+
     async def _send_order(
         self, entry, order, _token, sequence
     ) -> order_sender.OrderAnswer:
-        engine = self._engines[entry.target_id]
+        engine = self._engines.get(entry.target_id)
+        if engine is None:
+            return order_sender.OrderAnswer(
+                order_progress.Result.NOT_SENT, "not connected"
+            )
         result = order_progress.Result.REFUSED
         if not engine.current.loading and sequence == engine.current.sequence:
             result = self._execute(engine, order)
@@ -315,6 +450,13 @@
         if name in engine.current.on_disk:
             return int(model.disk_load_ms)
         self.load_starts_ms.append(self.now_ms)
+        if any(
+            name in (*other.current.held, *other.current.on_disk)
+            or name == other.current.loading
+            for other in self._engines.values()
+            if other is not engine
+        ):
+            self.repeated_loads.append(name)
         store_loads = 1 + sum(
             other.current.loading not in ("", *other.current.on_disk)
             for other in self._engines.values()
@@ -336,13 +478,17 @@
         ):
             self.over_capacity.append(held)
 
-    async def _delayed_report(self, entry) -> types.TargetReport:
+    async def _delayed_report(
+        self, entry
+    ) -> types.TargetReport | errors.MalformedEntry:
         until_ms = self.now_ms - _REPORT_LAG_MS
+        if entry.target_id not in self._engines:
+            return errors.MalformedEntry(entry.target_id, "not connected")
         history = self._engines[entry.target_id].history
         state = [past for past in history if past.at_ms <= until_ms][-1]
         return engines.report(
             state.held,
             busy=bool(state.loading),
             order_sequence=state.sequence,
-            on_disk=state.on_disk,
+            on_disk=frozenset(state.on_disk),
         )
