Keep the last copies of models when a full disk makes room for a load

The planner counted copies in megabytes and did not know which one gives way.

A load from the store now goes where no last copy gives way, counting what other loads are about to evict; a last copy weighs as much as another load. A model is fetched ahead of demand only where none is lost.

tests/coordination/test_rare_models.py:: test_last_copies_are_not_evicted_while_others_could_be failed before (two models lost) and passes.

--- a/tanagerloft/coordination/engine_controller.py
+++ b/tanagerloft/coordination/engine_controller.py
@@ -260,6 +260,7 @@
             slots=self._services[entry.service].slots,
             capacity_mb=capacity.memory_mb,
             max_adapters=capacity.max_adapters,
+            disk_mb=capacity.disk_mb,
         )
 
     def _rate_limiter(
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -304,6 +304,6 @@
             "born_ms": state.born_ms,
             "models": sorted(report.models),
             "in_memory": sorted(report.in_memory),
-            "on_disk": sorted(report.on_disk),
+            "on_disk": report.on_disk,
         },
     )
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -57,7 +57,7 @@
         self._earliest_end_ms = 0
         self._busy_backoff_ms = _BUSY_BACKOFF_MS
         self._sequence = 0
-        self.copies = model_orders.Copies(frozenset(), frozenset())
+        self.copies = model_orders.Copies(frozenset(), ())
 
     @property
     def sequence(self) -> int:
@@ -332,9 +332,7 @@
         if pending.is_load:
             model = pending.order.model
             self._held.add(model)
-            self.copies = self.copies._replace(
-                on_disk=self.copies.on_disk | {model}
-            )
+            self.copies = self.copies.with_load(model)
 
     def _on_refusal(
         self,
--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -80,6 +80,7 @@
         self._holders: dict[str, list[model_orders.Engine]] = {}
         self._with_copy: dict[str, list[model_orders.Engine]] = {}
         self._copies_mb: dict[str, float] = {}
+        self._evicting: dict[str, set[str]] = {}
         for engine in self.engines:
             for model in engine.models:
                 self._holders.setdefault(model, []).append(engine)
@@ -96,6 +97,10 @@
             engine.target_id: model_orders.held_mb(engine.held(), models)
             for engine in self.engines
         }
+        self._last_copies_evicted: dict[tuple[str, float], int] = {}
+        for model, engine in self.loading.items():
+            if self.loads_from_store(engine, model):
+                self.record_evictions(engine, model)
         self._waiting_copies_value: dict[str, float] = {}
         self._reserved: set[str] = set()
         self._store_slots_ms = self._store_slot_times(weight_store)
@@ -154,6 +159,64 @@
         """
         return self._copies_mb[engine.target_id]
 
+    def last_copies_evicted(
+        self, engine: model_orders.Engine, model: str
+    ) -> int:
+        """Returns the number of models that lose their last copy to a load.
+
+        Handles disks that are full from the start: each load from the store
+        evicts the copies used least recently, and a model without any other
+        copy has to be loaded from the store again.
+
+        Args:
+            engine: The engine that would load.
+            model: The model that it would load from the store.
+        """
+        key = engine.target_id, self._models[model].size_mb
+        if key not in self._last_copies_evicted:
+            self._last_copies_evicted[key] = sum(
+                not self._has_copy_elsewhere(name, engine)
+                for name in self._evicted_copies(engine, model)
+            )
+        return self._last_copies_evicted[key]
+
+    def _has_copy_elsewhere(
+        self, model: str, engine: model_orders.Engine
+    ) -> bool:
+        """Returns whether another engine has a copy and is to keep it."""
+        return any(
+            other.target_id != engine.target_id
+            and model not in self._evicting.get(other.target_id, ())
+            for other in self.with_copy(model)
+        )
+
+    def _evicted_copies(
+        self, engine: model_orders.Engine, model: str
+    ) -> list[str]:
+        """Returns the copies that a load from the store evicts from a disk."""
+        if not engine.disk_mb:
+            return []
+        sizes_mb = {
+            name: self._models[name].size_mb
+            for name in engine.copies.on_disk
+            if name in self._models
+        }
+        excess_mb = sum(sizes_mb.values()) - engine.disk_mb
+        excess_mb += self._models[model].size_mb
+        evicted = []
+        for name, size_mb in sizes_mb.items():
+            if excess_mb <= 0:
+                break
+            evicted.append(name)
+            excess_mb -= size_mb
+        return evicted
+
+    def record_evictions(self, engine: model_orders.Engine, model: str) -> None:
+        """Records that a load from the store is about to evict copies."""
+        evicted = self._evicted_copies(engine, model)
+        self._evicting.setdefault(engine.target_id, set()).update(evicted)
+        self._last_copies_evicted.clear()
+
     def is_free(self, engine: model_orders.Engine) -> bool:
         """Returns whether an engine can be given an order now."""
         return not engine.busy and engine.target_id not in self._reserved
@@ -220,10 +283,14 @@
         def rank(option: LoadOption) -> tuple[float, float, float, str]:
             if not self.loads_from_store(option.engine, model):
                 return option.ready_ms, 0.0, 0.0, option.target_id
-            # Starting a load from the store somewhat later costs little.
-            step_ms = _STORE_LOAD_STEP_SHARE * self._models[model].load_ms
+            load_ms = self._models[model].load_ms
+            # A last copy that is evicted costs another load from the store;
+            # starting a load somewhat later costs little.
+            lost = self.last_copies_evicted(option.engine, model)
+            cost_ms = option.ready_ms + lost * load_ms
+            step_ms = _STORE_LOAD_STEP_SHARE * load_ms
             return (
-                option.ready_ms // step_ms * step_ms,
+                cost_ms // step_ms * step_ms,
                 self.waiting_copies_value(option.engine),
                 self.copies_mb(option.engine),
                 option.target_id,
--- a/tanagerloft/decisions/model_orders.py
+++ b/tanagerloft/decisions/model_orders.py
@@ -71,11 +71,11 @@
 
     Attributes:
         in_memory: Models with a copy in its memory.
-        on_disk: Models with a copy on its disk.
+        on_disk: Models with a copy on its disk, least recently used first.
     """
 
     in_memory: frozenset[str]
-    on_disk: frozenset[str]
+    on_disk: tuple[str, ...]
 
     def __contains__(self, model: object) -> bool:
         """Returns whether there is a copy of a model."""
@@ -83,7 +83,12 @@
 
     def all(self) -> frozenset[str]:
         """Returns the models with a copy."""
-        return self.in_memory | self.on_disk
+        return self.in_memory.union(self.on_disk)
+
+    def with_load(self, model: str) -> Copies:
+        """Returns the copies after a load of a model."""
+        others = (name for name in self.on_disk if name != model)
+        return self._replace(on_disk=(*others, model))
 
     def load_ms(self, model: types.Model) -> float:
         """Returns the time that a load from the fastest source takes."""
@@ -112,6 +117,7 @@
         slots: Requests that it runs concurrently.
         capacity_mb: Memory for weights.
         max_adapters: Number of adapters that it can hold.
+        disk_mb: Size of its disk for copies; 0 if unknown.
     """
 
     target_id: str
@@ -126,6 +132,7 @@
     slots: int
     capacity_mb: float
     max_adapters: int
+    disk_mb: float = 0.0
 
     def held(self) -> dict[str, frozenset[str]]:
         """Returns what takes memory, including the model being loaded."""
--- a/tanagerloft/decisions/plan_round.py
+++ b/tanagerloft/decisions/plan_round.py
@@ -174,6 +174,8 @@
         for engine in sorted(pool.engines, key=pool.copies_mb):
             if not pool.is_free(engine) or not without_copy:
                 continue
+            if pool.last_copies_evicted(engine, without_copy[0]):
+                continue
             if self._usage.last_used_ms and not pool.has_few_copies(engine):
                 continue
             if self._store_under_way >= self._store_concurrency:
@@ -259,6 +261,7 @@
                 return
             self._store_left -= 1
             self._store_under_way += 1
+            pool.record_evictions(engine, model)
         load = model_orders.Order(
             model_orders.Verb.LOAD, engine.target_id, model
         )
--- a/tanagerloft/fleet/types.py
+++ b/tanagerloft/fleet/types.py
@@ -109,10 +109,12 @@
     Attributes:
         memory_mb: Memory for weights and adapters together.
         max_adapters: Number of adapters that it can hold.
+        disk_mb: Size of its disk for copies of weights; 0 if not named.
     """
 
     memory_mb: float
     max_adapters: int
+    disk_mb: float = 0.0
 
 
 class Service(NamedTuple):
@@ -247,7 +249,8 @@
         waiting: Number of queued requests.
         running: Number of running requests.
         in_memory: Models with a copy of the weights in its memory.
-        on_disk: Models with a copy of the weights on its disk.
+        on_disk: Models with a copy of the weights on its disk, least recently
+            used first.
     """
 
     models: dict[str, frozenset[str]]
@@ -257,4 +260,4 @@
     waiting: int
     running: int
     in_memory: frozenset[str]
-    on_disk: frozenset[str]
+    on_disk: tuple[str, ...]
--- a/tanagerloft/platform/configuration.py
+++ b/tanagerloft/platform/configuration.py
@@ -128,7 +128,9 @@
     if memory_mb is None:
         return None
     return types.EngineCapacity(
-        memory_mb, int(engine.get("adapter_slots") or 0)
+        memory_mb,
+        int(engine.get("adapter_slots") or 0),
+        float(engine.get("disk_mb") or 0),
     )
 
 
--- a/tanagerloft/platform/entries.py
+++ b/tanagerloft/platform/entries.py
@@ -75,7 +75,9 @@
         waiting=int(body.get("waiting") or 0),
         running=int(body.get("running") or 0),
         in_memory=frozenset(copies.get("in_memory") or ()),
-        on_disk=frozenset(copies.get("on_disk") or ()),
+        # Listed from the least recently used on; the pages don't name the
+        # order, so it may decide preferences only.
+        on_disk=tuple(copies.get("on_disk") or ()),
     )
 
 
--- a/tests/coordination/test_holder.py
+++ b/tests/coordination/test_holder.py
@@ -41,7 +41,7 @@
         return order_sender.OrderAnswer(result, "")
 
     async def report(self, _entry):
-        return engines.report(on_disk=frozenset(["m"]))
+        return engines.report(on_disk=("m",))
 
 
 def _holder(engine: _Engine, now_ms) -> holder_lib.Holder:
--- a/tests/coordination/test_rare_models.py
+++ b/tests/coordination/test_rare_models.py
@@ -108,7 +108,9 @@
         name: types.Model(name, _SIZE_MB, _LOAD_MS, 390, 520, 40.0, 0)
         for name in names
     }
-    capacity = types.EngineCapacity(_HELD_PER_ENGINE * _SIZE_MB + 1, 8)
+    disk_mb = max(map(len, disks)) * _SIZE_MB
+    memory_mb = _HELD_PER_ENGINE * _SIZE_MB + 1
+    capacity = types.EngineCapacity(memory_mb, 8, disk_mb)
     service = types.Service("s", 100, models, 32, capacity, 26.0)
     registers_ms = [
         rng.randrange(1, day.registration_ms, 500) for _ in range(day.engines)
@@ -125,7 +127,7 @@
             [disk[-_HELD_PER_ENGINE:] for disk in disks],
             _STORE_CONCURRENCY,
             copies=disks,
-            disk_mb=max(map(len, disks)) * _SIZE_MB,
+            disk_mb=disk_mb,
             registers_ms=registers_ms,
             habits=_HABITS,
         )
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -22,7 +22,7 @@
 
 
 def _on_disk(*models: str) -> model_orders.Copies:
-    return model_orders.Copies(_NO_ADAPTERS, frozenset(models))
+    return model_orders.Copies(_NO_ADAPTERS, models)
 
 
 def _engine(name: str, models=(), **changes) -> model_orders.Engine:
@@ -457,3 +457,22 @@
     assert _plan(engines, [], store=store, count=6).orders == [
         load._replace(model="m0")
     ]
+
+
+def test_a_store_load_evicts_no_last_copy_if_another_engine_can_load():
+    # Regression: on full disks, each load from the store could cost another
+    # model its only copy.
+    engines = [
+        _engine("a", copies=_on_disk("m1", "m2"), disk_mb=2 * _MB),
+        _engine("b", copies=_on_disk("m3", "m2"), disk_mb=2 * _MB),
+        _engine("c", copies=_on_disk("m3", "m4"), disk_mb=2 * _MB),
+    ]
+    store = _IDLE_STORE._replace(concurrency=1)
+    load = model_orders.Order(model_orders.Verb.LOAD, "b", "m5")
+    assert _plan(engines, [_demand("m5")], store=store).orders == [load]
+    prefetch = _plan(engines, [], store=store, count=6).orders
+    assert prefetch == [load._replace(model="m0")]
+    # The other copy is about to be evicted too.
+    engines[2] = engines[2]._replace(loading="m5", busy=True, busy_ms=500)
+    store = store._replace(under_way=1, concurrency=2)
+    assert not _plan(engines, [], store=store, count=6).orders
--- a/tests/fuzz/test_engine_orders.py
+++ b/tests/fuzz/test_engine_orders.py
@@ -113,7 +113,7 @@
             state.held,
             busy=bool(state.loading or state.unloading),
             order_sequence=state.sequence,
-            on_disk=frozenset(_MODELS),
+            on_disk=tuple(_MODELS),
         )
 
     def _set(self, at_ms: int, state: _State) -> None:
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -45,6 +45,9 @@
     run_ms: int = 300
 
 
+_NO_RETRIES = Habits()
+
+
 class _Caller(NamedTuple):
     model: str
     at_ms: int
@@ -117,7 +120,7 @@
         copies: list[list[str]] | None = None,
         disk_mb: float = float("inf"),
         registers_ms: list[int] | None = None,
-        habits: Habits = Habits(),
+        habits: Habits = _NO_RETRIES,
     ):
         self._disk_mb = disk_mb
         self._habits = habits
@@ -490,5 +493,5 @@
             state.held,
             busy=bool(state.loading),
             order_sequence=state.sequence,
-            on_disk=frozenset(state.on_disk),
+            on_disk=state.on_disk,
         )
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -107,7 +107,7 @@
         waiting=0,
         running=0,
         in_memory=_NONE,
-        on_disk=_NONE,
+        on_disk=(),
     )
     return base._replace(**changes)
 
--- a/tests/support/gateway_targets.py
+++ b/tests/support/gateway_targets.py
@@ -287,7 +287,7 @@
             self._held,
             busy=bool(self._loading),
             order_sequence=self._order_sequence,
-            on_disk=frozenset(self._copies),
+            on_disk=tuple(sorted(self._copies)),
         )
 
 
