Hand the loads in progress over to the next lease holder

A new holder knew how many engines were busy, not with which models; a holder that could not renew for a moment forgot its own.

The lease row now lists the loads from the store with engine, incarnation, model and times, and is written again soon after each such load begins. The next holder goes on with them until a report of the idle engine ends them. Fields of later releases in the row are ignored from now on; releases before this one cannot read a row that lists loads.

--- a/tanagerloft/coordination/engine_controller.py
+++ b/tanagerloft/coordination/engine_controller.py
@@ -106,6 +106,7 @@
             estimator.concurrency(),
             estimator.proven_concurrency,
             self.usage.longest_unmet(now_ms),
+            self.states.loads_in_progress(),
         )
 
     def inherit(self, state: handover.HandoverState, at_ms: int) -> None:
@@ -120,6 +121,11 @@
                 state.store_at_once, state.store_proved
             )
         self.usage.restore_unmet(state.missed, at_ms)
+        self.states.inherit_loads(state.loads, at_ms)
+
+    def set_on_store_load(self, on_store_load: Callable[[], None]) -> None:
+        """Sets a callback for loads from the weight store that begin."""
+        self._sender.on_store_load = on_store_load
 
     def update(self, now_ms: int) -> None:
         """Updates engines from the target list, their reports and orders."""
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -5,12 +5,14 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import model_changelog
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import engine_orders
+from tanagerloft.decisions import handover
 from tanagerloft.decisions import store_concurrency
 from tanagerloft.fleet import types
 
@@ -48,6 +50,19 @@
         self.store_load_ms = 0
         self.models_logged = False
 
+    def inherit_load(self, load: handover.StoreLoad, at_ms: int) -> None:
+        """Goes on with a load that a previous lease holder has ordered.
+
+        Args:
+            load: The load.
+            at_ms: Reading of the clock that the times of the load refer to.
+        """
+        self.store_load = load.model
+        self.store_load_ms = at_ms - load.ordered_ago_ms
+        self.orders.inherit_load(
+            load.model, self.store_load_ms, at_ms + load.left_ms
+        )
+
     def shared_models(self) -> model_changelog.Models | None:
         """Returns the models to share with instances, None if unknown."""
         if not self.orders.known:
@@ -96,13 +111,61 @@
         self.store_concurrency = store_concurrency.ConcurrencyEstimator()
         self._polls: set[asyncio.Task] = set()
         self.by_target: dict[str, EngineState] = {}
+        self._inherited: dict[tuple[str, int], handover.StoreLoad] = {}
+        self._inherited_ms = 0
+
+    def loads_in_progress(self) -> list[handover.StoreLoad]:
+        """Returns the loads from the weight store for the next holder."""
+        now_ms = self._now_ms()
+        loads = []
+        for state in self.by_target.values():
+            due_ms = state.orders.load_due_ms()
+            if state.store_load and state.loads_from_store() and due_ms:
+                loads.append(
+                    handover.StoreLoad(
+                        state.target_id,
+                        state.born_ms,
+                        state.store_load,
+                        now_ms - state.store_load_ms,
+                        due_ms - now_ms,
+                    )
+                )
+        return loads
+
+    def inherit_loads(
+        self, loads: Iterable[handover.StoreLoad], at_ms: int
+    ) -> None:
+        """Restores the loads in progress when the previous holder wrote.
+
+        Args:
+            loads: The loads.
+            at_ms: Reading of the clock that their times refer to.
+        """
+        self._inherited = {
+            (load.target_id, load.born_ms): load for load in loads
+        }
+        self._inherited_ms = at_ms
+        for state in self.by_target.values():
+            self._inherit_load(state)
+
+    def _inherit_load(self, state: EngineState) -> None:
+        load = self._inherited.pop((state.target_id, state.born_ms), None)
+        if load is not None and not state.store_load:
+            state.inherit_load(load, self._inherited_ms)
 
     def clear(self) -> None:
-        """Discards all engines: another holder may give them orders."""
+        """Discards all engines: another holder may give them orders.
+
+        If none does, this one goes on with the loads in progress.
+        """
+        if not self.by_target:
+            return
+        loads = self.loads_in_progress()
         for state in self.by_target.values():
             self._end_store_load(state, "holder changes")
             self.store_concurrency.discard_load(state.target_id)
         self.by_target.clear()
+        self.inherit_loads(loads, self._now_ms())
 
     def shared_models(self) -> dict[str, model_changelog.Models | None]:
         """Returns the models of each engine to share, None if unknown."""
@@ -195,7 +258,9 @@
                 if state is not None:
                     self._end_store_load(state, "engine restarted")
                 self.store_concurrency.discard_load(target_id)
-                self.by_target[target_id] = EngineState(entry, self._now_ms())
+                state = EngineState(entry, self._now_ms())
+                self.by_target[target_id] = state
+                self._inherit_load(state)
                 self._on_new_engine(entry)
 
     def poll_reports(self, now_ms: int) -> None:
@@ -275,6 +340,9 @@
         if state.store_load in report.models:
             self.store_concurrency.on_load_done(state.target_id)
             self._end_store_load(state, "done")
+        elif not report.busy and not state.orders.loading:
+            self.store_concurrency.discard_load(state.target_id)
+            self._end_store_load(state, "not held")
         elif report.busy:
             age_ms = self._now_ms() - asked_ms + engine_orders.REPORT_LAG_MS
             self.store_concurrency.on_still_loading(state.target_id, age_ms)
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -91,6 +91,8 @@
     def set_renew_soon(self, renew_soon: Callable[[], None]) -> None:
         """Sets the callback that requests an early renewal of the lease."""
         self._renew_soon = renew_soon
+        # The next holder must know of the load.
+        self._engines.set_on_store_load(renew_soon)
 
     def configure(self, configuration: types.Configuration) -> None:
         """Applies a new configuration."""
--- a/tanagerloft/coordination/lease_manager.py
+++ b/tanagerloft/coordination/lease_manager.py
@@ -256,7 +256,8 @@
 
 
 def _encode(term: order_lease.Term) -> bytes:
-    return orjson.dumps({**term._asdict(), "learnt": term.learnt._asdict()})
+    learnt = handover.encode(term.learnt)
+    return orjson.dumps({**term._asdict(), "learnt": learnt})
 
 
 def _decode(value: bytes | None) -> order_lease.Term | None:
@@ -265,7 +266,7 @@
     try:
         term = order_lease.Term(**orjson.loads(value))
         if isinstance(term.learnt, dict):
-            term = term._replace(learnt=handover.HandoverState(**term.learnt))
+            term = term._replace(learnt=handover.decode(term.learnt))
         return term
     except (TypeError, ValueError) as error:
         logger.error("lease row unreadable", extra={"reason": repr(error)})
--- a/tanagerloft/coordination/order_sender.py
+++ b/tanagerloft/coordination/order_sender.py
@@ -52,6 +52,8 @@
 
     Attributes:
         answered: Set when an engine has answered an order.
+        on_store_load: Called when an engine has accepted to load from the
+            weight store.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self._now_ms = now_ms
         self._tasks: set[asyncio.Task] = set()
         self.answered = asyncio.Event()
+        self.on_store_load: Callable[[], None] = lambda: None
 
     def start(
         self,
@@ -118,4 +121,9 @@
         state.orders.on_answer(order, result, self._now_ms())
         if result in _NOT_STARTED and state.store_load == order.model:
             self._states.discard_store_load(state)
+        elif (
+            result is order_progress.Result.ACCEPTED
+            and state.store_load == order.model
+        ):
+            self.on_store_load()
         self.answered.set()
--- a/tanagerloft/decisions/engine_orders.py
+++ b/tanagerloft/decisions/engine_orders.py
@@ -31,6 +31,12 @@
 # running requests.
 _BUSY_BACKOFF_MS = 40
 _MAX_BUSY_BACKOFF_MS = 320
+# Phases in which the engine is known to carry out an order.
+_IN_PROGRESS = (
+    progress.Phase.ACCEPTED,
+    progress.Phase.LATE,
+    progress.Phase.INHERITED,
+)
 
 
 class EngineOrders:
@@ -90,6 +96,38 @@
             return ""
         return pending.order.model
 
+    def inherit_load(self, model: str, ordered_ms: int, due_ms: int) -> None:
+        """Records a load that a previous lease holder has ordered.
+
+        It lasts until a report shows that the engine has ended it.
+
+        Args:
+            model: The model.
+            ordered_ms: Reading of the clock when it was ordered.
+            due_ms: When it should be done.
+        """
+        self._earliest_end_ms = due_ms
+        self._last_change_ms = ordered_ms
+        self._pending = progress.PendingOrder(
+            model_orders.Order(model_orders.Verb.LOAD, "", model),
+            expected_sequence=0,
+            duration_ms=due_ms - ordered_ms,
+            due_ms=due_ms,
+            phase=progress.Phase.INHERITED,
+            retried=False,
+        )
+
+    def load_due_ms(self) -> int | None:
+        """Returns when the load in progress should be done, None for none."""
+        pending = self._pending
+        if (
+            pending is None
+            or not pending.is_load
+            or pending.phase not in _IN_PROGRESS
+        ):
+            return None
+        return pending.due_ms
+
     def usable(self) -> held_models.Models:
         """Returns the models that requests can be sent to."""
         return self._held.usable()
@@ -143,7 +181,7 @@
         pending = self._pending
         if pending is None or not pending.is_load:
             return
-        if pending.phase in (progress.Phase.ACCEPTED, progress.Phase.LATE):
+        if pending.phase in _IN_PROGRESS:
             due_ms = now_ms + int(left_ms) + _LOAD_MARGIN_MS
             self._pending = pending._replace(due_ms=due_ms)
 
--- a/tanagerloft/decisions/order_progress.py
+++ b/tanagerloft/decisions/order_progress.py
@@ -29,12 +29,14 @@
     ``SENT``: sent, no answer yet. ``ACCEPTED``: accepted; completed once its
     expected duration has passed. ``UNANSWERED``: no answer came, the engine may
     or may not have accepted it. ``LATE``: takes longer than expected.
+    ``INHERITED``: ordered by a previous lease holder.
     """
 
     SENT = "sent"
     ACCEPTED = "accepted"
     UNANSWERED = "doubt"
     LATE = "late"
+    INHERITED = "inherited"
 
 
 class PendingOrder(NamedTuple):
@@ -70,6 +72,8 @@
         """
         if (self.order.model in report.models) is self.is_load:
             return True
+        if self.phase is Phase.INHERITED:
+            return True
         if self.phase in (Phase.ACCEPTED, Phase.LATE):
             return observed_ms > self.due_ms + _REPORT_GRACE_MS
         # Another order was accepted instead, so this one never will be.
--- a/tests/coordination/test_engine_states.py
+++ b/tests/coordination/test_engine_states.py
@@ -5,6 +5,7 @@
 from tanagerloft.coordination import engine_states
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.coordination import targets
+from tanagerloft.decisions import handover
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import order_progress
 from tanagerloft.fleet import types
@@ -117,3 +118,39 @@
         assert play.states.store_loads() == 0
 
     asyncio.run(run())
+
+
+def test_a_load_of_the_previous_holder_goes_on_until_a_report_ends_it():
+    # Regression: a model was loaded again at another engine, 1 s before the
+    # load that the previous holder had ordered was done.
+    async def run():
+        play = _Play()
+        load = handover.StoreLoad("e1", 1, "m", 2_000, 4_000)
+        play.states.inherit_loads([load], play.now_ms)
+        play.report = engines.report(busy=True, order_sequence=1)
+        await play.poll()
+        state = play.states.by_target["e1"]
+        assert state.orders.loading == "m"
+        assert state.orders.busy_ms(play.now_ms) == 4_000
+        assert play.states.loads_in_progress() == [load]
+        # The same process may become the holder again.
+        play.states.clear()
+        play.now_ms += 5_000
+        await play.poll()
+        state = play.states.by_target["e1"]
+        assert state.orders.loading == "m"
+        play.now_ms += 400
+        play.report = engines.report(["m"], on_disk=("m",), order_sequence=1)
+        await play.poll()
+        assert not state.orders.loading
+        assert state.shared_models() == {"m": []}
+        # It ended for another reason.
+        play.states.clear()
+        play.states.inherit_loads([load], play.now_ms)
+        play.report = engines.report(order_sequence=1)
+        await play.poll()
+        state = play.states.by_target["e1"]
+        assert not state.orders.loading
+        assert not state.store_load
+
+    asyncio.run(run())
--- a/tests/coordination/test_lease_manager.py
+++ b/tests/coordination/test_lease_manager.py
@@ -267,7 +267,8 @@
     async def play():
         store = _Store()
         now_ms = 10_000
-        learnt = handover.HandoverState(2, 2, {"m": (3.5, 900)})
+        load = handover.StoreLoad("e", 1, "n", 400, 5_600)
+        learnt = handover.HandoverState(2, 2, {"m": (3.5, 900)}, [load])
         first = _keeper(store, _lease("a"), lambda: now_ms)
         first._handover.left = learnt
         lease = _lease("b")
@@ -278,14 +279,20 @@
             await asyncio.sleep(0.01)
             task.cancel()
         assert lease.is_mine
-        at_once, proved, missed = lease.inherited_state
+        at_once, proved, missed, loads = lease.inherited_state
         assert (at_once, proved) == (2, 2)
         assert {k: tuple(v) for k, v in missed.items()} == {"m": (3.5, 900)}
+        assert loads == [load]
         assert lease.inherited_ms <= 10_100
 
     asyncio.run(play())
 
 
+def test_fields_of_a_later_version_of_the_program_are_ignored():
+    fields = {**handover.encode(handover.EMPTY), "later": 1}
+    assert handover.decode(fields) == handover.EMPTY._replace(loads=[])
+
+
 def test_a_row_of_an_earlier_version_of_the_program_is_read():
     async def play():
         store = _Store()
