Load ahead of demand only once the copies of all engines are known

Four at once take up to 16 s, and each evicted a copy on a full disk.

Nothing is loaded ahead of demand until no engine has registered for 2 s and all have reported, or have been silent for long. Models that callers wait for are loaded as before.

--- a/tanagerloft/coordination/engine_controller.py
+++ b/tanagerloft/coordination/engine_controller.py
@@ -227,6 +227,7 @@
             usage,
             store,
             now_ms,
+            may_prefetch=self.states.copies_known(),
         )
         expected_ms = self._ready_times[service].estimate(
             planned.ready_in_ms,
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -20,6 +20,9 @@
 
 # Shortest time between two reports of one engine.
 _MIN_REPORT_INTERVAL_MS = 300
+# Engines that start together register over some seconds. None is missing if no
+# further one has registered for this long.
+_REGISTRATION_MS = 2_000
 
 FetchReport = Callable[
     [types.TargetEntry],
@@ -110,6 +113,7 @@
         self._on_new_engine = on_new_engine
         self.store_concurrency = store_concurrency.ConcurrencyEstimator()
         self._polls: set[asyncio.Task] = set()
+        self._newest_ms = 0
         self.by_target: dict[str, EngineState] = {}
         self._inherited: dict[tuple[str, int], handover.StoreLoad] = {}
         self._inherited_ms = 0
@@ -187,6 +191,18 @@
         )
         return min((max_ms, *(ms for ms in times if ms is not None)))
 
+    def copies_known(self) -> bool:
+        """Returns whether all engines have registered and reported.
+
+        Otherwise a model without a known copy may have one all the same. An
+        engine that hasn't reported for a while no longer counts.
+        """
+        now_ms = self._now_ms()
+        return now_ms - self._newest_ms >= _REGISTRATION_MS and not any(
+            state.orders.may_load_untracked(now_ms)
+            for state in self.by_target.values()
+        )
+
     def store_loads(self) -> int:
         """Returns the number of loads from the weight store in progress.
 
@@ -258,7 +274,8 @@
                 if state is not None:
                     self._end_store_load(state, "engine restarted")
                 self.store_concurrency.discard_load(target_id)
-                state = EngineState(entry, self._now_ms())
+                self._newest_ms = self._now_ms()
+                state = EngineState(entry, self._newest_ms)
                 self.by_target[target_id] = state
                 self._inherit_load(state)
                 self._on_new_engine(entry)
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -55,6 +55,7 @@
         usage: model_orders.Usage,
         weight_store: model_orders.WeightStore,
         now_ms: int,
+        may_prefetch: bool = True,
     ) -> Plan:
         """Returns the orders to give now, at most one model per engine.
 
@@ -64,6 +65,8 @@
             usage: Use of the models.
             weight_store: Current limits of the weight store.
             now_ms: Reading of the clock.
+            may_prefetch: Whether the copies of all engines are known, so that
+                models without one may be loaded ahead of demand.
         """
         wanted = {demand.model for demand in demands} | {
             f"{demand.model}/{demand.adapter}" for demand in demands
@@ -92,7 +95,8 @@
         for name in usage.recent:
             if name in self._models:
                 current_round.add_replica(name)
-        current_round.prefetch()
+        if may_prefetch:
+            current_round.prefetch()
         return Plan(
             current_round.orders,
             current_round.ready_in_ms,
