Keep the store's free place for the model that is missed most

A model whose engine was busy for a moment, or had to unload first, left its place of the store to any model whose engine was free; replicas and loads ahead of demand did not ask whether the store was needed.

A place is now taken by a load that begins soon, free engines are preferred among equal ones, and only replicas of overloaded models compete with models that have to come from the store.

--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -221,6 +221,11 @@
         """Returns whether an engine can be given an order now."""
         return not engine.busy and engine.target_id not in self._reserved
 
+    def is_free_soon(self, engine: model_orders.Engine, model: str) -> bool:
+        """Returns whether waiting for it costs little beside a store load."""
+        step_ms = _STORE_LOAD_STEP_SHARE * self._models[model].load_ms
+        return engine.busy_ms <= step_ms
+
     def reserve(self, engine: model_orders.Engine) -> None:
         """Reserves an engine for what has been decided for it."""
         self._reserved.add(engine.target_id)
@@ -280,9 +285,9 @@
             )
             return min(options, default=None, key=rank)
 
-        def rank(option: LoadOption) -> tuple[float, float, float, str]:
+        def rank(option: LoadOption) -> tuple[float, float, bool, float, str]:
             if not self.loads_from_store(option.engine, model):
-                return option.ready_ms, 0.0, 0.0, option.target_id
+                return option.ready_ms, 0.0, False, 0.0, option.target_id
             load_ms = self._models[model].load_ms
             # A last copy that is evicted costs another load from the store;
             # starting a load somewhat later costs little.
@@ -292,6 +297,7 @@
             return (
                 cost_ms // step_ms * step_ms,
                 self.waiting_copies_value(option.engine),
+                not self.is_free(option.engine),
                 self.copies_mb(option.engine),
                 option.target_id,
             )
--- a/tanagerloft/decisions/plan_round.py
+++ b/tanagerloft/decisions/plan_round.py
@@ -111,6 +111,9 @@
             copies_value = pool.waiting_copies_value(engine)
             if not overdue and self._value_by_model[model] < copies_value:
                 return
+            if not pool.is_free(engine) and pool.is_free_soon(engine, model):
+                # Otherwise a model further down takes the store's free place.
+                self._store_under_way += 1
         if pool.is_free(engine):
             purpose = model_orders.Purpose.REFUSED
             if overdue:
@@ -147,10 +150,11 @@
         if earliest is None:
             return
         engine = earliest.engine
-        may_use_store = pool.has_few_copies(
-            engine
-        ) and self._may_load_from_store(engine)
-        if pool.loads_from_store(engine, model) and not may_use_store:
+        if pool.loads_from_store(engine, model) and not (
+            pool.has_few_copies(engine)
+            and self._may_load_from_store(engine)
+            and (overloaded or not self._is_store_needed())
+        ):
             return
         if pool.is_free(engine):
             self._add_load(
@@ -160,6 +164,10 @@
                 keep_steady=not overloaded,
             )
 
+    def _is_store_needed(self) -> bool:
+        """Returns whether a model in demand has to come from the store."""
+        return any(map(self._pool.is_sooner_from_store, self._value_by_model))
+
     def prefetch(self) -> None:
         """Lets engines prefetch models that no engine has a copy of.
 
@@ -167,7 +175,7 @@
         meanwhile. So once there is traffic, only engines with few copies
         prefetch, and only while no request waits.
         """
-        if self._wanted:
+        if self._wanted or self._is_store_needed():
             return
         pool = self._pool
         without_copy = pool.models_without_copy()
@@ -255,6 +263,9 @@
                     model_orders.Verb.UNLOAD, engine.target_id, victim
                 )
                 self._add_order(unload, purpose)
+                if pool.loads_from_store(engine, model):
+                    # The load follows in a moment.
+                    self._store_under_way += 1
             return
         if pool.loads_from_store(engine, model):
             if self._store_left <= 0:
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -476,3 +476,55 @@
     engines[2] = engines[2]._replace(loading="m5", busy=True, busy_ms=500)
     store = store._replace(under_way=1, concurrency=2)
     assert not _plan(engines, [], store=store, count=6).orders
+
+
+def test_no_replica_is_loaded_from_the_store_while_others_need_it():
+    # Regression: a place of the store went to a second replica while callers
+    # of 41 models were refused, as engines had no room for these.
+    models = {
+        "large": types.Model("large", 100_000, 6_000, 400, 500, 0.0, 0),
+        "small": types.Model("small", 50_000, 6_000, 300, 400, 0.0, 0),
+        "used": types.Model("used", 150_000, 6_000, 400, 500, 0.0, 0),
+    }
+    engines = [
+        _engine("a", ["small"], capacity_mb=50_000, copies=_on_disk("small")),
+        _engine("b", ["used"], running={"used": 3}, copies=_on_disk()),
+    ]
+    recent, last = {"small": 9.0}, {"small": _NOW_MS - 300}
+
+    def orders(unmet):
+        planner = model_plan.ModelPlanner(models)
+        usage = _usage(recent, last, unmet)
+        return planner.plan(engines, [], usage, _IDLE_STORE, _NOW_MS).orders
+
+    load = model_orders.Order(model_orders.Verb.LOAD, "b", "small")
+    assert orders({}) == [load]
+    missed = {"large": model_orders.UnmetDemand(4.0, _NOW_MS - 2_000)}
+    assert not orders(missed)
+
+
+def test_a_free_place_of_the_store_is_kept_for_the_model_missed_most():
+    # Regression: the engine chosen for the first model was busy for a moment,
+    # so any model whose engine was free took the only place of the store; once
+    # the last of 50 in the ranking did.
+    unmet = {
+        "m2": model_orders.UnmetDemand(6.0, _NOW_MS - 7_000),
+        "m3": model_orders.UnmetDemand(1.0, _NOW_MS - 7_000),
+    }
+    store = _IDLE_STORE._replace(concurrency=1)
+    last_copies = {"copies": _on_disk("m1"), "disk_mb": _MB}
+    soon = _engine("a", copies=_on_disk(), busy=True, busy_ms=300)
+    free = _engine("b", **last_copies)
+    planned = _plan([soon, free], [], _usage(unmet=unmet), store)
+    assert not planned.orders
+    # A free engine is preferred if no copy is lost there.
+    free = _engine("b", copies=_on_disk("m4"))
+    planned = _plan([soon, free], [], _usage(unmet=unmet), store)
+    assert planned.orders == [
+        model_orders.Order(model_orders.Verb.LOAD, "b", "m2")
+    ]
+    # While the store waits for room, it loads nothing ahead of demand.
+    full = _engine("b", ["m5", "m6", "m7"], copies=_on_disk("m4"))
+    planned = _plan([soon, full], [], _usage(unmet=unmet), store)
+    assert len(planned.orders) == 1
+    assert planned.orders[0].verb is model_orders.Verb.UNLOAD
