Count loads whose engines are gone, and share models once they are there

The holder took the place for free and the next load for a reliable one.

Such loads count until they are due, also with the next holder. A model whose load may take longer than expected is offered to callers once a report confirms it. Both new tests failed before.

--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import logging
+from typing import NamedTuple
 
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import model_changelog
@@ -30,6 +31,23 @@
 ]
 
 
+class _LoadWithoutEngine(NamedTuple):
+    """A load from the weight store whose engine is not listed.
+
+    Attributes:
+        load: The load.
+        at_ms: Reading of the clock that its times refer to.
+    """
+
+    load: handover.StoreLoad
+    at_ms: int
+
+    @property
+    def due_ms(self) -> int:
+        """When it should be done."""
+        return self.at_ms + self.load.left_ms
+
+
 class EngineState:
     """State of one incarnation of an engine, as the lease holder knows it.
 
@@ -75,6 +93,19 @@
             for name, adapters in self.orders.usable().items()
         }
 
+    def load_in_progress(self, now_ms: int) -> handover.StoreLoad | None:
+        """Returns the load from the weight store, None if there is none."""
+        due_ms = self.orders.load_due_ms()
+        if not self.store_load or not self.loads_from_store() or due_ms is None:
+            return None
+        return handover.StoreLoad(
+            self.target_id,
+            self.born_ms,
+            self.store_load,
+            now_ms - self.store_load_ms,
+            due_ms - now_ms,
+        )
+
     def loads_from_store(self) -> bool:
         """Returns whether the engine loads from the weight store."""
         loading = self.orders.loading
@@ -115,26 +146,23 @@
         self._polls: set[asyncio.Task] = set()
         self._newest_ms = 0
         self.by_target: dict[str, EngineState] = {}
-        self._inherited: dict[tuple[str, int], handover.StoreLoad] = {}
-        self._inherited_ms = 0
+        self._without_engine: dict[tuple[str, int], _LoadWithoutEngine] = {}
 
     def loads_in_progress(self) -> list[handover.StoreLoad]:
         """Returns the loads from the weight store for the next holder."""
         now_ms = self._now_ms()
-        loads = []
-        for state in self.by_target.values():
-            due_ms = state.orders.load_due_ms()
-            if state.store_load and state.loads_from_store() and due_ms:
-                loads.append(
-                    handover.StoreLoad(
-                        state.target_id,
-                        state.born_ms,
-                        state.store_load,
-                        now_ms - state.store_load_ms,
-                        due_ms - now_ms,
-                    )
-                )
-        return loads
+        loads = [
+            state.load_in_progress(now_ms) for state in self.by_target.values()
+        ]
+        loads += [
+            item.load._replace(
+                ordered_ago_ms=item.load.ordered_ago_ms + now_ms - item.at_ms,
+                left_ms=item.load.left_ms + item.at_ms - now_ms,
+            )
+            for item in self._without_engine.values()
+            if item.due_ms > now_ms
+        ]
+        return [load for load in loads if load is not None]
 
     def inherit_loads(
         self, loads: Iterable[handover.StoreLoad], at_ms: int
@@ -145,17 +173,17 @@
             loads: The loads.
             at_ms: Reading of the clock that their times refer to.
         """
-        self._inherited = {
-            (load.target_id, load.born_ms): load for load in loads
+        self._without_engine = {
+            (load.target_id, load.born_ms): _LoadWithoutEngine(load, at_ms)
+            for load in loads
         }
-        self._inherited_ms = at_ms
         for state in self.by_target.values():
             self._inherit_load(state)
 
     def _inherit_load(self, state: EngineState) -> None:
-        load = self._inherited.pop((state.target_id, state.born_ms), None)
-        if load is not None and not state.store_load:
-            state.inherit_load(load, self._inherited_ms)
+        item = self._without_engine.pop((state.target_id, state.born_ms), None)
+        if item is not None and not state.store_load:
+            state.inherit_load(item.load, item.at_ms)
 
     def clear(self) -> None:
         """Discards all engines: another holder may give them orders.
@@ -172,11 +200,22 @@
         self.inherit_loads(loads, self._now_ms())
 
     def shared_models(self) -> dict[str, model_changelog.Models | None]:
-        """Returns the models of each engine to share, None if unknown."""
-        return {
-            target_id: state.shared_models()
-            for target_id, state in self.by_target.items()
-        }
+        """Returns the models of each engine to share, None if unknown.
+
+        A model whose load should be done, but may take longer, is shared once
+        a report confirms it.
+        """
+        shared = {}
+        for target_id, state in self.by_target.items():
+            models = state.shared_models()
+            if (
+                models is not None
+                and state.is_load_unconfirmed()
+                and not self.store_concurrency.is_duration_reliable(target_id)
+            ):
+                models.pop(state.store_load, None)
+            shared[target_id] = models
+        return shared
 
     def next_change_in_ms(self, now_ms: int, max_ms: int) -> int:
         """Returns the time until an engine may accept an order, bounded.
@@ -209,7 +248,7 @@
         It includes loads that a previous holder may have ordered.
         """
         now_ms = self._now_ms()
-        return sum(
+        return self._loads_without_engine(now_ms) + sum(
             state.loads_from_store()
             or state.orders.may_load_untracked(now_ms)
             or state.is_load_unconfirmed()
@@ -217,12 +256,23 @@
             for state in self.by_target.values()
         )
 
+    def _loads_without_engine(self, now_ms: int) -> int:
+        """Returns the number of loads whose engines are gone.
+
+        The weight store runs such a load until it would have been done.
+        """
+        return sum(
+            item.due_ms > now_ms for item in self._without_engine.values()
+        )
+
     def note_store_load(self, state: EngineState, model: types.Model) -> None:
         """Records that an engine starts to load from the weight store."""
         self.advance_store_loads()
         max_concurrent = self.store_loads() + 1
         min_concurrent = (
-            sum(s.loads_from_store() for s in self.by_target.values()) + 1
+            sum(s.loads_from_store() for s in self.by_target.values())
+            + self._loads_without_engine(self._now_ms())
+            + 1
         )
         state.store_load = model.name
         state.store_load_ms = self._now_ms()
@@ -249,6 +299,7 @@
             for state in self.by_target.values()
             if not state.store_load
         )
+        unseen += self._loads_without_engine(now_ms)
         self.store_concurrency.advance(len(loading) + unseen, now_ms)
         for state in loading:
             left_ms = self.store_concurrency.left_ms(state.target_id)
@@ -264,6 +315,7 @@
         entries = self._directory.entries
         for target_id in set(self.by_target) - set(entries):
             removed = self.by_target.pop(target_id)
+            self._keep_load_without_engine(removed)
             self._end_store_load(removed, "engine gone")
             self.store_concurrency.discard_load(target_id)
         for target_id, entry in entries.items():
@@ -272,6 +324,7 @@
             state = self.by_target.get(target_id)
             if state is None or state.born_ms != entry.born_ms:
                 if state is not None:
+                    self._keep_load_without_engine(state)
                     self._end_store_load(state, "engine restarted")
                 self.store_concurrency.discard_load(target_id)
                 self._newest_ms = self._now_ms()
@@ -280,6 +333,14 @@
                 self._inherit_load(state)
                 self._on_new_engine(entry)
 
+    def _keep_load_without_engine(self, state: EngineState) -> None:
+        """Keeps a load whose engine has gone, or is not listed any more."""
+        now_ms = self._now_ms()
+        load = state.load_in_progress(now_ms)
+        if load is not None:
+            key = state.target_id, state.born_ms
+            self._without_engine[key] = _LoadWithoutEngine(load, now_ms)
+
     def poll_reports(self, now_ms: int) -> None:
         """Fetches reports from engines whose state may have changed."""
         for target_id, state in self.by_target.items():
--- a/tests/coordination/test_engine_states.py
+++ b/tests/coordination/test_engine_states.py
@@ -26,10 +26,18 @@
         )
         rows = tuple(store_lib.Row(name, b"", 1) for name in _NAMES)
         directory.table.on_rows(store_lib.Snapshot(rows, 1), complete=True)
+        self._directory = directory
         self.states = engine_states.EngineStates(
             directory, self._fetch, lambda: self.now_ms, lambda _entry: None
         )
 
+    def remove(self, name: str) -> None:
+        """Removes an engine from the list of targets."""
+        rows = (store_lib.Row(name, None, 2),)
+        self._directory.table.on_rows(
+            store_lib.Snapshot(rows, 2), complete=False
+        )
+
     async def _fetch(self, _entry):
         return self.report
 
@@ -154,3 +162,56 @@
         assert not state.store_load
 
     asyncio.run(run())
+
+
+def test_a_load_keeps_its_place_in_the_store_when_its_engine_goes():
+    # Regression: the next load began as if it were alone, took half as long
+    # again, and callers were sent to the engine before it was done.
+    async def run():
+        play = _Play()
+        await play.poll()
+        state = play.states.by_target["e1"]
+        order = model_orders.Order(model_orders.Verb.LOAD, "e1", "m")
+        play.states.note_store_load(state, _MODEL)
+        state.orders.record_order(order, 6_000, play.now_ms)
+        accepted = order_progress.Result.ACCEPTED
+        state.orders.on_answer(order, accepted, play.now_ms)
+        play.now_ms += 1_000
+        play.remove("e1")
+        await play.poll()
+        assert play.states.store_loads() == 1
+        (load,) = play.states.loads_in_progress()
+        assert (load.model, load.left_ms) == ("m", 5_030)
+        # The next holder counts it too.
+        play.states.clear()
+        play.states.inherit_loads([load], play.now_ms)
+        await play.poll()
+        assert play.states.store_loads() == 1
+        play.now_ms += 5_100
+        assert play.states.store_loads() == 0
+        assert not play.states.loads_in_progress()
+
+    asyncio.run(run())
+
+
+def test_a_model_is_shared_once_a_load_that_may_take_longer_is_confirmed():
+    # Regression: three callers were sent to an engine 4 s before it had loaded
+    # their model, and used up the retry budget.
+    async def run():
+        play = _Play()
+        await play.poll()
+        state = play.states.by_target["e1"]
+        order = model_orders.Order(model_orders.Verb.LOAD, "e1", "m")
+        play.states.note_store_load(state, _MODEL)
+        state.orders.record_order(order, 6_000, play.now_ms)
+        accepted = order_progress.Result.ACCEPTED
+        state.orders.on_answer(order, accepted, play.now_ms)
+        play.now_ms += 6_100
+        assert state.orders.complete_due(play.now_ms)
+        assert play.states.shared_models()["e1"] == {}
+        play.now_ms += 400
+        play.report = engines.report(["m"], on_disk=("m",), order_sequence=1)
+        await play.poll()
+        assert play.states.shared_models()["e1"] == {"m": []}
+
+    asyncio.run(run())
