Load from the weight store for callers who will be there when it is done

Each instance reports the callers that it has refused and that are to come back, with the time at which they give up. A load that is in time for them counts each as one request served, beside what past requests indicate, and of the models that are overdue those with such callers come first. A caller with two thirds of its time left or less has come back already and counts no more. Reports get one more field, so processes of the build before and of this one do not understand each other's reports.

The new tests of the plan, of the starvation guard and of the callers failed before.

--- a/tanagerloft/coordination/demands.py
+++ b/tanagerloft/coordination/demands.py
@@ -26,3 +26,24 @@
                 demand = model_orders.merge(existing, demand)
             merged[key] = demand
     return list(merged.values())
+
+
+def returning_callers(
+    reports: list[messages.Report], service: str
+) -> dict[str, tuple[int, ...]]:
+    """Returns when the refused callers of each model give up.
+
+    Args:
+        reports: Reports of all instances.
+        service: Name of the service.
+
+    Returns:
+        Time left in ms of each caller that is expected to come back, by model.
+    """
+    left_ms: dict[str, tuple[int, ...]] = {}
+    for report in reports:
+        for item in report.returning:
+            if item.service == service:
+                known = left_ms.get(item.model, ())
+                left_ms[item.model] = (*known, *item.caller_timeouts_left_ms)
+    return left_ms
--- a/tanagerloft/coordination/engine_controller.py
+++ b/tanagerloft/coordination/engine_controller.py
@@ -221,10 +221,11 @@
             under_way=self.states.store_loads(),
             concurrency=self.states.store_concurrency.concurrency(),
         )
+        returning = demands.returning_callers(reports, service)
         planned = plan.plan(
             engines,
             demands.of_service(reports, service),
-            usage,
+            usage._replace(returning=returning),
             store,
             now_ms,
             may_prefetch=self.states.copies_known(),
--- a/tanagerloft/coordination/holder_client.py
+++ b/tanagerloft/coordination/holder_client.py
@@ -52,6 +52,7 @@
         send: Sends a datagram.
         now_ms: Clock.
         waiting: Returns the requests that wait for models.
+        returning: Returns the refused callers that are to come back.
         changed: Called when more targets may be available for requests.
         reads_store: Returns whether this instance has just read the lease row.
         on_holder_status: Called with the holder's status, its changes of the
@@ -74,6 +75,7 @@
         send: Callable[[bytes, tuple[str, int]], None],
         now_ms: Callable[[], int],
         waiting: Callable[[], list[messages.WaitingRequests]],
+        returning: Callable[[], list[messages.ReturningCallers]],
         changed: Callable[[], None],
         reads_store: Callable[[], bool],
         on_holder_status: Callable[
@@ -89,6 +91,7 @@
         self._send = send
         self._now_ms = now_ms
         self._waiting = waiting
+        self._returning = returning
         self._changed = changed
         self._reads_store = reads_store
         self._on_holder_status = on_holder_status
@@ -261,6 +264,7 @@
             targets_version=self._directory.table.known_version,
             limits=self._directory.feedback.limits.limits_to_share(now_ms),
             permit_needs=self.permits.needs(),
+            returning=self._returning(),
         )
         if self._lease.is_mine:
             if self.loopback is not None:
--- a/tanagerloft/coordination/messages.py
+++ b/tanagerloft/coordination/messages.py
@@ -41,6 +41,20 @@
     caller_timeouts_left_ms: list[int]
 
 
+class ReturningCallers(NamedTuple):
+    """Callers refused by one instance that are expected to come back.
+
+    Attributes:
+        service: Service of the model.
+        model: Model.
+        caller_timeouts_left_ms: Time until each gives up.
+    """
+
+    service: str
+    model: str
+    caller_timeouts_left_ms: list[int]
+
+
 class Report(NamedTuple):
     """State that an instance reports to the holder.
 
@@ -68,6 +82,7 @@
             list.
         limits: Limits that targets have announced, as far as known.
         permit_needs: Permits needed for targets with a limit.
+        returning: Refused callers that are expected to come back.
     """
 
     instance: str
@@ -89,6 +104,7 @@
     targets_version: int
     limits: list[target_limits.SharedLimit]
     permit_needs: list[target_permits.Need]
+    returning: list[ReturningCallers]
 
 
 class TargetListDelta(NamedTuple):
@@ -242,6 +258,7 @@
         models_seen=tuple(raw.models_seen),
         limits=[target_limits.SharedLimit(*item) for item in raw.limits],
         permit_needs=[target_permits.Need(*need) for need in raw.permit_needs],
+        returning=[ReturningCallers(*item) for item in raw.returning],
     )
 
 
--- a/tanagerloft/decisions/model_demands.py
+++ b/tanagerloft/decisions/model_demands.py
@@ -12,6 +12,9 @@
 # The same for a request for a model that no engine has held since: it was
 # refused, and its caller retries.
 _REFUSED_REQUEST_VALUE = 0.1
+# Value of a refused caller that is still there when a load from the store ends.
+# It is certain to be served, unlike one that a recent request indicates.
+_RETURNING_CALLER_VALUE = 1.0
 
 
 def absent_models(
@@ -70,7 +73,8 @@
     Handles many models with a few requests per minute each. Such a load takes
     longer than the window of recent requests, in which a single request more or
     less is no evidence; the demand that has been unmet all along indicates what
-    will come.
+    will come. Callers refused long ago don't come back, so a model whose
+    callers are about to is preferred.
 
     Args:
         demand: Demand for the model.
@@ -79,7 +83,24 @@
     """
     unmet = usage.unmet_demand.get(demand.model)
     requests = unmet.requests if unmet is not None else 0.0
-    return _waiting_value(demand, load_ms) + _LIKELY_REQUEST_VALUE * requests
+    value = _waiting_value(demand, load_ms) + _LIKELY_REQUEST_VALUE * requests
+    served = served_on_return(demand.model, usage, load_ms)
+    return value + _RETURNING_CALLER_VALUE * served
+
+
+def served_on_return(
+    model: str, usage: model_orders.Usage, load_ms: float
+) -> int:
+    """Returns the number of refused callers that a load is in time for.
+
+    A caller that comes back while the model is being loaded waits for it.
+
+    Args:
+        model: The model.
+        usage: Use of the models.
+        load_ms: Time until the model is ready.
+    """
+    return sum(left > load_ms for left in usage.returning.get(model, ()))
 
 
 def _waiting_value(demand: model_orders.Demand, load_ms: float) -> float:
--- a/tanagerloft/decisions/model_orders.py
+++ b/tanagerloft/decisions/model_orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import enum
 from typing import NamedTuple
 
@@ -164,12 +165,15 @@
             model.
         in_flight: Requests in progress by model.
         unmet_demand: Requests since an engine last held the model, by model.
+        returning: Time until each refused caller that is expected to come back
+            gives up, by model.
     """
 
     last_used_ms: dict[str, int]
     recent: dict[str, float]
     in_flight: dict[str, int]
     unmet_demand: dict[str, UnmetDemand]
+    returning: Mapping[str, tuple[int, ...]] = {}
 
 
 class WeightStore(NamedTuple):
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -85,7 +85,12 @@
             if demand.adapter and pool.holders(demand.model):
                 current_round.place_adapter(demand.model, demand.adapter)
         overdue = self._starvation_guard.choose_overdue(
-            usage, absent, pool.loading, now_ms, weight_store.concurrency
+            usage,
+            absent,
+            pool.loading,
+            now_ms,
+            weight_store.concurrency,
+            self._served_on_return(usage),
         )
         for model in overdue:
             del absent[model]
@@ -103,6 +108,17 @@
             current_round.purposes,
         )
 
+    def _served_on_return(self, usage: model_orders.Usage) -> set[str]:
+        """Returns models whose refused callers come back in time for a load."""
+        return {
+            name
+            for name in usage.returning
+            if name in self._models
+            and model_demands.served_on_return(
+                name, usage, self._models[name].load_ms
+            )
+        }
+
 
 def _by_urgency(
     absent: Iterable[str],
--- a/tanagerloft/decisions/starvation.py
+++ b/tanagerloft/decisions/starvation.py
@@ -2,8 +2,9 @@
 
 Handles more requested models than the weight store and the engines can serve,
 where those with more requests would always come first. The models whose demand
-has been unmet for longest take precedence over all others, but only in half of
-the store's concurrent loads: the rest serve what most callers wait for.
+has been unmet for longest take precedence over all others, first those whose
+refused callers are about to come back, but only in half of the store's
+concurrent loads: the rest serve what most callers wait for.
 """
 
 from __future__ import annotations
@@ -33,6 +34,7 @@
         loading: Collection[str],
         now_ms: int,
         store_concurrency: int,
+        in_time: Collection[str] = (),
     ) -> list[str]:
         """Returns the models that take precedence over all others, in order.
 
@@ -43,16 +45,18 @@
             now_ms: Reading of the clock.
             store_concurrency: Number of concurrent loads that the store runs at
                 full speed.
+            in_time: Models whose refused callers come back in time for a load.
         """
         under_way = [model for model in self._chosen if model in loading]
         free_slots = max(1, store_concurrency // 2) - len(under_way)
         overdue = [
-            (unmet.since_ms, model)
+            (model not in in_time, unmet.since_ms, model)
             for model, unmet in usage.unmet_demand.items()
             if model in absent
             and now_ms - unmet.since_ms >= _OVERDUE_MS
             and unmet.requests >= _MIN_OVERDUE_REQUESTS
         ]
-        chosen = [model for _, model in sorted(overdue)[: max(0, free_slots)]]
+        overdue.sort()
+        chosen = [model for *_, model in overdue[: max(0, free_slots)]]
         self._chosen = under_way + chosen
         return chosen
--- a/tanagerloft/fleet/types.py
+++ b/tanagerloft/fleet/types.py
@@ -9,6 +9,9 @@
 _MIN_CALLER_TIMEOUT_MS = 2_000
 _CALLER_TIMEOUT_PER_OBJECTIVE = 4
 _CALLER_TIMEOUT_PER_GAP = 8
+# Longest delay before a refused caller comes back, as a share of the time that
+# it has left.
+MAX_RETRY_DELAY_SHARE = 1 / 3
 
 
 class RouteKind(enum.Enum):
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -23,6 +23,7 @@
 from tanagerloft.decisions import token_grants
 from tanagerloft.fleet import types
 from tanagerloft.gateway import deployment as deployment_lib
+from tanagerloft.gateway import returning_callers as returning_callers_lib
 from tanagerloft.gateway import wait_queue as wait_queue_lib
 from tanagerloft.net import datagrams
 from tanagerloft.util import clock as clock_lib
@@ -65,6 +66,7 @@
         settings: settings_lib.Settings,
         deployment: deployment_lib.Deployment,
         wait_queue: wait_queue_lib.WaitQueue,
+        returning_callers: returning_callers_lib.ReturningCallers,
         crashes: crash_quarantine.CrashCounts,
         prompt_evidence: evidence_lib.PartEvidence,
         clock: clock_lib.Clock,
@@ -114,6 +116,7 @@
             self._datagrams.send,
             now_ms,
             lambda: wait_queue.summary(now_ms()),
+            lambda: returning_callers.summary(now_ms()),
             wait_queue.try_all,
             self._reads_store,
             self._apply_holder_state,
--- a/tanagerloft/gateway/dependencies.py
+++ b/tanagerloft/gateway/dependencies.py
@@ -14,6 +14,7 @@
 from tanagerloft.gateway import context as context_lib
 from tanagerloft.gateway import crash_detector as crash_detector_lib
 from tanagerloft.gateway import errors
+from tanagerloft.gateway import returning_callers as returning_callers_lib
 from tanagerloft.gateway import wait_queue as wait_queue_lib
 from tanagerloft.net import connection_pool
 
@@ -28,6 +29,7 @@
         permits: Permits for targets with a rate limit.
         stream_versions: Software versions that began streams.
         wait_queue: Requests that wait for a model.
+        returning_callers: Refused callers that are expected to come back.
         acquire_retry: Takes a retry from the retry budget of a service, if
             there is one left.
         record_first_send: Counts a first send to a service.
@@ -48,6 +50,7 @@
     permits: target_permits.TargetPermits
     stream_versions: stream_versions_lib.StreamVersions
     wait_queue: wait_queue_lib.WaitQueue
+    returning_callers: returning_callers_lib.ReturningCallers
     acquire_retry: Callable[[str], retry_budget.Decision]
     record_first_send: Callable[[str], None]
     recheck: Callable[[context_lib.RequestContext], errors.Refusal | None]
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -392,9 +392,23 @@
             self._attempt.set_reading(reading)
 
     def _refuse(self, refusal: errors.Refusal) -> None:
+        if refusal.code == errors.MODEL_NOT_READY.code:
+            self._expect_return(refusal)
         self._finish(refusal.code, refusal.status)
         self.response.refuse(refusal)
 
+    def _expect_return(self, refusal: errors.Refusal) -> None:
+        """Records that the caller may come back for its model."""
+        context = self.context
+        self._deps.returning_callers.record(
+            context.decoded.request_id,
+            self._selector.requirement,
+            context.route,
+            refusal.retry_after_ms,
+            context.deadline_ms,
+            self._deps.now_ms(),
+        )
+
     def _abort(self, reason: str) -> None:
         self._finish("cut", 0, reason)
         self.response.abort()
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -20,6 +20,7 @@
 from tanagerloft.gateway import errors
 from tanagerloft.gateway import gateway as gateway_lib
 from tanagerloft.gateway import metrics as metrics_lib
+from tanagerloft.gateway import returning_callers
 from tanagerloft.gateway import steps as steps_lib
 from tanagerloft.gateway import wait_queue as wait_queue_lib
 from tanagerloft.net import caller_connection
@@ -83,11 +84,13 @@
         self._prompt_evidence = prompt_evidence.PartEvidence()
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self.wait_queue = wait_queue_lib.WaitQueue()
+        self._returning_callers = returning_callers.ReturningCallers()
         self._metrics = metrics_lib.GatewayMetrics()
         self.control = control_lib.Control(
             settings,
             self._deployment,
             self.wait_queue,
+            self._returning_callers,
             self._crashes,
             self._prompt_evidence,
             clock,
@@ -104,6 +107,7 @@
             permits=self.control.holder_client.permits,
             stream_versions=self.control.stream_versions,
             wait_queue=self.wait_queue,
+            returning_callers=self._returning_callers,
             acquire_retry=self._acquire_retry,
             record_first_send=self._record_first_send,
             recheck=self._recheck,
--- a/tests/coordination/test_holder_client.py
+++ b/tests/coordination/test_holder_client.py
@@ -23,6 +23,7 @@
         lambda *_: None,
         now_ms,
         list,
+        list,
         lambda: None,
         lambda: False,
         lambda *_: None,
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -528,3 +528,24 @@
     planned = _plan([soon, full], [], _usage(unmet=unmet), store)
     assert len(planned.orders) == 1
     assert planned.orders[0].verb is model_orders.Verb.UNLOAD
+
+
+def test_a_store_load_is_for_a_model_whose_callers_will_be_there():
+    # Regression: a load was given for nine callers who had all been refused
+    # for good; when it was done, nobody came.
+    unmet = {
+        "m1": model_orders.UnmetDemand(4.0, _NOW_MS - 7_000),
+        "m2": model_orders.UnmetDemand(2.0, _NOW_MS - 7_000),
+    }
+    usage = _usage(unmet=unmet)
+    store = _IDLE_STORE._replace(concurrency=1)
+    engines = [_engine("a", copies=_on_disk())]
+
+    def loaded(returning):
+        planned = _plan(engines, [], usage._replace(returning=returning), store)
+        return [order.model for order in planned.orders]
+
+    assert loaded({}) == ["m1"]
+    assert loaded({"m2": (9_000,)}) == ["m2"]
+    # They give up before a load is done.
+    assert loaded({"m2": (5_000,)}) == ["m1"]
--- a/tests/decisions/test_starvation.py
+++ b/tests/decisions/test_starvation.py
@@ -60,6 +60,14 @@
     assert guard.choose_overdue(usage, {"c"}, {"b"}, 26_000, 4) == ["c"]
 
 
+def test_a_model_whose_callers_come_back_in_time_comes_first():
+    # Regression: loads were given for callers who had gone; nobody was served.
+    guard = starvation.StarvationGuard()
+    usage = _usage({"a": 1_000, "b": 2_000})
+    absent = {"a", "b"}
+    assert guard.choose_overdue(usage, absent, (), 20_000, 2, {"b"}) == ["b"]
+
+
 def test_models_that_engines_hold_are_not_chosen():
     guard = starvation.StarvationGuard()
     assert guard.choose_overdue(_usage({"a": 0}), (), (), 20_000, 8) == []
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -131,6 +131,7 @@
         self.over_capacity: list[dict[str, frozenset[str]]] = []
         self.repeated_loads: list[str] = []
         self._list_version = 0
+        self._store_ends_ms: list[int] = []
         self._store_concurrency = store_concurrency
         self.served: set[str] = set()
         self._waiting_callers: list[_Caller] = []
@@ -366,9 +367,25 @@
             for model, all_left_ms in left_ms_by_model.items()
         ]
         return report._replace(
-            waiting=report.waiting + caller_demand, in_flight=in_flight
+            waiting=report.waiting + caller_demand,
+            in_flight=in_flight,
+            returning=self._returning(),
         )
 
+    def _returning(self) -> list[messages.ReturningCallers]:
+        left_ms: dict[str, list[int]] = {}
+        for caller in self._returning_callers:
+            gives_up_ms = min(
+                caller.deadline_ms, caller.at_ms + self._habits.wait_ms
+            )
+            left_ms.setdefault(caller.model, []).append(
+                gives_up_ms - self.now_ms
+            )
+        return [
+            messages.ReturningCallers(self.service.name, model, times_ms)
+            for model, times_ms in left_ms.items()
+        ]
+
     def _instance_report(self, waiting: dict[str, int]) -> messages.Report:
         return engines.instance_report(
             "i",
@@ -460,14 +477,17 @@
             if other is not engine
         ):
             self.repeated_loads.append(name)
-        store_loads = 1 + sum(
-            other.current.loading not in ("", *other.current.on_disk)
-            for other in self._engines.values()
-        )
+        # A load whose engine is lost keeps its place until it would be done.
+        self._store_ends_ms = [
+            end_ms for end_ms in self._store_ends_ms if end_ms > self.now_ms
+        ]
+        store_loads = 1 + len(self._store_ends_ms)
         self.peak_store_loads = max(self.peak_store_loads, store_loads)
-        return int(
+        load_ms = int(
             model.load_ms * max(1.0, store_loads / self._store_concurrency)
         )
+        self._store_ends_ms.append(self.now_ms + load_ms)
+        return load_ms
 
     def _check_capacity(self, held: dict[str, frozenset[str]]) -> None:
         """The oracle: a real engine would crash beyond its capacity."""
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -134,5 +134,6 @@
         targets_version=0,
         limits=[],
         permit_needs=[],
+        returning=[],
     )
     return base._replace(**changes)
