Give a load that has a place in the store its engine too

The plan places such a load before loads from copies in its next round, so its engine is reserved, and an engine that cannot make room counts as one load later.

--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -289,10 +289,13 @@
             if not self.loads_from_store(option.engine, model):
                 return option.ready_ms, 0.0, False, 0.0, option.target_id
             load_ms = self._models[model].load_ms
-            # A last copy that is evicted costs another load from the store;
+            # A last copy that is evicted costs another load from the store, an
+            # engine without room may keep its models in use for as long;
             # starting a load somewhat later costs little.
-            lost = self.last_copies_evicted(option.engine, model)
-            cost_ms = option.ready_ms + lost * load_ms
+            loads = self.last_copies_evicted(option.engine, model)
+            if not self.can_free_capacity(option.engine, model):
+                loads += 1
+            cost_ms = option.ready_ms + loads * load_ms
             step_ms = _STORE_LOAD_STEP_SHARE * load_ms
             return (
                 cost_ms // step_ms * step_ms,
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -47,6 +47,7 @@
     def __init__(self, models: dict[str, types.Model]):
         self._models = models
         self._starvation_guard = starvation.StarvationGuard()
+        self._next_store_loads: list[str] = []
 
     def plan(
         self,
@@ -95,6 +96,10 @@
         for model in overdue:
             del absent[model]
             current_round.place_model(model, overdue=True)
+        # Loads from copies would keep the engines of these busy.
+        for model in self._next_store_loads:
+            if absent.pop(model, None) is not None:
+                current_round.place_model(model)
         for model in _by_urgency(absent, values, pool):
             current_round.place_model(model)
         for name in usage.recent:
@@ -102,6 +107,7 @@
                 current_round.add_replica(name)
         if may_prefetch:
             current_round.prefetch()
+        self._next_store_loads = current_round.next_store_loads
         return Plan(
             current_round.orders,
             current_round.ready_in_ms,
--- a/tanagerloft/decisions/plan_round.py
+++ b/tanagerloft/decisions/plan_round.py
@@ -42,6 +42,8 @@
         orders: Orders to give now.
         purposes: Reason of each order.
         ready_in_ms: Time until a waited-for model can be used, by model.
+        next_store_loads: Models whose loads from the store have a place and
+            wait for a moment until their engines are free.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self.orders: list[model_orders.Order] = []
         self.purposes: dict[model_orders.Order, model_orders.Purpose] = {}
         self.ready_in_ms: dict[str, int] = {}
+        self.next_store_loads: list[str] = []
 
     def place_model(self, model: str, overdue: bool = False) -> None:
         """Loads a waited-for model at the engine that can have it earliest.
@@ -112,8 +115,7 @@
             if not overdue and self._value_by_model[model] < copies_value:
                 return
             if not pool.is_free(engine) and pool.is_free_soon(engine, model):
-                # Otherwise a model further down takes the store's free place.
-                self._store_under_way += 1
+                self._keep_store_place(model)
         if pool.is_free(engine):
             purpose = model_orders.Purpose.REFUSED
             if overdue:
@@ -264,8 +266,7 @@
                 )
                 self._add_order(unload, purpose)
                 if pool.loads_from_store(engine, model):
-                    # The load follows in a moment.
-                    self._store_under_way += 1
+                    self._keep_store_place(model)
             return
         if pool.loads_from_store(engine, model):
             if self._store_left <= 0:
@@ -278,6 +279,14 @@
         )
         self._add_order(load, purpose)
 
+    def _keep_store_place(self, model: str) -> None:
+        """Keeps a place of the store for a load that begins in a moment.
+
+        Otherwise a model in less demand, whose engine is free, would take it.
+        """
+        self._store_under_way += 1
+        self.next_store_loads.append(model)
+
     def _may_load_from_store(self, engine: model_orders.Engine) -> bool:
         """Returns whether a load from the store may start at an engine.
 
