Prefetch no more at once than has been seen to run at full speed

Once some loads have been seen at full speed, no more than those begin ahead of demand.

tests/decisions/test_model_plan.py:: test_no_more_is_prefetched_at_once_than_has_run_at_full_speed failed before.

--- a/tanagerloft/coordination/engine_controller.py
+++ b/tanagerloft/coordination/engine_controller.py
@@ -220,6 +220,7 @@
             loads_left=self._rate_limiter(service, now_ms).available(now_ms),
             under_way=self.states.store_loads(),
             concurrency=self.states.store_concurrency.concurrency(),
+            proven=self.states.store_concurrency.proven_concurrency,
         )
         returning = demands.returning_callers(reports, service)
         planned = plan.plan(
--- a/tanagerloft/decisions/model_orders.py
+++ b/tanagerloft/decisions/model_orders.py
@@ -182,12 +182,15 @@
     Attributes:
         loads_left: Loads that may begin now under the rate limit.
         under_way: Loads from the store in progress.
-        concurrency: Number of concurrent loads that run at full speed.
+        concurrency: Number of concurrent loads to run.
+        proven: Highest number that has been observed at full speed; 0 if none
+            has.
     """
 
     loads_left: int
     under_way: int
     concurrency: int
+    proven: int = 0
 
 
 def merge(demand: Demand, other: Demand) -> Demand:
--- a/tanagerloft/decisions/plan_round.py
+++ b/tanagerloft/decisions/plan_round.py
@@ -63,6 +63,7 @@
         self._store_left = weight_store.loads_left
         self._store_under_way = weight_store.under_way
         self._store_concurrency = weight_store.concurrency
+        self._store_proven = weight_store.proven
         self._replica_requests = min(
             (
                 engine.slots * _MAX_REPLICA_SLOTS_SHARE
@@ -175,11 +176,14 @@
 
         An engine that loads from the store for seconds can't load anything else
         meanwhile. So once there is traffic, only engines with few copies
-        prefetch, and only while no request waits.
+        prefetch, and only while no request waits. Once some number of
+        concurrent loads has been observed at full speed, no more are tried: a
+        slow load would keep the store from those who come meanwhile.
         """
         if self._wanted or self._is_store_needed():
             return
         pool = self._pool
+        limit = self._store_proven or self._store_concurrency
         without_copy = pool.models_without_copy()
         for engine in sorted(pool.engines, key=pool.copies_mb):
             if not pool.is_free(engine) or not without_copy:
@@ -188,7 +192,7 @@
                 continue
             if self._usage.last_used_ms and not pool.has_few_copies(engine):
                 continue
-            if self._store_under_way >= self._store_concurrency:
+            if self._store_under_way >= limit:
                 return
             victim = pool.eviction_policy.choose_model(engine, without_copy[0])
             is_unused = (
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -549,3 +549,15 @@
     assert loaded({"m2": (9_000,)}) == ["m2"]
     # They give up before a load is done.
     assert loaded({"m2": (5_000,)}) == ["m1"]
+
+
+def test_no_more_is_prefetched_at_once_than_has_run_at_full_speed():
+    # Regression: four loads began where two run at full speed, and two more
+    # just before traffic, which kept the store busy for 16 s.
+    engines = [_engine(name, copies=_on_disk()) for name in "abcdef"]
+    store = _IDLE_STORE._replace(under_way=2)
+    assert len(_plan(engines, [], store=store).orders) == 2
+    store = store._replace(proven=2)
+    assert not _plan(engines, [], store=store).orders
+    demands = [_demand("m7", timeout=9_000)]
+    assert len(_plan(engines, demands, store=store).orders) == 1
