Load overdue models that have a copy without a place of the store

Overdue models get an engine that becomes free before others do, but those with a copy stood in one line with those that need a place of the store, which moves one model in 8 s. They are now placed beside them.

wuda30c0af had been evicted 0.6 s after its load, before the caller refused meanwhile came back. Models whose refused callers are to come back are not evicted.

Both new tests failed before.

--- a/tanagerloft/decisions/eviction.py
+++ b/tanagerloft/decisions/eviction.py
@@ -99,6 +99,9 @@
             last_ms = self._usage.last_used_ms.get(name, 0)
             if name in self._wanted or _running_requests(engine, name):
                 continue
+            if self._usage.returning.get(name):
+                # Its callers were refused and come back within seconds.
+                continue
             if self._now_ms - last_ms < _MIN_IDLE_MS:
                 continue
             unserved = name in self._usage.unmet_demand
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -92,6 +92,7 @@
             now_ms,
             weight_store.concurrency,
             self._served_on_return(usage),
+            {model for model in absent if pool.with_copy(model)},
         )
         for model in overdue:
             del absent[model]
--- a/tanagerloft/decisions/starvation.py
+++ b/tanagerloft/decisions/starvation.py
@@ -4,7 +4,8 @@
 where those with more requests would always come first. The models whose demand
 has been unmet for longest take precedence over all others, first those whose
 refused callers are about to come back, but only in half of the store's
-concurrent loads: the rest serve what most callers wait for.
+concurrent loads: the rest serve what most callers wait for. Those that an
+engine has a copy of don't compete with them.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
         now_ms: int,
         store_concurrency: int,
         in_time: Collection[str] = (),
+        with_copy: Collection[str] = (),
     ) -> list[str]:
         """Returns the models that take precedence over all others, in order.
 
@@ -46,6 +48,8 @@
             store_concurrency: Number of concurrent loads that the store runs at
                 full speed.
             in_time: Models whose refused callers come back in time for a load.
+            with_copy: Models that an engine has a copy of. They need no place
+                of the store.
         """
         under_way = [model for model in self._chosen if model in loading]
         free_slots = max(1, store_concurrency // 2) - len(under_way)
@@ -56,7 +60,8 @@
             and now_ms - unmet.since_ms >= _OVERDUE_MS
             and unmet.requests >= _MIN_OVERDUE_REQUESTS
         ]
-        overdue.sort()
-        chosen = [model for *_, model in overdue[: max(0, free_slots)]]
+        models = [model for *_, model in sorted(overdue)]
+        from_store = [model for model in models if model not in with_copy]
+        chosen = from_store[: max(0, free_slots)]
         self._chosen = under_way + chosen
-        return chosen
+        return chosen + [model for model in models if model in with_copy]
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -561,3 +561,15 @@
     assert not _plan(engines, [], store=store).orders
     demands = [_demand("m7", timeout=9_000)]
     assert len(_plan(engines, demands, store=store).orders) == 1
+
+
+def test_a_model_is_not_evicted_before_its_refused_callers_come_back():
+    # Regression: a model was evicted 0.6 s after its load; its caller came back
+    # 3 s later.
+    engine = _engine("a", ["m1", "m2", "m3"], running={"m2": 1, "m3": 1})
+    usage = _usage()
+    demands = [_demand("m5")]
+    unload = model_orders.Order(model_orders.Verb.UNLOAD, "a", "m1")
+    assert _plan([engine], demands, usage).orders == [unload]
+    usage = usage._replace(returning={"m1": (9_000,)})
+    assert not _plan([engine], demands, usage).orders
--- a/tests/decisions/test_starvation.py
+++ b/tests/decisions/test_starvation.py
@@ -68,6 +68,21 @@
     assert guard.choose_overdue(usage, absent, (), 20_000, 2, {"b"}) == ["b"]
 
 
+def test_models_with_a_copy_do_not_wait_for_places_of_the_store():
+    # Regression: a model that loads in half a second from a copy stood in line
+    # for 20 s behind models that take 8 s each.
+    guard = starvation.StarvationGuard()
+    usage = _usage({"a": 1_000, "b": 2_000, "c": 3_000})
+    chosen = guard.choose_overdue(
+        usage, {"a", "b", "c"}, (), 20_000, 2, with_copy={"c"}
+    )
+    assert chosen == ["a", "c"]
+    chosen = guard.choose_overdue(
+        usage, {"b", "c"}, {"a"}, 20_100, 2, with_copy={"c"}
+    )
+    assert chosen == ["c"]
+
+
 def test_models_that_engines_hold_are_not_chosen():
     guard = starvation.StarvationGuard()
     assert guard.choose_overdue(_usage({"a": 0}), (), (), 20_000, 8) == []
