Make room for overdue models on engines full of models in use

An engine was reserved for an overdue model, but nothing was ever unloaded there.

An overdue model now evicts a model in use that another engine holds too, the one with the fewest requests in progress. These end before the unload takes effect. The new test failed before.

--- a/tanagerloft/decisions/eviction.py
+++ b/tanagerloft/decisions/eviction.py
@@ -69,6 +69,25 @@
             )
         return self._chosen_models[key]
 
+    def choose_replica_in_use(self, engine: model_orders.Engine) -> str | None:
+        """Returns a model in use to evict that another engine holds too.
+
+        Handles an engine full of models in steady use that has the only copy of
+        another one: runs of the former would never all end.
+
+        Args:
+            engine: The engine.
+        """
+        candidates = [
+            (_running_requests(engine, name), name)
+            for name in engine.models
+            if self._replicas(name) > 1
+            and name not in self._wanted
+            and name not in self._usage.unmet_demand
+            and not self._usage.returning.get(name)
+        ]
+        return min(candidates)[-1] if candidates else None
+
     def holds_unserved(self, engine: model_orders.Engine) -> bool:
         """Returns whether it holds a model that hasn't served a request yet."""
         return any(name in self._usage.unmet_demand for name in engine.models)
--- a/tanagerloft/decisions/plan_round.py
+++ b/tanagerloft/decisions/plan_round.py
@@ -264,6 +264,8 @@
             victim = pool.eviction_policy.choose_model(
                 engine, model, keep_steady
             )
+            if victim is None and purpose is model_orders.Purpose.OVERDUE:
+                victim = pool.eviction_policy.choose_replica_in_use(engine)
             if victim is not None:
                 unload = model_orders.Order(
                     model_orders.Verb.UNLOAD, engine.target_id, victim
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -573,3 +573,23 @@
     assert _plan([engine], demands, usage).orders == [unload]
     usage = usage._replace(returning={"m1": (9_000,)})
     assert not _plan([engine], demands, usage).orders
+
+
+def test_an_overdue_model_gets_room_on_an_engine_full_of_models_in_use():
+    # Regression: three models whose only copies were on one engine were not
+    # loaded for 27 s, as both models that it held had requests all the time.
+    names = ["m1", "m2", "m3"]
+    running = {"m1": 2, "m2": 1, "m3": 1}
+    full = _engine("a", names, running=running, copies=_on_disk("m4"))
+    other = _engine("b", ["m1"], running={"m1": 1}, copies=_on_disk())
+
+    def orders(since_ms, engines):
+        unmet = {"m4": model_orders.UnmetDemand(3.0, _NOW_MS - since_ms)}
+        store = _IDLE_STORE._replace(concurrency=1, under_way=1)
+        return _plan(engines, [], _usage(unmet=unmet), store).orders
+
+    unload = model_orders.Order(model_orders.Verb.UNLOAD, "a", "m1")
+    assert orders(9_000, [full, other]) == [unload]
+    assert not orders(5_000, [full, other])
+    # Another engine must go on serving the evicted model.
+    assert not orders(9_000, [full])
