Let a new holder run no more loads at once than were proven

The number in the lease row counts up to what has been proven; more is tried again once the evidence has aged. The new test failed before.

--- a/tanagerloft/decisions/store_concurrency.py
+++ b/tanagerloft/decisions/store_concurrency.py
@@ -241,11 +241,16 @@
     def restore(self, concurrency: int, proven: int) -> None:
         """Restores the estimate of the lease holder, for its successor.
 
+        A number that the holder was trying isn't tried any further at first:
+        the successor hasn't seen the start of the loads that would tell.
+
         Args:
             concurrency: Number of loads that it ran concurrently.
             proven: Highest number of concurrent loads that it observed to run
                 at full speed.
         """
+        if proven:
+            concurrency = min(concurrency, proven)
         concurrency = max(1, min(concurrency, _MAX_CONCURRENCY))
         if (
             concurrency == self.concurrency()
--- a/tests/decisions/test_store_concurrency.py
+++ b/tests/decisions/test_store_concurrency.py
@@ -198,6 +198,17 @@
         assert estimator.concurrency() == 2
 
 
+def test_a_successor_runs_no_more_loads_than_were_proven_at_first():
+    # Regression: the predecessor was trying three where two run at full speed;
+    # the successor ran three for 16 s, each longer than callers wait.
+    estimator = store_concurrency.ConcurrencyEstimator()
+    estimator.restore(3, 2)
+    assert estimator.concurrency() == 2
+    simulation = _StoreSimulation(4, estimator)
+    simulation.run(120_000)
+    assert estimator.concurrency() == 4
+
+
 def test_loads_that_may_have_ended_prove_nothing():
     """Regression: six loads counted as proven where five run at full speed."""
     estimator = store_concurrency.ConcurrencyEstimator()
