Go on with what is planned under a new configuration

Each new configuration began with a new planner, which did not know the overdue model that was being loaded for; two configurations came at 24 and 25 s. The planner of a service now outlives configurations. The new test failed before.

--- a/tanagerloft/coordination/engine_controller.py
+++ b/tanagerloft/coordination/engine_controller.py
@@ -83,7 +83,7 @@
         """Applies a new configuration."""
         self._services = configuration.services
         self._plans = {
-            service.name: model_plan.ModelPlanner(service.models)
+            service.name: self._planner(service)
             for service in configuration.services.values()
             if service.has_engines
         }
@@ -99,6 +99,14 @@
                     },
                 )
 
+    def _planner(self, service: types.Service) -> model_plan.ModelPlanner:
+        """Returns the planner of a service, which outlives configurations."""
+        planner = self._plans.get(service.name)
+        if planner is None:
+            return model_plan.ModelPlanner(service.models)
+        planner.set_models(service.models)
+        return planner
+
     def handover_state(self, now_ms: int) -> handover.HandoverState:
         """Returns the learned state for the next holder."""
         estimator = self.states.store_concurrency
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -49,6 +49,10 @@
         self._starvation_guard = starvation.StarvationGuard()
         self._next_store_loads: list[str] = []
 
+    def set_models(self, models: dict[str, types.Model]) -> None:
+        """Replaces the models of the service; what is planned goes on."""
+        self._models = models
+
     def plan(
         self,
         engines: list[model_orders.Engine],
--- a/tests/coordination/test_engine_controller.py
+++ b/tests/coordination/test_engine_controller.py
@@ -207,3 +207,13 @@
         assert not keeper.usage.usage({}).unmet_demand
 
     asyncio.run(run())
+
+
+def test_what_is_planned_goes_on_under_a_new_configuration():
+    # Regression: after each new configuration another overdue model got a
+    # place of the store, also the one that is left to models in more demand.
+    service = _service(8, 34_300, types.EngineCapacity(83_000, 8), 10.0)
+    fleet = engine_fleet.EngineFleet(service, [[], []], 2)
+    planner = fleet.controller._plans["s"]
+    fleet.configure(service._replace(models=dict(service.models)))
+    assert fleet.controller._plans["s"] is planner
