--- a/tanagerloft/decisions/starvation.py
+++ b/tanagerloft/decisions/starvation.py
@@ -5,7 +5,7 @@
 has been unmet for longest take precedence over all others, first those whose
 refused callers are about to come back, but only in half of the store's
 concurrent loads: the rest serve what most callers wait for. Those that an
-engine has a copy of don't compete with them.
+engine has a copy of don't compete with them and are loaded one at a time.
 """
 
 from __future__ import annotations
@@ -20,6 +20,9 @@
 # Minimum number of requests, so that a single request doesn't make a model
 # overdue.
 _MIN_OVERDUE_REQUESTS = 1.5
+# Overdue models loaded from copies at a time. Each reserves an engine, which
+# then loads nothing for models in more demand.
+_MAX_WITH_COPY = 1
 
 
 class StarvationGuard:
@@ -64,4 +67,5 @@
         from_store = [model for model in models if model not in with_copy]
         chosen = from_store[: max(0, free_slots)]
         self._chosen = under_way + chosen
-        return chosen + [model for model in models if model in with_copy]
+        copied = [model for model in models if model in with_copy]
+        return chosen + copied[:_MAX_WITH_COPY]
--- a/tests/decisions/test_starvation.py
+++ b/tests/decisions/test_starvation.py
@@ -83,6 +83,17 @@
     assert chosen == ["c"]
 
 
+def test_models_with_a_copy_take_precedence_one_at_a_time():
+    # Regression: on a heavily loaded fleet of nine engines, overdue models
+    # reserved all of them, and those in most demand got none.
+    guard = starvation.StarvationGuard()
+    usage = _usage({"a": 1_000, "b": 2_000, "c": 3_000})
+    chosen = guard.choose_overdue(
+        usage, {"a", "b", "c"}, (), 20_000, 2, with_copy={"a", "b"}
+    )
+    assert chosen == ["c", "a"]
+
+
 def test_models_that_engines_hold_are_not_chosen():
     guard = starvation.StarvationGuard()
     assert guard.choose_overdue(_usage({"a": 0}), (), (), 20_000, 8) == []
