--- a/tests/coordination/test_rare_models.py
+++ b/tests/coordination/test_rare_models.py
@@ -177,3 +177,12 @@
     outcome = _play(day, seed)
     # The users' bound: 1 and 10 in 100 of the models that are requested.
     assert outcome.never_served <= 1 + outcome.requested / 10
+
+
+@pytest.mark.parametrize("seed", [0, 1])
+def test_rare_models_are_served_with_two_holder_changes(seed):
+    day = _Day(
+        missing=26, changes_ms=(5_000, 19_500), losses_ms=(7_000, 16_000)
+    )
+    outcome = _play(day, seed)
+    assert outcome.never_served <= 1 + outcome.requested / 10
