--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -14,6 +14,8 @@
 from standins import store as store_lib
 
 MODEL = "m1"
+LOAD_S = 6.0
+_DISK_MB = 1_300_000
 _ADAPTERS = 30
 _ADAPTER_SLOTS = 8
 _ENGINES = 2
@@ -36,24 +38,37 @@
     }
 
 
-def configuration() -> dict[str, Any]:
-    """Returns the operator's configuration."""
-    model = {
-        "name": MODEL,
-        "weights_mb": 70_000,
-        "load_s": 6.0,
-        "adapters": _ADAPTERS,
-        "adapter_mb": 12,
-    }
+def configuration(
+    version: int = 1, models: tuple[str, ...] = (MODEL,)
+) -> dict[str, Any]:
+    """Returns the operator's configuration.
+
+    Args:
+        version: Its version.
+        models: Models of the engines.
+    """
+    declared = [
+        {
+            "name": name,
+            "weights_mb": 70_000,
+            "load_s": LOAD_S,
+            "warm_s": 0.5,
+            "disk_s": 0.5,
+            "adapters": _ADAPTERS,
+            "adapter_mb": 12,
+        }
+        for name in models
+    ]
     engine = {
         "slots": 64,
         "weights_mb": 230_000,
         "adapter_slots": _ADAPTER_SLOTS,
+        "disk_mb": _DISK_MB,
         "loads_per_s": 4,
-        "models": [model],
+        "models": declared,
     }
     return {
-        "version": 1,
+        "version": version,
         "routes": [
             _route("ask", "idempotent", "engines"),
             _route("look", "idempotent", "plain", timeout_ms=4_000),
@@ -86,6 +101,7 @@
         folder: Temporary folder.
         instances: Number of instances.
         log: Called with each line of the record.
+        models: Models of the engines.
 
     Attributes:
         store: The store.
@@ -99,7 +115,9 @@
         folder: pathlib.Path,
         instances: int,
         log: Callable[[str], None],
+        models: tuple[str, ...] = (MODEL,),
     ):
+        self._models = models
         self._folder = folder
         self._instances = instances
         self._log = log
@@ -107,7 +125,13 @@
         self.store = store_lib.Store()
         self.engines = [
             servers.Engine(
-                self.store, f"i-e{n}", "engines", log, MODEL, _ADAPTER_SLOTS
+                self.store,
+                f"i-e{n}",
+                "engines",
+                log,
+                MODEL,
+                _ADAPTER_SLOTS,
+                LOAD_S,
             )
             for n in range(_ENGINES)
         ]
@@ -120,7 +144,7 @@
     async def start(self) -> None:
         """Starts all, and waits until the instances are ready."""
         await self.store.listen()
-        self.store.put("op", "config", configuration())
+        self.store.put("op", "config", configuration(models=self._models))
         for server in (*self.engines, *self.plain):
             self.run(server.run())
         await asyncio.sleep(0.2)
@@ -154,6 +178,18 @@
             )
             await asyncio.sleep(rng.uniform(0.05, 0.15))
 
+    async def ask(self, model: str, deadline_ms: int) -> callers.Answer:
+        """Asks for a model at any instance."""
+        return await callers.call(
+            self.fleet[0],
+            "/ask/1",
+            self._log,
+            deadline_ms,
+            model=model,
+            token_counts="100,20",
+            prompt_prefix=f"{random.getrandbits(32):08x}:100",
+        )
+
     async def stop(self) -> None:
         """Ends all processes and tasks of the case."""
         for task in self._tasks:
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -14,7 +14,6 @@
 from standins import store as store_lib
 
 HEARTBEAT_S = 1.2
-_ADAPTER_LOAD_S = 0.01
 
 
 class Order(NamedTuple):
@@ -121,7 +120,7 @@
 
 
 class Engine(Server):
-    """A model server that holds one model and a few of its adapters.
+    """A model server that loads and unloads models and their adapters.
 
     Args:
         store: The store.
@@ -130,33 +129,60 @@
         log: Called with each line of the record.
         model: The model that it holds from the start.
         adapter_slots: Adapters that it can hold.
+        load_s: Time that a load from the weight store takes.
 
     Attributes:
         orders: Orders that it has received.
     """
 
-    def __init__(self, store, server_id, service, log, model, adapter_slots):
+    def __init__(
+        self,
+        store: store_lib.Store,
+        server_id: str,
+        service: str,
+        log: Callable[[str], None],
+        model: str,
+        adapter_slots: int,
+        load_s: float,
+    ):
         super().__init__(store, server_id, service, log)
-        self._model = model
+        self._models: dict[str, list[str]] = {model: []}
         self._adapter_slots = adapter_slots
-        self._adapters: list[str] = []
+        self._load_s = load_s
+        self._copies = [model]
         self._running: dict[str, int] = {}
+        self._loading: asyncio.Task | None = None
         self._sequence = 0
         self.orders: list[Order] = []
 
     def entry(self) -> dict[str, Any]:
         """Returns what the engine says of itself in the store."""
-        return super().entry() | {"stage": "unified", "models": self._models()}
+        more = {"stage": "unified", "models": self._listed(), **self._hand()}
+        return super().entry() | more
+
+    def _listed(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "name": model,
+                "version": 1,
+                "adapters": [f"{model}/{name}@1" for name in adapters],
+            }
+            for model, adapters in self._models.items()
+        ]
+
+    def _hand(self) -> dict[str, Any]:
+        copies = list(self._copies)
+        return {"at_hand": {"in_memory": copies[-2:], "on_disk": copies}}
 
-    def _models(self) -> list[dict[str, Any]]:
-        adapters = [f"{self._model}/{name}@1" for name in self._adapters]
-        return [{"name": self._model, "version": 1, "adapters": adapters}]
+    @property
+    def _busy(self) -> bool:
+        return self._loading is not None and not self._loading.done()
 
     def _report(self) -> dict[str, Any]:
         return {
             "stage": "unified",
-            "models": self._models(),
-            "busy": False,
+            "models": self._listed(),
+            "busy": self._busy,
             "sequence": self._sequence,
             "waiting": 0,
             "running": sum(self._running.values()),
@@ -164,7 +190,7 @@
             "kv_total": 130_000,
             "handles": 0,
             "coming": [],
-            "at_hand": {"in_memory": [self._model], "on_disk": [self._model]},
+            **self._hand(),
         }
 
     async def answer(self, message: http.Message, writer) -> None:
@@ -173,11 +199,11 @@
         if path == "/tanagerloft/report":
             writer.write(http.json_response(200, self._report()))
         elif path == "/tanagerloft/order":
-            await self._take_order(json.loads(message.body), writer)
+            self._take_order(json.loads(message.body), writer)
         else:
-            await self._stream(message, writer)
+            await self._serve_request(message, writer)
 
-    async def _take_order(self, body: dict[str, Any], writer) -> None:
+    def _take_order(self, body: dict[str, Any], writer) -> None:
         at_s = time.monotonic()
         status = self._carry_out(body)
         what = f"{body['operation']} {body['model']}/{body.get('adapter', '')}"
@@ -187,38 +213,69 @@
             f"order {what} at {self.server_id} from {order.holder}"
             f" token {order.token} answered {status}"
         )
-        if status == 202 and body["operation"] == "load":
-            await asyncio.sleep(_ADAPTER_LOAD_S)
         writer.write(http.json_response(status, {}))
 
     def _carry_out(self, body: dict[str, Any]) -> int:
         if body.get("expected", self._sequence) != self._sequence:
             return 409
-        adapter = body.get("adapter")
-        if body["model"] != self._model or not adapter:
+        if body.get("adapter"):
+            status = self._change_adapter(body)
+        else:
+            status = self._change_model(body)
+        if status == 202 or (status == 200 and body["operation"] == "unload"):
+            self._sequence += 1
+        return status
+
+    def _change_adapter(self, body: dict[str, Any]) -> int:
+        adapter, held = body["adapter"], self._models.get(body["model"])
+        if held is None:
             return 400
         if body["operation"] == "load":
-            if adapter in self._adapters:
+            if adapter in held:
                 return 200
-            if len(self._adapters) >= self._adapter_slots:
+            if sum(map(len, self._models.values())) >= self._adapter_slots:
                 raise RuntimeError("ordered to load more than it holds")
-            self._adapters.append(adapter)
-            self._sequence += 1
+            held.append(adapter)
             return 202
-        if self._running.get(adapter):
+        if self._running.get(f"{body['model']}/{adapter}"):
             return 409
-        if adapter in self._adapters:
-            self._adapters.remove(adapter)
-        self._sequence += 1
+        if adapter in held:
+            held.remove(adapter)
         return 200
 
-    async def _stream(self, message: http.Message, writer) -> None:
-        model, _, adapter = message.headers["model"].partition("/")
-        if model != self._model or (adapter and adapter not in self._adapters):
+    def _change_model(self, body: dict[str, Any]) -> int:
+        model = body["model"]
+        if self._busy:
+            return 409
+        if body["operation"] == "load":
+            if model in self._models:
+                return 200
+            self._loading = asyncio.create_task(self._load(model))
+            return 202
+        if any(
+            count and name.partition("/")[0] == model
+            for name, count in self._running.items()
+        ):
+            return 409
+        self._models.pop(model, None)
+        return 200
+
+    async def _load(self, model: str) -> None:
+        await asyncio.sleep(0.5 if model in self._copies else self._load_s)
+        self._models[model] = []
+        if model not in self._copies:
+            self._copies.append(model)
+        self.log(f"{self.server_id} holds {model}")
+
+    async def _serve_request(self, message: http.Message, writer) -> None:
+        name = message.headers["model"]
+        model, _, adapter = name.partition("/")
+        held = self._models.get(model)
+        if held is None or (adapter and adapter not in held):
             writer.write(self._not_run(message, 421))
             return
-        self._running[adapter] = self._running.get(adapter, 0) + 1
+        self._running[name] = self._running.get(name, 0) + 1
         try:
             await super().answer(message, writer)
         finally:
-            self._running[adapter] -= 1
+            self._running[name] -= 1
