--- a/review/standins/cases.py
+++ b/review/standins/cases.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 import os
 import pathlib
+import signal
+import sys
 import tempfile
 
 from standins import record as record_lib
@@ -23,6 +25,8 @@
         path: The file of the case.
         case: The case; it gets the record and a temporary folder.
     """
+    # Ends the processes of the case if it takes too long.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = record_lib.Record(pathlib.Path(path).parent / "record.txt")
     record.line(f"trouble: {TROUBLE}")
     try:
