--- a/review/standins/gateways.py
+++ b/review/standins/gateways.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -17,6 +18,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 _SETTINGS_PATH = "/etc/tanagerloft/boot.yaml"
+_PORTS = (12_000, 32_000)
+_used_ports: set[int] = set()
 # Bounds of a small deployment.
 BOUNDS = {
     "contact_ms": 3_000,
@@ -34,10 +37,19 @@
 
 
 def free_port() -> int:
-    """Returns a free TCP port."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a free port, below those that connections get by themselves."""
+    while True:
+        port = random.randrange(*_PORTS)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(type=kind) as sock:
+                    sock.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return port
 
 
 def render(template: str, fields: dict[str, Any]) -> str:
