review: show two holders with one token after a restore of the store

An instance that is started again finds its own name there, takes the row's token plus one, and gives orders at once with the token that another instance has used since.

--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -57,10 +57,12 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
-def json_response(status: int, body: object) -> bytes:
+def json_response(status: int, body: object, **headers: str) -> bytes:
     """Returns an encoded response with a JSON body."""
-    data = json.dumps(body).encode()
-    return response(status, {"Content-Type": "application/json"}, data)
+    named = {"Content-Type": "application/json"} | {
+        name.replace("_", "-"): value for name, value in headers.items()
+    }
+    return response(status, named, json.dumps(body).encode())
 
 
 def request(
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -9,6 +9,7 @@
 import json
 import time
 from typing import Any
+from typing import NamedTuple
 from urllib import parse
 
 from standins import http
@@ -20,6 +21,24 @@
 Row = tuple[int, str | None]
 
 
+# Table and key of the lease row of the system.
+LEASE = ("lease", "orders")
+
+
+class Copy(NamedTuple):
+    """A copy of the store.
+
+    Attributes:
+        at_s: When it was made.
+        version: Version of the store then.
+        rows: Its rows.
+    """
+
+    at_s: float
+    version: int
+    rows: dict[tuple[str, str], Row]
+
+
 class Store:
     """The store, on one loopback address.
 
@@ -28,6 +47,9 @@
         fate: Decides what becomes of the answer to a transaction that was
             carried out: ``answer``, or ``lose`` for a reset of its connection.
         on_put: Called for each write of the operator and of a server.
+        on_claim: Called with the lease row whenever its holder changes.
+        away: Whether it resets all connections.
+        era: Rises with each return from an older copy.
     """
 
     def __init__(self):
@@ -37,6 +59,10 @@
         self._changed = asyncio.Event()
         self.fate: Callable[[dict[str, Any]], str] = lambda _: "answer"
         self.on_put: Callable[[], None] = lambda: None
+        self.on_claim: Callable[[Row], None] = lambda _: None
+        self._holder = ""
+        self.away = False
+        self.era = 1
 
     async def listen(self) -> None:
         """Opens the port."""
@@ -54,6 +80,16 @@
         """Removes a row."""
         self._put(table, key, None)
 
+    def copy(self) -> Copy:
+        """Returns a copy of the present contents."""
+        return Copy(time.monotonic(), self._version, dict(self._rows))
+
+    def restore(self, copy: Copy) -> None:
+        """Comes back from an older copy; versions are given out again."""
+        self._version, self._rows = copy.version, dict(copy.rows)
+        self.era += 1
+        self.away = False
+
     def _put(self, table: str, key: str, value: str | None) -> None:
         self._version += 1
         self._rows[table, key] = (self._version, value)
@@ -68,12 +104,15 @@
             while True:
                 message = await http.read(reader)
                 await asyncio.sleep(_ANSWER_S)
-                status, body, fate = await self._respond(message)
-                if fate == "lose":
+                if not self.away:
+                    status, body, fate = await self._respond(message)
+                if self.away or fate == "lose":
                     http.reset(writer)
                     return
                 body["now_ms"] = int(time.monotonic() * 1_000)
-                writer.write(http.json_response(status, body))
+                writer.write(
+                    http.json_response(status, body, Store_Era=str(self.era))
+                )
 
     async def _respond(self, message: http.Message) -> tuple[int, dict, str]:
         url = parse.urlsplit(message.first[1])
@@ -81,6 +120,8 @@
         if url.path == "/tanagerloft/rows-get":
             return 200, self._get(query), "answer"
         if url.path == "/tanagerloft/rows-feed":
+            if int(query["after"]) > self._version:
+                return 410, {}, "answer"
             return 200, await self._feed(query), "answer"
         if url.path == "/tanagerloft/rows-tx":
             return self._transact(json.loads(message.body))
@@ -141,4 +182,14 @@
             self._put(row["table"], row["key"], row["value"])
         for row in body["remove"]:
             self._put(row["table"], row["key"], None)
+        self._note_claim(body)
         return 200, {"ver": self._version}, self.fate(body)
+
+    def _note_claim(self, body: dict[str, Any]) -> None:
+        for row in body["puts"]:
+            if (row["table"], row["key"]) != LEASE:
+                continue
+            holder = json.loads(base64.b64decode(row["value"]))["holder"]
+            if holder != self._holder:
+                self._holder = holder
+                self.on_claim(self._rows[LEASE])
