--- a/review/standins/gateways.py
+++ b/review/standins/gateways.py
@@ -18,7 +18,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 _SETTINGS_PATH = "/etc/tanagerloft/boot.yaml"
-_PORTS = (12_000, 32_000)
+# Each case has ports of its own, so that cases may run side by side.
+_FIRST_PORT = 12_000 + 200 * (os.getpid() % 100)
+_PORTS = range(_FIRST_PORT, _FIRST_PORT + 200)
 _used_ports: set[int] = set()
 # Bounds of a small deployment.
 BOUNDS = {
@@ -39,7 +41,7 @@
 def free_port() -> int:
     """Returns a free port, below those that connections get by themselves."""
     while True:
-        port = random.randrange(*_PORTS)
+        port = random.choice(_PORTS)
         if port in _used_ports:
             continue
         _used_ports.add(port)
