--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import pathlib
-import signal
 import sys
 import time
 
@@ -119,10 +118,7 @@
             await _drill(deployment.store, copies, claims[-1], record.line)
         await asyncio.sleep(_SETTLE_S)
         record.line(f"{first.name} gets SIGTERM and is started again")
-        first.signal(signal.SIGTERM)
-        assert first.process is not None
-        await first.process.wait()
-        await first.start()
+        await first.restart()
         record.line(f"{first.name} is ready")
         await asyncio.sleep(_LASTS_S)
     finally:
--- a/review/standins/cases.py
+++ b/review/standins/cases.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import tempfile
+import traceback
 
 from standins import record as record_lib
 
@@ -32,8 +33,8 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             code = asyncio.run(case(record, pathlib.Path(folder)))
-    except (OSError, TimeoutError) as error:
-        record.line(f"could not run: {error!r}")
+    except Exception:  # An error of the case itself is no broken rule.
+        record.line(f"could not run: {traceback.format_exc()}")
         code = 2
     record.line(f"exit {code}")
     record.close()
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -194,4 +194,5 @@
         """Ends all processes and tasks of the case."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(*(gateway.kill() for gateway in self.fleet))
--- a/review/standins/gateways.py
+++ b/review/standins/gateways.py
@@ -167,6 +167,17 @@
         if self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def restart(self) -> None:
+        """Stops and starts the process, as the platform does."""
+        assert self.process is not None
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(BOUNDS["grace_s"]):
+                await self.process.wait()
+        except TimeoutError:
+            await self.kill()
+        await self.start()
+
     async def kill(self) -> None:
         """Ends the process."""
         if self.process is not None:
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -152,6 +152,7 @@
         self._copies = [model]
         self._running: dict[str, int] = {}
         self._loading: asyncio.Task | None = None
+        self._unloads: set[asyncio.Task] = set()
         self._sequence = 0
         self.orders: list[Order] = []
 
@@ -218,6 +219,9 @@
     def _carry_out(self, body: dict[str, Any]) -> int:
         if body.get("expected", self._sequence) != self._sequence:
             return 409
+        if self._unloads:
+            # An unload waits for its runs: another order is in progress.
+            return 409
         if body.get("adapter"):
             status = self._change_adapter(body)
         else:
@@ -237,8 +241,10 @@
                 raise RuntimeError("ordered to load more than it holds")
             held.append(adapter)
             return 202
-        if self._running.get(f"{body['model']}/{adapter}"):
-            return 409
+        name = f"{body['model']}/{adapter}"
+        if self._running.get(name):
+            self._keep(self._unload_adapter(name, held, adapter))
+            return 202
         if adapter in held:
             held.remove(adapter)
         return 200
@@ -252,13 +258,31 @@
                 return 200
             self._loading = asyncio.create_task(self._load(model))
             return 202
-        if any(
+        self._loading = asyncio.create_task(self._unload(model))
+        return 202
+
+    def _keep(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._unloads.add(task)
+        task.add_done_callback(self._unloads.discard)
+
+    async def _unload_adapter(
+        self, name: str, held: list[str], adapter: str
+    ) -> None:
+        """Unloads an adapter after its runs."""
+        while self._running.get(name):
+            await asyncio.sleep(0.005)
+        if adapter in held:
+            held.remove(adapter)
+
+    async def _unload(self, model: str) -> None:
+        """Unloads a model after its runs."""
+        while any(
             count and name.partition("/")[0] == model
             for name, count in self._running.items()
         ):
-            return 409
+            await asyncio.sleep(0.005)
         self._models.pop(model, None)
-        return 200
 
     async def _load(self, model: str) -> None:
         await asyncio.sleep(0.5 if model in self._copies else self._load_s)
