Tell declared models from those that engines may still have

Cause: the declared models of a service stood for two things, what may be loaded and what engines may have. EnginePool looked up the size of a load in progress among them. Without an error, a withdrawn model counted as 0 MB, so that an engine could be ordered to load more than it has memory for, and one whose callers had been refused was never evicted. An engine whose service was withdrawn was tracked on, and a retry of its order failed with KeyError.

Fix: ModelCatalog has both sets and changes them when a configuration comes. Orders are chosen from the declared models, memory and disks are counted by the known ones. A model of unknown size leaves no room until it is unloaded, and withdrawn models are unloaded first. Engines are tracked only while their entry names a service with engines.

--- a/tanagerloft/coordination/engine_controller.py
+++ b/tanagerloft/coordination/engine_controller.py
@@ -17,6 +17,7 @@
 from tanagerloft.coordination import plan_log
 from tanagerloft.coordination import targets as targets_lib
 from tanagerloft.decisions import handover
+from tanagerloft.decisions import model_catalog
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import model_plan
 from tanagerloft.decisions import model_usage
@@ -67,6 +68,7 @@
         self._overloaded = overloaded_engines.OverloadedEngines(
             self.states, directory
         )
+        self._catalogs: dict[str, model_catalog.ModelCatalog] = {}
         self._plans: dict[str, model_plan.ModelPlanner] = {}
         self._ready_times: dict[str, ready_times.ReadyTimeEstimator] = {}
         self._services: dict[str, types.Service] = {}
@@ -101,11 +103,13 @@
 
     def _planner(self, service: types.Service) -> model_plan.ModelPlanner:
         """Returns the planner of a service, which outlives configurations."""
+        catalog = self._catalogs.get(service.name)
+        if catalog is None:
+            catalog = model_catalog.ModelCatalog()
+            self._catalogs[service.name] = catalog
+        catalog.declare(service.models)
         planner = self._plans.get(service.name)
-        if planner is None:
-            return model_plan.ModelPlanner(service.models)
-        planner.set_models(service.models)
-        return planner
+        return planner or model_plan.ModelPlanner(catalog)
 
     def handover_state(self, now_ms: int) -> handover.HandoverState:
         """Returns the learned state for the next holder."""
@@ -183,13 +187,9 @@
                 if self._lease.may_order(now_ms):
                     self._issue(order, planned.purposes[order], now_ms)
 
-    def _models(self, service: str) -> dict[str, types.Model]:
-        known = self._services.get(service)
-        return known.models if known is not None else {}
-
     def _on_new_engine(self, entry: types.TargetEntry) -> None:
         self.usage.on_initial_placement(
-            entry.models, self._models(entry.service)
+            entry.models, self._catalogs[entry.service].declared
         )
 
     def _update_orders(self, now_ms: int) -> None:
@@ -302,22 +302,23 @@
         if entry is None or state is None:
             return
         orders = state.orders
-        models = self._models(entry.service)
+        catalog = self._catalogs[entry.service]
         capacity = self._capacity(entry.service)
         if orders.busy(now_ms) or not model_orders.fits(
             orders.held_during(order),
             order,
-            models,
+            catalog.known,
             capacity.memory_mb,
             capacity.max_adapters,
         ):
             return
         duration_ms = 0.0
         if order.verb is model_orders.Verb.LOAD and not order.adapter:
-            duration_ms = orders.copies.load_ms(models[order.model])
+            model = catalog.declared[order.model]
+            duration_ms = orders.copies.load_ms(model)
             if order.model not in orders.copies:
                 self._rate_limiter(entry.service, now_ms).count_load(now_ms)
-                self.states.note_store_load(state, models[order.model])
+                self.states.note_store_load(state, model)
         if not order.adapter:
             self._plan_log.log_order(order, purpose, now_ms)
         orders.record_order(order, duration_ms, now_ms)
--- a/tanagerloft/coordination/engine_states.py
+++ b/tanagerloft/coordination/engine_states.py
@@ -309,18 +309,23 @@
     def refresh(self, services: set[str]) -> None:
         """Adds, replaces and removes engines after the target list.
 
+        An engine is removed too if its service no longer has engines, or if
+        its entry names another service.
+
         Args:
             services: Names of the services that have engines.
         """
-        entries = self._directory.entries
+        entries = {
+            target_id: entry
+            for target_id, entry in self._directory.entries.items()
+            if entry.service in services
+        }
         for target_id in set(self.by_target) - set(entries):
             removed = self.by_target.pop(target_id)
             self._keep_load_without_engine(removed)
             self._end_store_load(removed, "engine gone")
             self.store_concurrency.discard_load(target_id)
         for target_id, entry in entries.items():
-            if entry.service not in services:
-                continue
             state = self.by_target.get(target_id)
             if state is None or state.born_ms != entry.born_ms:
                 if state is not None:
--- a/tanagerloft/decisions/engine_pool.py
+++ b/tanagerloft/decisions/engine_pool.py
@@ -13,8 +13,8 @@
 from typing import NamedTuple
 
 from tanagerloft.decisions import eviction
+from tanagerloft.decisions import model_catalog
 from tanagerloft.decisions import model_orders
-from tanagerloft.fleet import types
 
 # An engine with copies of less than this share of the models has few copies.
 _FEW_COPIES_SHARE = 0.2
@@ -47,7 +47,7 @@
     """Engines of a service that aren't leaving.
 
     Args:
-        models: Models of the service.
+        catalog: Models of the service.
         engines: All engines of the service.
         usage: Use of the models.
         weight_store: Current limits of the weight store.
@@ -62,16 +62,21 @@
 
     def __init__(
         self,
-        models: dict[str, types.Model],
+        catalog: model_catalog.ModelCatalog,
         engines: list[model_orders.Engine],
         usage: model_orders.Usage,
         weight_store: model_orders.WeightStore,
         wanted: set[str],
         now_ms: int,
     ):
-        self._models = models
+        self._models = catalog.declared
+        self._known_models = catalog.known
         self.eviction_policy = eviction.EvictionPolicy(
-            usage, wanted, now_ms, lambda model: len(self.holders(model))
+            catalog.declared,
+            usage,
+            wanted,
+            now_ms,
+            lambda model: len(self.holders(model)),
         )
         self.engines = [engine for engine in engines if not engine.leaving]
         self.loading = {
@@ -87,14 +92,16 @@
             copies_mb = 0.0
             for model in engine.copies.all():
                 self._with_copy.setdefault(model, []).append(engine)
-                if model in models:
-                    copies_mb += models[model].size_mb
+                if model in self._known_models:
+                    copies_mb += self._known_models[model].size_mb
             self._copies_mb[engine.target_id] = copies_mb
         self._free_in_ms = {
             engine.target_id: float(engine.busy_ms) for engine in self.engines
         }
         self._held_mb = {
-            engine.target_id: model_orders.held_mb(engine.held(), models)
+            engine.target_id: model_orders.held_mb(
+                engine.held(), self._known_models
+            )
             for engine in self.engines
         }
         self._last_copies_evicted: dict[tuple[str, float], int] = {}
@@ -193,16 +200,21 @@
     def _evicted_copies(
         self, engine: model_orders.Engine, model: str
     ) -> list[str]:
-        """Returns the copies that a load from the store evicts from a disk."""
-        if not engine.disk_mb:
+        """Returns the copies that a load from the store evicts from a disk.
+
+        None are known to be for a model of unknown size: a load that another
+        lease holder has ordered before the model was withdrawn.
+        """
+        loaded = self._known_models.get(model)
+        if not engine.disk_mb or loaded is None:
             return []
         sizes_mb = {
-            name: self._models[name].size_mb
+            name: self._known_models[name].size_mb
             for name in engine.copies.on_disk
-            if name in self._models
+            if name in self._known_models
         }
         excess_mb = sum(sizes_mb.values()) - engine.disk_mb
-        excess_mb += self._models[model].size_mb
+        excess_mb += loaded.size_mb
         evicted = []
         for name, size_mb in sizes_mb.items():
             if excess_mb <= 0:
--- a/tanagerloft/decisions/eviction.py
+++ b/tanagerloft/decisions/eviction.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Container
 
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import model_usage
@@ -25,6 +26,7 @@
     """Eviction of idle models and adapters, within one planning round.
 
     Args:
+        declared: Names of the models that the service declares.
         usage: Use of the models.
         wanted: Models and adapters that requests wait for.
         now_ms: Reading of the clock.
@@ -33,11 +35,13 @@
 
     def __init__(
         self,
+        declared: Container[str],
         usage: model_orders.Usage,
         wanted: set[str],
         now_ms: int,
         replicas: Callable[[str], int],
     ):
+        self._declared = declared
         self._usage = usage
         self._wanted = wanted
         self._now_ms = now_ms
@@ -52,6 +56,9 @@
     ) -> str | None:
         """Returns the model to evict, None if all are in use.
 
+        A model that has been withdrawn is evicted first, once its runs have
+        ended: no further request is for it.
+
         Models with unmet demand that haven't served a request there yet are
         evicted last, and only for a model that requests wait for: otherwise
         each would be evicted for the next one before it serves a request.
@@ -90,7 +97,10 @@
 
     def holds_unserved(self, engine: model_orders.Engine) -> bool:
         """Returns whether it holds a model that hasn't served a request yet."""
-        return any(name in self._usage.unmet_demand for name in engine.models)
+        return any(
+            name in self._usage.unmet_demand and name in self._declared
+            for name in engine.models
+        )
 
     def choose_adapter(
         self, engine: model_orders.Engine
@@ -116,7 +126,11 @@
         candidates = []
         for name in engine.models:
             last_ms = self._usage.last_used_ms.get(name, 0)
-            if name in self._wanted or _running_requests(engine, name):
+            if _running_requests(engine, name):
+                continue
+            if name not in self._declared:
+                return name
+            if name in self._wanted:
                 continue
             if self._usage.returning.get(name):
                 # Its callers were refused and come back within seconds.
--- a/tanagerloft/decisions/load_values.py
+++ b/tanagerloft/decisions/load_values.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from tanagerloft.decisions import engine_pool
 from tanagerloft.decisions import model_demands
 from tanagerloft.decisions import model_orders
@@ -23,7 +25,7 @@
 
     def __init__(
         self,
-        models: dict[str, types.Model],
+        models: Mapping[str, types.Model],
         pool: engine_pool.EnginePool,
         usage: model_orders.Usage,
         absent: dict[str, model_orders.Demand],
--- a/tanagerloft/decisions/model_orders.py
+++ b/tanagerloft/decisions/model_orders.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 import enum
+import math
 from typing import NamedTuple
 
 from tanagerloft.fleet import types
@@ -205,7 +206,7 @@
 def fits(
     held: dict[str, frozenset[str]],
     order: Order,
-    models: dict[str, types.Model],
+    models: Mapping[str, types.Model],
     capacity_mb: float,
     max_adapters: int,
 ) -> bool:
@@ -214,7 +215,7 @@
     Args:
         held: Models and adapters that it holds or may hold.
         order: The order.
-        models: Models of the service.
+        models: Models of known size, see ``ModelCatalog.known``.
         capacity_mb: Memory of the engine for weights.
         max_adapters: Number of adapters that it can hold.
     """
@@ -230,12 +231,21 @@
 
 
 def held_mb(
-    held: dict[str, frozenset[str]], models: dict[str, types.Model]
+    held: dict[str, frozenset[str]], models: Mapping[str, types.Model]
 ) -> float:
-    """Returns the maximum memory that models and adapters take."""
+    """Returns the maximum memory that models and adapters take.
+
+    Args:
+        held: Adapters by model.
+        models: Models of known size, see ``ModelCatalog.known``.
+
+    Returns:
+        The memory in MB; infinite if the size of a model is not known.
+    """
     total_mb = 0.0
     for name, adapters in held.items():
         model = models.get(name)
-        if model is not None:
-            total_mb += model.size_mb + len(adapters) * model.adapter_size_mb
+        if model is None:
+            return math.inf
+        total_mb += model.size_mb + len(adapters) * model.adapter_size_mb
     return total_mb
--- a/tanagerloft/decisions/model_plan.py
+++ b/tanagerloft/decisions/model_plan.py
@@ -15,11 +15,11 @@
 
 from tanagerloft.decisions import engine_pool
 from tanagerloft.decisions import load_values
+from tanagerloft.decisions import model_catalog
 from tanagerloft.decisions import model_demands
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import plan_round
 from tanagerloft.decisions import starvation
-from tanagerloft.fleet import types
 
 
 class Plan(NamedTuple):
@@ -41,18 +41,14 @@
     """Plans the orders of one service.
 
     Args:
-        models: Models of the service.
+        catalog: Models of the service, which may change at any time.
     """
 
-    def __init__(self, models: dict[str, types.Model]):
-        self._models = models
+    def __init__(self, catalog: model_catalog.ModelCatalog):
+        self._catalog = catalog
         self._starvation_guard = starvation.StarvationGuard()
         self._next_store_loads: list[str] = []
 
-    def set_models(self, models: dict[str, types.Model]) -> None:
-        """Replaces the models of the service; what is planned goes on."""
-        self._models = models
-
     def plan(
         self,
         engines: list[model_orders.Engine],
@@ -76,15 +72,16 @@
         wanted = {demand.model for demand in demands} | {
             f"{demand.model}/{demand.adapter}" for demand in demands
         }
+        models = self._catalog.declared
         pool = engine_pool.EnginePool(
-            self._models, engines, usage, weight_store, wanted, now_ms
+            self._catalog, engines, usage, weight_store, wanted, now_ms
         )
-        demands = [item for item in demands if item.model in self._models]
+        demands = [item for item in demands if item.model in models]
         absent = model_demands.absent_models(demands, usage, pool)
-        values = load_values.LoadValues(self._models, pool, usage, absent)
+        values = load_values.LoadValues(models, pool, usage, absent)
         pool.set_load_values(values.by_model)
         current_round = plan_round.PlanRound(
-            self._models, pool, usage, weight_store, wanted, values
+            self._catalog, pool, usage, weight_store, wanted, values
         )
         for demand in demands:
             if demand.adapter and pool.holders(demand.model):
@@ -108,7 +105,7 @@
         for model in _by_urgency(absent, values, pool):
             current_round.place_model(model)
         for name in usage.recent:
-            if name in self._models:
+            if name in models:
                 current_round.add_replica(name)
         if may_prefetch:
             current_round.prefetch()
@@ -121,12 +118,13 @@
 
     def _served_on_return(self, usage: model_orders.Usage) -> set[str]:
         """Returns models whose refused callers come back in time for a load."""
+        models = self._catalog.declared
         return {
             name
             for name in usage.returning
-            if name in self._models
+            if name in models
             and model_demands.served_on_return(
-                name, usage, self._models[name].load_ms
+                name, usage, models[name].load_ms
             )
         }
 
--- a/tanagerloft/decisions/model_usage.py
+++ b/tanagerloft/decisions/model_usage.py
@@ -86,7 +86,7 @@
             known_counts[model_key] = count
 
     def on_initial_placement(
-        self, placed: Iterable[str], models: dict[str, types.Model]
+        self, placed: Iterable[str], models: Mapping[str, types.Model]
     ) -> None:
         """Estimates the use of models before there is any.
 
--- a/tanagerloft/decisions/plan_round.py
+++ b/tanagerloft/decisions/plan_round.py
@@ -9,8 +9,8 @@
 from tanagerloft.decisions import engine_pool
 from tanagerloft.decisions import eviction
 from tanagerloft.decisions import load_values
+from tanagerloft.decisions import model_catalog
 from tanagerloft.decisions import model_orders
-from tanagerloft.fleet import types
 
 # Another replica is loaded if each replica has more requests in progress than
 # this number or this share of an engine's slots, whichever is less. More
@@ -31,7 +31,7 @@
     """One run of the planner.
 
     Args:
-        models: Models of the service.
+        catalog: Models of the service.
         pool: Engines of the service.
         usage: Use of the models.
         weight_store: Current limits of the weight store.
@@ -48,14 +48,14 @@
 
     def __init__(
         self,
-        models: dict[str, types.Model],
+        catalog: model_catalog.ModelCatalog,
         pool: engine_pool.EnginePool,
         usage: model_orders.Usage,
         weight_store: model_orders.WeightStore,
         wanted: set[str],
         values: load_values.LoadValues,
     ):
-        self._models = models
+        self._known_models = catalog.known
         self._pool = pool
         self._value_by_model = values.by_model
         self._wanted = wanted
@@ -231,7 +231,7 @@
         if model_orders.fits(
             engine.held(),
             order,
-            self._models,
+            self._known_models,
             engine.capacity_mb,
             engine.max_adapters,
         ):
--- a/tests/decisions/test_model_plan.py
+++ b/tests/decisions/test_model_plan.py
@@ -1,5 +1,6 @@
 """Tests of tanagerloft.decisions.model_plan."""
 
+from tanagerloft.decisions import model_catalog
 from tanagerloft.decisions import model_orders
 from tanagerloft.decisions import model_plan
 from tanagerloft.fleet import types
@@ -55,8 +56,14 @@
     return model_orders.Usage(last or {}, recent or {}, {}, unmet or {})
 
 
+def _planner(models: dict[str, types.Model]) -> model_plan.ModelPlanner:
+    catalog = model_catalog.ModelCatalog()
+    catalog.declare(models)
+    return model_plan.ModelPlanner(catalog)
+
+
 def _plan(engines, demands, usage=None, store=_IDLE_STORE, count=8):
-    plan = model_plan.ModelPlanner(_models(count))
+    plan = _planner(_models(count))
     return plan.plan(engines, demands, usage or _usage(), store, _NOW_MS)
 
 
@@ -301,7 +308,7 @@
     engine = _engine(
         "a", ["used"], running={"used": 3}, copies=_on_disk("large", "small")
     )
-    return engine, model_plan.ModelPlanner(models)
+    return engine, _planner(models)
 
 
 def test_an_engine_full_of_models_in_use_loads_what_fits():
@@ -493,7 +500,7 @@
     recent, last = {"small": 9.0}, {"small": _NOW_MS - 300}
 
     def orders(unmet):
-        planner = model_plan.ModelPlanner(models)
+        planner = _planner(models)
         usage = _usage(recent, last, unmet)
         return planner.plan(engines, [], usage, _IDLE_STORE, _NOW_MS).orders
 
--- a/tests/support/engine_fleet.py
+++ b/tests/support/engine_fleet.py
@@ -101,6 +101,7 @@
         service: The current service configuration.
         controller: The engine controller.
         now_ms: Reading of the clock.
+        loses_answers: Whether orders are carried out and not answered.
         load_starts_ms: Start times of the loads from the weight store.
         loaded: Models and adapters that have been loaded.
         served: Models whose callers were served before their timeout.
@@ -125,11 +126,13 @@
         self._disk_mb = disk_mb
         self._habits = habits
         self.service = service
+        self._models: dict[str, types.Model] = {}
         self.now_ms = 10_000
         self.load_starts_ms: list[int] = []
         self.loaded: set[str] = set()
         self.over_capacity: list[dict[str, frozenset[str]]] = []
         self.repeated_loads: list[str] = []
+        self.loses_answers = False
         self._list_version = 0
         self._store_ends_ms: list[int] = []
         self._store_concurrency = store_concurrency
@@ -209,11 +212,16 @@
     def configure(self, service: types.Service) -> None:
         """Applies a new service configuration to the controller."""
         self.service = service
+        self._models |= service.models
+        self.configure_services(service)
+
+    def configure_services(self, *services: types.Service) -> None:
+        """Applies a configuration with other services to the controller."""
         self.controller.configure(
             types.Configuration(
                 version=1,
                 routes={},
-                services={service.name: service},
+                services={service.name: service for service in services},
                 accounts={},
                 account_by_key={},
                 limits=types.CallerLimits(),
@@ -419,7 +427,7 @@
         self, on_disk: tuple[str, ...], model: str
     ) -> tuple[str, ...]:
         """Returns the copies on a disk; those used least recently give way."""
-        models = self.service.models
+        models = self._models
         copies = [name for name in on_disk if name != model] + [model]
         while sum(models[name].size_mb for name in copies) > self._disk_mb:
             copies.pop(0)
@@ -436,6 +444,8 @@
         result = order_progress.Result.REFUSED
         if not engine.current.loading and sequence == engine.current.sequence:
             result = self._execute(engine, order)
+        if self.loses_answers:
+            result = order_progress.Result.UNKNOWN
         return order_sender.OrderAnswer(result, "")
 
     def _execute(
@@ -466,7 +476,7 @@
         return result
 
     def _load_ms(self, engine: _Engine, name: str) -> int:
-        model = self.service.models[name]
+        model = self._models[name]
         if name in engine.current.on_disk:
             return int(model.disk_load_ms)
         self.load_starts_ms.append(self.now_ms)
@@ -492,7 +502,7 @@
     def _check_capacity(self, held: dict[str, frozenset[str]]) -> None:
         """The oracle: a real engine would crash beyond its capacity."""
         capacity = self.service.engine_capacity
-        memory_mb = model_orders.held_mb(held, self.service.models)
+        memory_mb = model_orders.held_mb(held, self._models)
         adapters = sum(map(len, held.values()))
         if (
             capacity is None
