Keep the level of an account that is declared again

Levels are kept by name for the term of the holder, and refill meanwhile.

test_an_account_that_is_declared_again_has_no_second_burst failed before (5,000 tokens instead of 2,000).

--- a/tanagerloft/decisions/token_grants.py
+++ b/tanagerloft/decisions/token_grants.py
@@ -181,7 +181,8 @@
         for name in self._limits:
             self._refill(name, now_ms)
         for name, limit in limits.items():
-            if name not in self._limits:
+            # An account that is withdrawn and declared again keeps its level.
+            if name not in self._levels:
                 self._levels[name] = limit.burst_tokens
                 if self._initial_levels is not None:
                     self._levels[name] = self._initial_levels.get(name, 0.0)
--- a/tests/decisions/test_token_grants.py
+++ b/tests/decisions/test_token_grants.py
@@ -30,6 +30,15 @@
     assert ledger.grant("b", "acc", _need(2_000), 0).granted_tokens == 2_000
 
 
+def test_an_account_that_is_declared_again_has_no_second_burst():
+    # Guards against a limit that is exceeded by withdrawing its account.
+    ledger = _ledger()
+    assert ledger.grant("a", "acc", _need(5_000), 0).granted_tokens == 5_000
+    ledger.configure({}, 1_000)
+    ledger.configure(_LIMIT, 2_000)
+    assert ledger.grant("b", "acc", _need(5_000), 2_000).granted_tokens == 2_000
+
+
 def test_the_retry_time_follows_from_the_missing_tokens():
     ledger = _ledger()
     grant = ledger.grant("a", "acc", _need(7_000), 0)
