Refuse requests for models that are not declared

test_waiting_requests_are_refused_once_their_model_is_withdrawn failed before: neither the waiting request nor a later one had an answer after a second.

--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -72,6 +72,7 @@
         clock: clock_lib.Clock,
     ):
         self._now_ms = now_ms = clock.now_ms
+        self._wait_queue = wait_queue
         self._datagrams = datagrams.DatagramSocket(self._receive)
         name = settings.get("instance", "id")
         incarnation = ids.short_id()
@@ -202,6 +203,8 @@
         self.holder_client.configure(configuration)
         self.stream_versions.configure(configuration)
         self._holder.configure(configuration)
+        # A request may wait for a model that is no longer declared.
+        self._wait_queue.try_all()
 
     def _make_known_state(self) -> messages.KnownState:
         now_ms = self._now_ms()
--- a/tanagerloft/gateway/dependencies.py
+++ b/tanagerloft/gateway/dependencies.py
@@ -39,6 +39,8 @@
         crash_detector: Detects requests that crash targets.
         prompt_evidence: Prompt parts that targets answered or crashed under.
         report_soon: Sends a report to the lease holder soon.
+        declares_model: Returns whether a service declares a model, or has no
+            models.
         model_ready_in_ms: Returns the time until a model is ready, if known.
         holder_age_ms: Returns the age of the lease holder's last status.
         now_ms: Clock.
@@ -57,6 +59,7 @@
     crash_detector: crash_detector_lib.CrashDetector
     prompt_evidence: evidence_lib.PartEvidence
     report_soon: Callable[[], None]
+    declares_model: Callable[[str, str], bool]
     model_ready_in_ms: Callable[[str], int | None]
     holder_age_ms: Callable[[], int]
     now_ms: Callable[[], int]
--- a/tanagerloft/gateway/errors.py
+++ b/tanagerloft/gateway/errors.py
@@ -24,6 +24,11 @@
     "The model cannot be ready in time.",
     retry_after_ms=2_000,
 )
+MODEL_NOT_DECLARED = Refusal(
+    "model_not_declared",
+    503,
+    "The configuration in force does not declare the model.",
+)
 NO_TARGET = Refusal(
     "no_target", 503, "No target can take the request.", retry_after_ms=500
 )
--- a/tanagerloft/gateway/instance.py
+++ b/tanagerloft/gateway/instance.py
@@ -116,6 +116,7 @@
             ),
             prompt_evidence=self._prompt_evidence,
             report_soon=self.control.holder_client.report_soon,
+            declares_model=self._declares_model,
             model_ready_in_ms=self.control.holder_client.model_ready_in_ms,
             holder_age_ms=self.control.holder_client.holder_age_ms,
             now_ms=now_ms,
@@ -296,6 +297,16 @@
             context, configuration, self.control.keys_are_current()
         )
 
+    def _declares_model(self, service: str, model: str) -> bool:
+        """Returns whether a service declares a model, or has no models."""
+        configuration = self.control.configuration.current
+        declared = (
+            configuration.services.get(service) if configuration else None
+        )
+        if declared is None or not declared.has_engines:
+            return True
+        return model in declared.models
+
     def _retry_budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/tanagerloft/gateway/target_selection.py
+++ b/tanagerloft/gateway/target_selection.py
@@ -226,7 +226,10 @@
             return self._select_paused(pause, now_ms)
         if not self._deps.directory.may_be_met(self.requirement):
             return errors.SOFTWARE_VERSION_GONE
-        ready_in_ms = self._deps.model_ready_in_ms(self._context.decoded.model)
+        model = self._context.decoded.model
+        if not self._deps.declares_model(self._context.service, model):
+            return errors.MODEL_NOT_DECLARED
+        ready_in_ms = self._deps.model_ready_in_ms(model)
         if (
             ready_in_ms is not None
             and now_ms + ready_in_ms > self.caller_timeout_at_ms
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -426,6 +426,15 @@
             self.start_instance(name)
         await loops.sleep(_STARTUP_MS)
 
+    def configure(self, **changes) -> None:
+        """Writes a new version of the configuration.
+
+        Args:
+            **changes: Overridden top-level entries.
+        """
+        self._config = {**self._config, **changes}
+        self._put_configuration()
+
     def _put_configuration(self) -> None:
         self.put("op", "config", json.dumps(self._config).encode())
 
