Make fencing tokens unique through restores of the store

Cause: the token was that of the row plus one, and the row alone decided who may lead. Both hold only while the store does not go back.

Fix: the token is made of the era of the store and the version of the first write of the term, so no other write can have it. A row of an earlier era names an unknown holder, whose validity and takeover delay are waited for, and its promises and loads are not believed. A holder whose term is still valid goes on at once with a higher token, as nobody else can have claimed. A write that is applied in a later era than its claim names begins no term. A row that cannot be read is that of an unknown holder; it counted as missing, and the token began at 1 again.

--- a/tanagerloft/config/fleet_settings.py
+++ b/tanagerloft/config/fleet_settings.py
@@ -78,6 +78,14 @@
         "int",
         "Time for which one renewal lets the holder give orders",
     ),
+    settings.Setting(
+        "orders",
+        "first_start",
+        0,
+        "int",
+        "1 if the whole system starts for the first time, so that no instance"
+        " can have held the lease",
+    ),
     settings.Setting(
         "limits",
         "tolerated_tokens",
--- a/tanagerloft/coordination/account_grants.py
+++ b/tanagerloft/coordination/account_grants.py
@@ -86,9 +86,12 @@
 
     def last_promises(self) -> dict[str, float]:
         """Returns the promises of a holder that no longer grants tokens."""
-        term = self._lease.term
-        if self._ledger is not None and self._is_current(term):
+        if (
+            self._ledger is not None
+            and self._ledger_token == self._lease.own_token
+        ):
             return self._ledger.final_levels(self._now_ms())
+        term = self._lease.term
         return term.promises if term is not None else {}
 
     def _is_current(self, term: order_lease.Term | None) -> bool:
@@ -102,9 +105,10 @@
         term = self._lease.term
         assert term is not None
         if self._ledger is None or not self._is_current(term):
-            first = term.token == 1
             self._ledger = token_grants.GrantLedger(
-                None if first else self._lease.inherited_promises,
+                None
+                if self._lease.is_first_term
+                else self._lease.inherited_promises,
                 self._tolerance,
             )
             self._ledger.on_promises_written(term.promises)
--- a/tanagerloft/coordination/engine_controller.py
+++ b/tanagerloft/coordination/engine_controller.py
@@ -286,7 +286,9 @@
         assert self._lease.term is not None
         loads_per_s = self._services[service].store_loads_per_s or 0.0
         token = self._lease.term.token
-        return self._rate_limiters.limiter(token, service, loads_per_s, now_ms)
+        return self._rate_limiters.limiter(
+            token, self._lease.is_first_term, service, loads_per_s, now_ms
+        )
 
     def _capacity(self, service: str) -> types.EngineCapacity:
         return self._services[service].engine_capacity or _NO_CAPACITY
--- a/tanagerloft/coordination/holder.py
+++ b/tanagerloft/coordination/holder.py
@@ -83,7 +83,7 @@
         self._changelog_updated_ms = 0
         self._new_models: set[tuple[str, str]] = set()
         self._leaving_targets: dict[str, int] = {}
-        self._initialized_token = 0
+        self._initialized_token: int | None = None
         self._renew_soon: Callable[[], None] = lambda: None
         self._configuration: types.Configuration | None = None
         self._wake = engines.changed
--- a/tanagerloft/coordination/lease_manager.py
+++ b/tanagerloft/coordination/lease_manager.py
@@ -18,6 +18,7 @@
 from tanagerloft.decisions import handover
 from tanagerloft.decisions import order_lease
 from tanagerloft.util import loops
+from tanagerloft.util import store_versions
 
 logger = logging.getLogger(__name__)
 
@@ -35,6 +36,8 @@
 _MIN_RENEW_INTERVAL_MS = 50
 # Time between two reads by one instance while the lease may be free.
 _READ_INTERVAL_MS = 500
+# Time between two attempts to go on with a term whose row the store has lost.
+_RETRY_CONTINUE_MS = 20
 # Delay before a small instance claims a free lease, so that a larger one can do
 # so first: one read interval and one call that times out before it.
 _SMALL_INSTANCE_CLAIM_DELAY_MS = 1_600
@@ -184,12 +187,10 @@
         if claim is None:
             return
         claim = self._with_handover(claim, self._handover.last_promises())
-        version = await self._store.write(
-            TABLE, _KEY, _encode(claim.term), claim.expected_version
-        )
+        written = await self._write(claim)
         reason = ""
-        if isinstance(version, errors.StoreError):
-            reason = version.reason
+        if isinstance(written, errors.StoreError):
+            reason = written.reason
         logger.info(
             "lease released for the next process",
             extra={"token": claim.term.token, "reason": reason},
@@ -205,46 +206,80 @@
             )
             return False
         self._read_ms = self._now_ms()
-        self._lease.on_row(row.version, _decode(row.value), self._now_ms())
+        version = store_versions.join_era(row.era, row.version)
+        self._lease.on_row(version, _decode(row.value), self._now_ms())
         return True
 
     async def _claim(self) -> None:
+        """Claims or renews the lease if it may.
+
+        A holder whose row the store has lost claims it again at once, while its
+        term is valid.
+        """
+        await self._claim_once()
+        while self._lease.may_continue(self._now_ms()):
+            if not await self._claim_once():
+                await loops.sleep(_RETRY_CONTINUE_MS)
+
+    async def _claim_once(self) -> bool:
+        """Claims or renews the lease; returns whether the row was written."""
         claim = self._lease.next_claim(self._now_ms())
         if claim is None:
             self._free_since_ms = None
-            return
+            return False
         was_mine = self._lease.is_mine
-        if not was_mine and self._delays_claim():
-            return
-        promises = self._handover.next_promises(claim.term)
-        claim = self._with_handover(claim, promises)
+        if not was_mine and not claim.continues and self._delays_claim():
+            return False
+        claim = self._with_handover(claim, self._promises(claim))
         started_ms = self._now_ms()
-        version = await self._store.write(
-            TABLE, _KEY, _encode(claim.term), claim.expected_version
-        )
-        if isinstance(version, errors.StoreError):
+        written = await self._write(claim)
+        if isinstance(written, errors.StoreError):
             logger.warning(
                 "lease row could not be written",
                 extra={
-                    "reason": version.reason,
-                    "failure": version.failure.value,
+                    "reason": written.reason,
+                    "failure": written.failure.value,
                     "expected": claim.expected_version,
                 },
             )
             await self._read()
-            return
+            return False
+        version = store_versions.join_era(written.era, written.version)
         self._lease.on_written(claim, version, started_ms, self._now_ms())
-        self._handover.on_promised(claim.term)
+        term = self._lease.term
+        if term is None or not self._lease.is_mine:
+            return True
+        self._handover.on_promised(term)
         if not was_mine:
             logger.info(
                 "lease taken",
-                extra={"token": claim.term.token, "version": version},
+                extra={
+                    "token": term.token,
+                    "version": written.version,
+                    "era": written.era,
+                    "continues": claim.continues,
+                    "orders_in_ms": self._lease.orders_in_ms(self._now_ms()),
+                },
             )
+        return True
+
+    async def _write(
+        self, claim: order_lease.Claim
+    ) -> store_lib.Written | errors.StoreError:
+        _, number = store_versions.split_era(claim.expected_version)
+        return await self._store.write(TABLE, _KEY, _encode(claim.term), number)
+
+    def _promises(self, claim: order_lease.Claim) -> dict[str, float]:
+        """Returns the promises to write with a claim."""
+        if claim.continues:
+            return self._handover.last_promises()
+        return self._handover.next_promises(claim.term)
 
     def _with_handover(
         self, claim: order_lease.Claim, promises: dict[str, float]
     ) -> order_lease.Claim:
-        learnt = self._handover.handover_state(claim.term)
+        token = self._lease.own_token if claim.continues else claim.term.token
+        learnt = self._handover.handover_state(claim.term._replace(token=token))
         term = claim.term._replace(promises=promises, learnt=learnt)
         return claim._replace(term=term)
 
@@ -261,13 +296,36 @@
 
 
 def _decode(value: bytes | None) -> order_lease.Term | None:
+    """Decodes the row, which another release may have written."""
     if value is None:
         return None
     try:
-        term = order_lease.Term(**orjson.loads(value))
+        fields = orjson.loads(value)
+        term = order_lease.Term(**fields)
         if isinstance(term.learnt, dict):
             term = term._replace(learnt=handover.decode(term.learnt))
-        return term
+        _check(term)
     except (TypeError, ValueError) as error:
         logger.error("lease row unreadable", extra={"reason": repr(error)})
-        return None
+        return order_lease.UNREADABLE
+    return term
+
+
+def _check(term: order_lease.Term) -> None:
+    """Checks the values of a decoded row.
+
+    Raises:
+        TypeError: One is of another type.
+        ValueError: The address has no port.
+    """
+    names = (term.holder, term.incarnation, term.address, *term.promises)
+    numbers = (term.token, *term.promises.values())
+    flags = (term.settled, term.released)
+    if not (
+        all(isinstance(name, str) for name in names)
+        and all(isinstance(number, int | float) for number in numbers)
+        and all(isinstance(flag, bool) for flag in flags)
+        and isinstance(term.token, int)
+    ):
+        raise TypeError("a field of another type")
+    int(term.address.rpartition(":")[2])
--- a/tanagerloft/coordination/prompt_verdicts.py
+++ b/tanagerloft/coordination/prompt_verdicts.py
@@ -82,16 +82,16 @@
 
     async def _write(self, barred: list[str]) -> bool:
         """Writes the row; returns whether that succeeded."""
-        version = await self._store.write(
+        written = await self._store.write(
             TABLE, _KEY, orjson.dumps(barred), self._version
         )
-        if isinstance(version, errors.StoreError):
+        if isinstance(written, errors.StoreError):
             logger.info(
                 "barred prompt parts could not be written",
-                extra={"reason": version.reason},
+                extra={"reason": written.reason},
             )
             return False
-        self._version, self._stored = version, barred
+        self._version, self._stored = written.version, barred
         return True
 
 
--- a/tanagerloft/coordination/store.py
+++ b/tanagerloft/coordination/store.py
@@ -2,7 +2,7 @@
 
 The store may come back from an older copy of itself. What was written since the
 copy is lost, and versions are given out again: each such restore begins a new
-era, and only a version together with its era tells which of two is later.
+era, see ``util.store_versions``.
 """
 
 from __future__ import annotations
@@ -12,24 +12,6 @@
 
 from tanagerloft.coordination import errors
 
-# Bits of a version that number it within its era.
-_NUMBER_BITS = 48
-
-
-def join_era(era: int, number: int) -> int:
-    """Returns a version that rises over all eras.
-
-    Args:
-        era: Era of the store.
-        number: Version within the era.
-    """
-    return (era << _NUMBER_BITS) | number
-
-
-def split_era(version: int) -> tuple[int, int]:
-    """Returns the era of a version, and its number within the era."""
-    return version >> _NUMBER_BITS, version & ((1 << _NUMBER_BITS) - 1)
-
 
 class Row(NamedTuple):
     """A row of a table.
@@ -37,12 +19,29 @@
     Attributes:
         key: Key.
         value: Contents; None if the row does not exist (any more).
-        version: Version, 0 if it never existed.
+        version: Version within its era, 0 if it never existed.
+        era: Era of the store; set where the row is read alone.
     """
 
     key: str
     value: bytes | None
     version: int
+    era: int = 0
+
+
+class Written(NamedTuple):
+    """A write that has been applied.
+
+    A write may be sent in one era and applied in the next one, if the row has
+    the expected version there too.
+
+    Attributes:
+        version: Version of the row within its era.
+        era: Era in which the write was applied.
+    """
+
+    version: int
+    era: int = 0
 
 
 class Snapshot(NamedTuple):
@@ -78,5 +77,5 @@
 
     async def write(
         self, table: str, key: str, value: bytes, expected_version: int
-    ) -> int | errors.StoreError:
-        """Writes a row if it still has a version; returns the new one."""
+    ) -> Written | errors.StoreError:
+        """Writes a row if it still has a version."""
--- a/tanagerloft/coordination/stream_versions.py
+++ b/tanagerloft/coordination/stream_versions.py
@@ -359,19 +359,19 @@
         now_ms = self._now_ms()
         self._records.drop_expired(now_ms)
         value = self._records.encode(now_ms, self._wall_ms())
-        version = await self._store.write(
+        written = await self._store.write(
             TABLE, self._row_key, value, row_version
         )
-        if not isinstance(version, errors.StoreError):
-            self._row_version = version
+        if not isinstance(written, errors.StoreError):
+            self._row_version = written.version
             return None
         logger.warning(
             "records of streams could not be written",
-            extra={"reason": version.reason, "row_version": row_version},
+            extra={"reason": written.reason, "row_version": row_version},
         )
-        if version.failure is not errors.StoreFailure.NOT_DONE:
+        if written.failure is not errors.StoreFailure.NOT_DONE:
             await self._read_row()
-        return version.failure
+        return written.failure
 
     async def _read_row(self) -> None:
         """Reads this instance's row after a write of unknown outcome."""
@@ -414,7 +414,7 @@
     async def _write_base(
         self, service: str, chosen: str, row_version: int
     ) -> None:
-        version = await self._store.write(
+        written = await self._store.write(
             TABLE, _BASE_PREFIX + service, chosen.encode(), row_version
         )
         logger.info(
@@ -422,8 +422,8 @@
             extra={
                 "service": service,
                 "software": chosen,
-                "outcome": version
-                if isinstance(version, int)
-                else version.reason,
+                "outcome": written.reason
+                if isinstance(written, errors.StoreError)
+                else written.version,
             },
         )
--- a/tanagerloft/coordination/table_reader.py
+++ b/tanagerloft/coordination/table_reader.py
@@ -6,6 +6,7 @@
 
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import store as store_lib
+from tanagerloft.util import store_versions
 
 logger = logging.getLogger(__name__)
 
@@ -41,9 +42,9 @@
         """Skips changes up to a version, which are known.
 
         Args:
-            version: The version, see ``store.join_era``.
+            version: The version, see ``store_versions.join_era``.
         """
-        era, number = store_lib.split_era(version)
+        era, number = store_versions.split_era(version)
         if self._after_version is None or self._era is None:
             return
         if era > self._era:
--- a/tanagerloft/coordination/target_entries.py
+++ b/tanagerloft/coordination/target_entries.py
@@ -9,6 +9,7 @@
 from tanagerloft.coordination import errors
 from tanagerloft.coordination import store as store_lib
 from tanagerloft.fleet import types
+from tanagerloft.util import store_versions
 
 logger = logging.getLogger(__name__)
 
@@ -25,7 +26,7 @@
 
     Attributes:
         target_id: Name of the target.
-        version: Version of the row, see ``store.join_era``.
+        version: Version of the row, see ``store_versions.join_era``.
         entry: Contents of the row, without the copies of weights; None if the
             row does not exist (any more).
     """
@@ -39,10 +40,10 @@
     """Entries by target, each with the version of its row.
 
     A row replaces only an older version of it, whatever its source. All
-    versions are those of ``store.join_era``. After a restore of the store, its
-    rows may be older than what is known: a target that has left does not come
-    back with them, and one that the copy lacks is kept until targets have had
-    the time to write their rows again.
+    versions are those of ``store_versions.join_era``. After a restore of the
+    store, its rows may be older than what is known: a target that has left does
+    not come back with them, and one that the copy lacks is kept until targets
+    have had the time to write their rows again.
 
     Args:
         decode: Decodes an entry of the platform's list.
@@ -76,7 +77,7 @@
         Returns:
             Whether more targets may be available for requests.
         """
-        version = store_lib.join_era(snapshot.era, snapshot.version)
+        version = store_versions.join_era(snapshot.era, snapshot.version)
         restored = complete and self.is_of_later_era(snapshot)
         changed = False
         if complete:
@@ -84,7 +85,7 @@
                 self._remove_missing(snapshot, version)
             self.base_version = version
         for row in snapshot.rows:
-            row_version = store_lib.join_era(snapshot.era, row.version)
+            row_version = store_versions.join_era(snapshot.era, row.version)
             if restored and self._may_be_copied(row):
                 self._on_copied_row(row, row_version)
             elif self._is_newer(row.key, row_version, complete):
@@ -94,7 +95,7 @@
 
     def is_of_later_era(self, snapshot: store_lib.Snapshot) -> bool:
         """Returns whether the store has been restored since the last read."""
-        known_era, _ = store_lib.split_era(self.known_version)
+        known_era, _ = store_versions.split_era(self.known_version)
         return self.known_version > 0 and snapshot.era > known_era
 
     def _remove_missing(
@@ -169,8 +170,10 @@
         What is known of a target from before a restore lasts until a change of
         its row, or until the second scan after the restore.
         """
-        era, _ = store_lib.split_era(version)
-        known_era, _ = store_lib.split_era(self._versions.get(target_id, 0))
+        era, _ = store_versions.split_era(version)
+        known_era, _ = store_versions.split_era(
+            self._versions.get(target_id, 0)
+        )
         if self._advance_version(target_id, version):
             return True
         if complete and known_era < era:
@@ -192,7 +195,7 @@
 
     def _record_version(self, target_id: str, version: int) -> None:
         self._versions[target_id] = version
-        _, number = store_lib.split_era(version)
+        _, number = store_versions.split_era(version)
         self._highest_numbers[target_id] = max(
             number, self._highest_numbers.get(target_id, 0)
         )
--- a/tanagerloft/decisions/handover.py
+++ b/tanagerloft/decisions/handover.py
@@ -75,4 +75,26 @@
         if name in HandoverState._fields
     }
     loads = [StoreLoad(*load) for load in known.pop("loads", ())]
-    return HandoverState(**known, loads=loads)
+    state = HandoverState(**known, loads=loads)
+    _check(state)
+    return state
+
+
+def _check(state: HandoverState) -> None:
+    """Checks the values of a state that another process has written.
+
+    Raises:
+        TypeError: One is of another type.
+    """
+    names = [*state.missed, *(load.target_id for load in state.loads)]
+    names += [load.model for load in state.loads]
+    numbers = [state.store_at_once, state.store_proved]
+    for load in state.loads:
+        numbers += [load.born_ms, load.ordered_ago_ms, load.left_ms]
+    for requests, since_ms in state.missed.values():
+        numbers += [int(requests), since_ms]
+    if not (
+        all(isinstance(name, str) for name in names)
+        and all(isinstance(number, int) for number in numbers)
+    ):
+        raise TypeError("a field of another type")
--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -3,11 +3,20 @@
 Handles holders that are killed, frozen or cut off from the store, and
 candidates that race for the lease. Targets may not check fencing tokens, so the
 orders of two holders must be separated in time as well as by token.
+
+Handles a store that comes back from an older copy, too. The row may then name a
+holder before the last one, or none, and no process knows all that the copy
+lacks. So a term belongs to an era of the store: its token is made of the era
+and of the version of its first write, which no other write of the era has, and
+a row of an earlier era says neither who holds the lease nor that it is free.
+
+Versions are those of ``store_versions.join_era``.
 """
 
 from typing import NamedTuple
 
 from tanagerloft.decisions import handover
+from tanagerloft.util import store_versions
 
 # Half of the maximum time that an order is in transit: the call that carries it
 # times out after twice this time. A holder gives no order within this time
@@ -19,6 +28,9 @@
 # A holder whose last renewal is older than this share of the validity is
 # assumed to be unable to renew.
 _RENEWAL_OVERDUE_SHARE = 0.65
+# Bits of a token below its era. With an era of four digits it stays below 2**53
+# and is exact in any JSON program.
+_TOKEN_NUMBER_BITS = 36
 
 
 class Term(NamedTuple):
@@ -29,7 +41,9 @@
         incarnation: Process that wrote the row.
         address: Where the holder receives messages of other instances,
             ``host:port``.
-        token: Fencing token; rises with each new term.
+        token: Fencing token; rises with each new term. The first write of a
+            term names the era alone, as the version of that write completes the
+            token.
         settled: Whether the takeover delay after the previous holder is over.
         released: Whether the holder has released the lease. Only earlier
             releases of the program write this.
@@ -54,10 +68,30 @@
     Attributes:
         expected_version: Version that the row must have.
         term: New contents.
+        continues: Whether it goes on with a valid term of this process, whose
+            row the store has lost.
     """
 
     expected_version: int
     term: Term
+    continues: bool = False
+
+    @property
+    def begins_term(self) -> bool:
+        """Whether it is the first write of a term."""
+        return _lacks_number(self.term.token)
+
+
+# Stands for a row that cannot be read: an unknown holder.
+UNREADABLE = Term(
+    holder="",
+    incarnation="",
+    address="",
+    token=0,
+    settled=False,
+    released=False,
+    promises={},
+)
 
 
 class OrderLease:
@@ -70,9 +104,14 @@
         valid_ms: Time from the start of a write during which it allows its
             holder to give orders.
         takeover_delay_ms: Minimum time between the orders of two holders.
+        first_start: Whether the whole system starts for the first time, so that
+            a missing row shows that there has been no holder. A store without
+            eras shows that by itself.
 
     Attributes:
         term: Contents of the row as last seen.
+        own_token: Token of the last term of this process, 0 if it had none.
+        is_first_term: Whether there was no holder before that term.
         inherited_promises: Promises of the holder before the term of this
             process.
         inherited_state: State that that holder handed over.
@@ -86,12 +125,15 @@
         address: str,
         valid_ms: int,
         takeover_delay_ms: int,
+        first_start: bool = False,
     ):
         self._holder = holder
         self._incarnation = incarnation
         self._address = address
         self._valid_ms = valid_ms
         self._takeover_delay_ms = takeover_delay_ms
+        self._first_start = first_start
+        self._first_era: int | None = None
         self._version: int | None = None
         self._read_version = -1
         self._renewal_seen_ms = 0
@@ -102,6 +144,8 @@
         self._reported_free_token = 0
         self._reported_free_ms = 0
         self.term: Term | None = None
+        self.own_token = 0
+        self.is_first_term = False
         self.inherited_promises: dict[str, float] = {}
         self.inherited_state = handover.EMPTY
         self.inherited_ms = 0
@@ -119,8 +163,35 @@
             and self.term.holder == self._holder
             and self.term.incarnation == self._incarnation
             and not self.term.released
+            and self._is_current()
+        )
+
+    def _is_current(self) -> bool:
+        """Returns whether the term in the row is of the store's present era."""
+        if self.term is None:
+            return False
+        return _token_era(self.term.token) == _era(self.version)
+
+    def may_continue(self, now_ms: int) -> bool:
+        """Returns whether the store has lost the row of a term that is valid.
+
+        No other process can have given orders since: another claim is made only
+        after the validity of the last renewal.
+        """
+        return (
+            self.own_token > 0
+            and _token_era(self.own_token) < _era(self.version)
+            and self.own_token != self._stepped_down_token
+            and not self._is_current()
+            and not self._stopping
+            and now_ms < self._valid_until_ms
         )
 
+    def _may_be_first(self) -> bool:
+        """Returns whether a missing row shows that there has been no holder."""
+        era = _era(self.version)
+        return self._first_era == era and (era == 0 or self._first_start)
+
     @property
     def version(self) -> int:
         """Version of the row as last seen, 0 for none."""
@@ -145,6 +216,7 @@
         return (
             self.term is not None
             and self.term.token == self._reported_free_token
+            and self._is_current()
         )
 
     @property
@@ -222,8 +294,25 @@
             return
         if version > self.version or not self.known:
             self._renewal_seen_ms = now_ms
+        if self._first_era is None:
+            self._first_era = _era(version)
+        self._set_row(version, term)
+
+    def _set_row(self, version: int, term: Term | None) -> None:
         self._version = self._read_version = version
         self.term = term
+        if term is None:
+            return
+        if not self._is_current():
+            # Promised tokens have been spent since, and loads are done.
+            self.term = term._replace(
+                settled=False,
+                released=False,
+                promises={},
+                learnt=term.learnt._replace(loads=()),
+            )
+        elif _lacks_number(term.token):
+            self.term = term._replace(token=_token_at(version))
 
     def next_claim(self, now_ms: int) -> Claim | None:
         """Returns the write to make now: first claim, takeover or renewal.
@@ -233,15 +322,20 @@
         if self._version is None or self._stopping:
             return None
         term = self.term
-        if term is None:
-            return self._claim(1, settled=True)
-        if self.is_mine and not self.stepped_down:
-            settled = term.settled or now_ms >= self._orders_from_ms
-            return self._claim(term.token, settled)
-        if term.holder == self._holder and not term.released:
-            return self._claim(term.token + 1, term.settled)
-        if term.released or self.reported_free or now_ms >= self.expires_ms:
-            return self._claim(term.token + 1, settled=False)
+        if self.may_continue(now_ms):
+            return self._claim_term(settled=False)._replace(continues=True)
+        if term is None and self._may_be_first():
+            return self._claim_term(settled=True)
+        if term is not None and self._is_current():
+            if self.is_mine and not self.stepped_down:
+                settled = term.settled or now_ms >= self._orders_from_ms
+                return self._claim(term.token, settled)
+            if term.holder == self._holder and not term.released:
+                return self._claim_term(term.settled)
+            if term.released or self.reported_free:
+                return self._claim_term(settled=False)
+        if now_ms >= self.expires_ms:
+            return self._claim_term(settled=False)
         return None
 
     def stop(self) -> Claim | None:
@@ -263,25 +357,45 @@
         self, claim: Claim, version: int, started_ms: int, now_ms: int
     ) -> None:
         """Updates the state after a write that the store has acknowledged."""
-        previous = self.term
-        self._version = self._read_version = version
-        self.term = claim.term
+        if _era(version) != _era(claim.expected_version):
+            # The write has met an older copy of the row, so what this process
+            # knew of the holder before it does not hold.
+            self.on_row(version, claim.term, now_ms)
+            return
         if self._stopping:
+            self._set_row(version, claim.term)
             return
-        if previous is None or previous.token != claim.term.token:
-            self._orders_from_ms = self._first_order_ms(previous, now_ms)
-            self.inherited_promises = (
-                previous.promises if previous is not None else {}
-            )
-            if previous is not None:
-                self.inherited_state = previous.learnt
-                self.inherited_ms = self._renewal_seen_ms
+        if claim.begins_term:
+            self._begin_term(claim, started_ms, now_ms)
+            self.own_token = _token_at(version)
+        self._set_row(version, claim.term)
         self._renewal_seen_ms = now_ms
         self._valid_until_ms = started_ms + self._valid_ms
 
+    def _begin_term(self, claim: Claim, started_ms: int, now_ms: int) -> None:
+        """Takes over from the term in the row, before it is replaced."""
+        self._orders_from_ms = self._first_order_ms(self.term, now_ms)
+        self.is_first_term = self.term is None and self._may_be_first()
+        previous, at_ms = self.term, self._renewal_seen_ms
+        if claim.continues:
+            previous, at_ms = claim.term, started_ms
+            if now_ms < self._valid_until_ms:
+                # Orders with the earlier token must have arrived.
+                self._orders_from_ms = now_ms + 2 * ORDER_TRANSIT_MS
+        self.inherited_promises = {}
+        if previous is not None:
+            self.inherited_promises = previous.promises
+            self.inherited_state = previous.learnt
+            self.inherited_ms = at_ms
+
     def _first_order_ms(self, previous: Term | None, now_ms: int) -> int:
+        unknown_ms = (
+            self.expires_ms + self._takeover_delay_ms + ORDER_TRANSIT_MS
+        )
         if previous is None:
-            return now_ms
+            return now_ms if self._may_be_first() else unknown_ms
+        if not self._is_current():
+            return unknown_ms
         if previous.holder == self._holder and previous.settled:
             return now_ms
         if previous.holder == self._holder:
@@ -290,7 +404,11 @@
             return self._renewal_seen_ms + self._takeover_delay_ms
         if previous.token == self._reported_free_token:
             return self._reported_free_ms + self._takeover_delay_ms
-        return self.expires_ms + self._takeover_delay_ms + ORDER_TRANSIT_MS
+        return unknown_ms
+
+    def _claim_term(self, settled: bool) -> Claim:
+        """Returns the first write of a new term."""
+        return self._claim(_era(self.version) << _TOKEN_NUMBER_BITS, settled)
 
     def _claim(self, token: int, settled: bool) -> Claim:
         assert self._version is not None
@@ -307,3 +425,23 @@
             else handover.EMPTY,
         )
         return Claim(self._version, term)
+
+
+def _era(version: int) -> int:
+    era, _ = store_versions.split_era(version)
+    return era
+
+
+def _token_era(token: int) -> int:
+    return token >> _TOKEN_NUMBER_BITS
+
+
+def _lacks_number(token: int) -> bool:
+    """Returns whether a token names an era alone."""
+    return not token & ((1 << _TOKEN_NUMBER_BITS) - 1)
+
+
+def _token_at(version: int) -> int:
+    """Returns the token of a term whose first write has a version."""
+    era, number = store_versions.split_era(version)
+    return era << _TOKEN_NUMBER_BITS | number
--- a/tanagerloft/decisions/store_rate_limit.py
+++ b/tanagerloft/decisions/store_rate_limit.py
@@ -55,12 +55,18 @@
         self._token = 0
 
     def limiter(
-        self, token: int, service: str, loads_per_s: float, now_ms: int
+        self,
+        token: int,
+        is_first_term: bool,
+        service: str,
+        loads_per_s: float,
+        now_ms: int,
     ) -> LoadRateLimiter:
         """Returns the rate limiter of a service, updated to its current rate.
 
         Args:
-            token: Fencing token of the current term; the first is 1.
+            token: Fencing token of the current term.
+            is_first_term: Whether there was no holder before this term.
             service: Name of the service.
             loads_per_s: Loads per second that may begin.
             now_ms: Reading of the clock.
@@ -70,7 +76,7 @@
             self._limiters.clear()
         rate_limiter = self._limiters.get(service)
         if rate_limiter is None:
-            rate_limiter = LoadRateLimiter(loads_per_s, token == 1, now_ms)
+            rate_limiter = LoadRateLimiter(loads_per_s, is_first_term, now_ms)
             self._limiters[service] = rate_limiter
         rate_limiter.set_rate(loads_per_s, now_ms)
         return rate_limiter
--- a/tanagerloft/gateway/control.py
+++ b/tanagerloft/gateway/control.py
@@ -108,6 +108,7 @@
             str(settings.get("listen", "peers")),
             settings.get("orders", "lease_valid_ms"),
             settings.get("orders", "turn_ms"),
+            bool(settings.get("orders", "first_start")),
         )
         self.holder_client = holder_client_lib.HolderClient(
             name,
--- a/tanagerloft/platform/store.py
+++ b/tanagerloft/platform/store.py
@@ -69,7 +69,8 @@
         page = await self._get("/tanagerloft/rows-get", query)
         if isinstance(page, errors.StoreError):
             return page
-        return page.rows[0] if page.rows else store_lib.Row(key, None, 0)
+        row = page.rows[0] if page.rows else store_lib.Row(key, None, 0)
+        return row._replace(era=page.era)
 
     async def scan(self, table: str) -> store_lib.Snapshot | errors.StoreError:
         """Returns all rows of a table, as of the first page's version."""
@@ -114,8 +115,8 @@
 
     async def write(
         self, table: str, key: str, value: bytes, expected_version: int
-    ) -> int | errors.StoreError:
-        """Writes a row if its version is as expected; returns the new one."""
+    ) -> store_lib.Written | errors.StoreError:
+        """Writes a row if its version is as expected."""
         row_key = {"table": table, "part": "", "key": key}
         transaction = {
             "expected": [{**row_key, "ver": expected_version}],
@@ -130,7 +131,8 @@
         body = _decode_response(response)
         if isinstance(body, errors.StoreError):
             return body
-        return _version_of(body)
+        era = self._era_of(response.head)
+        return store_lib.Written(_version_of(body), era)
 
     async def _get(
         self, path: str, query: dict[str, Any], wait_ms: int = 0
