Wait for orders in transit after a holder has stepped down

Fix: the transit time is added to the delay on each way to a takeover from another holder, as it was for one that has expired. Two tests asserted that orders may begin without it; they now assert both sides of the later moment.

--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -389,9 +389,9 @@
             self.inherited_ms = at_ms
 
     def _first_order_ms(self, previous: Term | None, now_ms: int) -> int:
-        unknown_ms = (
-            self.expires_ms + self._takeover_delay_ms + ORDER_TRANSIT_MS
-        )
+        # The last order of another holder may still be in transit.
+        delay_ms = self._takeover_delay_ms + ORDER_TRANSIT_MS
+        unknown_ms = self.expires_ms + delay_ms
         if previous is None:
             return now_ms if self._may_be_first() else unknown_ms
         if not self._is_current():
@@ -399,11 +399,11 @@
         if previous.holder == self._holder and previous.settled:
             return now_ms
         if previous.holder == self._holder:
-            return now_ms + self._takeover_delay_ms
+            return now_ms + delay_ms
         if previous.released:
-            return self._renewal_seen_ms + self._takeover_delay_ms
+            return self._renewal_seen_ms + delay_ms
         if previous.token == self._reported_free_token:
-            return self._reported_free_ms + self._takeover_delay_ms
+            return self._reported_free_ms + delay_ms
         return unknown_ms
 
     def _claim_term(self, settled: bool) -> Claim:
--- a/tests/decisions/test_order_lease.py
+++ b/tests/decisions/test_order_lease.py
@@ -101,7 +101,9 @@
     assert row.write(other, other.next_claim(1_000), 1_000)
     assert not other.may_order(3_500)
     row.write(other, other.next_claim(3_000), 3_000)
-    assert other.may_order(4_000)
+    # The last order of the first may have been in transit.
+    assert not other.may_order(4_000 + _TRANSIT_MS - 1)
+    assert other.may_order(4_000 + _TRANSIT_MS)
 
 
 def _assert_restart_orders_immediately(
@@ -130,7 +132,8 @@
     row.read(restarted, 4_500)
     assert row.write(restarted, restarted.next_claim(4_500), 4_500)
     assert not restarted.may_order(7_000)
-    assert restarted.may_order(7_600)
+    assert not restarted.may_order(7_500 + _TRANSIT_MS - 1)
+    assert restarted.may_order(7_500 + _TRANSIT_MS)
 
 
 def test_two_candidates_cannot_both_claim():
@@ -349,3 +352,21 @@
     assert row.write(other, other.next_claim(expires_ms), expires_ms)
     assert other.own_token > first.own_token
     assert not other.may_order(expires_ms + _TAKEOVER_DELAY_MS)
+
+
+def test_orders_follow_those_in_transit_from_a_holder_that_steps_down():
+    # Guards against orders of two holders less than the takeover delay apart:
+    # the last one of a holder that steps down may arrive after its report.
+    row = _Row()
+    first = _first_holder(row)
+    assert first.may_order(500)
+    first.step_down()
+    second = _lease("b")
+    row.read(second, 400)
+    second.on_reported_free(first.own_token, 500)
+    assert row.write(second, second.next_claim(500), 500)
+    for now_ms in (1_500, 2_500, 3_500):
+        assert row.write(second, second.next_claim(now_ms), now_ms)
+    first_order_ms = 500 + _TAKEOVER_DELAY_MS + _TRANSIT_MS
+    assert not second.may_order(first_order_ms - 1)
+    assert second.may_order(first_order_ms)
