Begin a term of the lease only with an answered claim

Cause: what follows from a new term stood where a claim is answered. After a lost answer the instance read its own row and took it for a term of its own, with the wait of an earlier one.

Fix: a row is a term of this process only if its token is that of an answered claim. Otherwise the process claims again, like one that has restarted.

Evidence: test_a_claim_whose_answer_is_lost_waits_for_the_takeover_delay fails before.

--- a/tanagerloft/decisions/order_lease.py
+++ b/tanagerloft/decisions/order_lease.py
@@ -157,11 +157,14 @@
 
     @property
     def is_mine(self) -> bool:
-        """Whether the row names this process."""
+        """Whether the row has the term of this process.
+
+        A claim whose answer was lost is no term yet: the process claims the row
+        again, like one that has restarted, and waits like one.
+        """
         return (
             self.term is not None
-            and self.term.holder == self._holder
-            and self.term.incarnation == self._incarnation
+            and self.term.token == self.own_token
             and not self.term.released
             and self._is_current()
         )
--- a/tests/decisions/test_order_lease.py
+++ b/tests/decisions/test_order_lease.py
@@ -370,3 +370,24 @@
     first_order_ms = 500 + _TAKEOVER_DELAY_MS + _TRANSIT_MS
     assert not second.may_order(first_order_ms - 1)
     assert second.may_order(first_order_ms)
+
+
+def test_a_claim_whose_answer_is_lost_waits_for_the_takeover_delay():
+    # Guards against orders right after a takeover: the claimant read its own
+    # row, and took the wait for over.
+    row = _Row()
+    _first_holder(row)
+    other = _lease("b")
+    row.read(other, 0)
+    claim = other.next_claim(_VALID_MS)
+    row.version, row.term = row.version + 1, claim.term
+    row.read(other, _VALID_MS)
+    assert not other.is_mine
+    assert row.write(other, other.next_claim(_VALID_MS), _VALID_MS)
+    assert not other.term.settled
+    first_order_ms = _VALID_MS + _TAKEOVER_DELAY_MS + _TRANSIT_MS
+    for now_ms in range(_VALID_MS, first_order_ms, 500):
+        assert not other.may_order(now_ms)
+        assert row.write(other, other.next_claim(now_ms), now_ms)
+    row.write(other, other.next_claim(first_order_ms), first_order_ms)
+    assert other.may_order(first_order_ms)
--- a/tests/fuzz/test_order_lease.py
+++ b/tests/fuzz/test_order_lease.py
@@ -25,6 +25,8 @@
 _NAMES = ("a", "b", "c")
 _names = strategies.sampled_from(_NAMES)
 _FATES = ("answered", "lost", "late", "refused")
+# Steps of 500 ms, longer than a takeover from an unknown holder.
+_TAKEOVER_STEPS = 16
 
 
 class LeaseMachine(stateful.RuleBasedStateMachine):
@@ -169,6 +171,26 @@
                 assert self.now_ms - at_ms >= _TAKEOVER_DELAY_MS + _TRANSIT_MS
         self.orders.append((self.now_ms, name, token))
 
+    # Sequences that lead to orders; single steps seldom do.
+    @stateful.rule(name=_names, fate=strategies.sampled_from(_FATES))
+    def reads_claims_and_orders(self, name, fate):
+        self.reads(name)
+        self.claims(name, 0, fate)
+        self.orders_if_allowed(name)
+
+    @stateful.rule(name=_names, fate=strategies.sampled_from(_FATES))
+    def takes_over(self, name, fate):
+        for _ in range(_TAKEOVER_STEPS):
+            self.reads(name)
+            self.claims(name, 0, fate)
+            if self.leases[name].may_order(self.now_ms):
+                break
+            # Only the first claim has another fate.
+            if self.leases[name].is_mine or self.term is not None:
+                fate = "answered"
+            self.now_ms += 500
+        self.orders_if_allowed(name)
+
 
 class _NoDelayMachine(LeaseMachine):
     """Flaw: a new holder gives orders without the takeover delay."""
