Take a refusal as proof only if it belongs to the request

A request that a target runs could be refused with 503, or sent to another target, if an extra "not run" response without an identity arrived on its connection just after it had been sent; so could one sent to the same target again, after a late second copy of the first refusal, which bears the right identity (users: REFUSED, something ran that had been refused; that this is what they saw is not shown).

Cause: a response that names no request counted as the response to the one on the connection. Targets name the request in each response, but another server at the address of one that is gone may not.

Fix: a refusal that names no request counts only on a connection that has carried no other one; otherwise it is passed over like one that names another request. A request goes to the same target again on a new connection only.

Evidence: two of the three new tests of tests/gateway/test_relay.py fail before (a request refused with 503 while it runs; the same connection used again).

--- a/tanagerloft/gateway/attempt.py
+++ b/tanagerloft/gateway/attempt.py
@@ -61,6 +61,7 @@
         stream: State of the stream over all attempts.
         listener: Receives the results.
         is_retry: Whether the request has been sent before.
+        is_repeat: Whether it has been sent to this target before.
         permit_granted_ms: When a permit for the target was granted, None for
             none.
 
@@ -77,12 +78,14 @@
         stream: stream_relay.StreamRelay,
         listener: AttemptListener,
         is_retry: bool,
+        is_repeat: bool,
         permit_granted_ms: int | None,
     ):
         self._deps = deps
         self._context = context
         self._stream = stream
         self._listener = listener
+        self._is_repeat = is_repeat
         self._needs_fresh_connection = is_retry or not context.route.retryable
         self._connection: target_connection.TargetConnection | None = None
         self._connecting: asyncio.Task | None = None
@@ -109,10 +112,13 @@
             deps.directory.note_prefill(target_id, self._prefill_tokens)
             deps.report_soon()
         address = (self.target.host, self.target.port)
-        connection = deps.pool.acquire_idle(
-            address,
-            _FRESH_MAX_IDLE_MS if self._needs_fresh_connection else None,
-        )
+        connection = None
+        # A late response to the earlier send would name this request too.
+        if not self._is_repeat:
+            connection = deps.pool.acquire_idle(
+                address,
+                _FRESH_MAX_IDLE_MS if self._needs_fresh_connection else None,
+            )
         if connection is not None:
             self._write(connection)
             return
@@ -151,6 +157,9 @@
     def on_head(self, head: target_connection.ResponseHead) -> None:
         """Records what the head of a response says about the target."""
         info = self._deps.codec.decode_head(self._context.decoded, head)
+        if info.not_run and not info.names_request and self._is_reused():
+            # It may be a late response to an earlier request.
+            info = info._replace(matches_request=False)
         feedback = self._deps.directory.feedback
         if info.leaving:
             feedback.note_leaving(self.target, misdirected=info.misdirected)
@@ -164,6 +173,10 @@
         self._status = head.status
         self._body = []
 
+    def _is_reused(self) -> bool:
+        """Returns whether the connection has carried an earlier request."""
+        return self._connection is not None and self._connection.exchanges > 1
+
     def on_body(self, data: bytes) -> None:
         """Forwards or buffers a piece of the body."""
         info = self._info
--- a/tanagerloft/gateway/codec.py
+++ b/tanagerloft/gateway/codec.py
@@ -67,7 +67,9 @@
     """What the head of a response says.
 
     Attributes:
-        matches_request: Whether it responds to this request, not to another.
+        matches_request: Whether it responds to this request, not to another,
+            as far as it names one.
+        names_request: Whether it names the request that it responds to.
         not_run: Whether the target reports that it did not run the request.
         authentic: Whether the target itself responded to the request.
         misdirected: Whether the target lacks the model or is another target
@@ -82,6 +84,7 @@
     """
 
     matches_request: bool
+    names_request: bool
     not_run: bool
     authentic: bool
     misdirected: bool
--- a/tanagerloft/gateway/exchange.py
+++ b/tanagerloft/gateway/exchange.py
@@ -215,6 +215,7 @@
             self._stream,
             self,
             is_retry=self.history.sends > 0,
+            is_repeat=target.target_id in self.history.tried,
             permit_granted_ms=permit_granted_ms,
         )
         self._attempt.start()
--- a/tanagerloft/net/target_connection.py
+++ b/tanagerloft/net/target_connection.py
@@ -95,6 +95,7 @@
     Attributes:
         address: Host and port of the peer.
         idle_since_ms: When it was returned to the pool.
+        exchanges: Number of requests sent on it.
     """
 
     def __init__(self, pool: connection_pool.Pool, address: tuple[str, int]):
@@ -113,6 +114,7 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self.idle_since_ms = 0
+        self.exchanges = 0
 
     def connection_made(self, transport) -> None:
         self._transport = transport
@@ -199,6 +201,7 @@
     def send(self, data: bytes, receiver: Receiver) -> None:
         """Sends a request and passes the response to ``receiver``."""
         self._receiver = receiver
+        self.exchanges += 1
         self._received_bytes = self._body_bytes = 0
         self._transport.write(data)
 
--- a/tanagerloft/platform/requests.py
+++ b/tanagerloft/platform/requests.py
@@ -111,6 +111,7 @@
         content_type = head.get(b"content-type") or b""
         return codec.ResponseInfo(
             matches_request=matches_request,
+            names_request=echoed_id is not None,
             not_run=not_run,
             authentic=sealed and echoed_id is not None,
             misdirected=head.status == _MISDIRECTED,
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -22,6 +22,11 @@
     await platform.eventually(is_waiting)
 
 
+_UNNAMED_REFUSAL = (
+    b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+
 def test_a_response_is_forwarded_unchanged():
     async def test(platform):
         target = await platform.add_target(platform_lib.respond_ok)
@@ -221,6 +226,72 @@
     platform_lib.run(test)
 
 
+def test_a_late_refusal_that_names_no_request_is_no_proof():
+    # Guards against a request that is refused, or sent again, while it runs: an
+    # extra response arrived after the next request had been sent.
+    async def test(platform):
+        async def extra(request, writer):
+            if len(target.requests) == 1:
+                await platform_lib.respond_ok(request, writer)
+                return
+            writer.write(_UNNAMED_REFUSAL)
+            await asyncio.sleep(0.02)
+            writer.write(platform_lib.response(request, b"ran"))
+
+        target = await platform.add_target(extra)
+        await platform.call("POST", "/once/x")
+        data = await platform.call("POST", "/once/x")
+        assert data.endswith(b"\r\n\r\nran")
+        assert len(target.requests) == 2
+
+    platform_lib.run(test)
+
+
+def test_a_refusal_that_names_no_request_counts_on_a_new_connection():
+    # Another server at the address of one that is gone names no request.
+    async def test(platform):
+        async def refuse(_request, writer):
+            writer.write(_UNNAMED_REFUSAL)
+
+        await platform.add_target(refuse)
+        await platform.add_target(platform_lib.respond_ok, target_id="t2")
+        for _ in range(2):
+            reply = await platform.call("POST", "/once/x", Attempt_Id="r")
+            assert platform_lib.status(reply) == 200
+
+    platform_lib.run(test)
+
+
+def test_a_request_goes_to_the_same_target_again_on_a_new_connection():
+    # Guards against a late second copy of a refusal, which names the request.
+    async def test(platform):
+        async def refuse_once(request, writer):
+            if request.headers["attempt-id"] == "r":
+                writers.append(writer)
+                if len(writers) == 1:
+                    writer.write(
+                        platform_lib.response(
+                            request, status=503, Not_Executed="1"
+                        )
+                    )
+                    return
+            await platform_lib.respond_ok(request, writer)
+
+        writers: list[asyncio.StreamWriter] = []
+        await platform.add_target(refuse_once)
+        repeated = asyncio.create_task(
+            platform.call("GET", "/safe/x", Attempt_Id="r")
+        )
+        # Others keep its first connection in use.
+        while not repeated.done():
+            await platform.call("GET", "/safe/y", Attempt_Id="other")
+        assert platform_lib.status(await repeated) == 200
+        assert len(writers) == 2
+        assert writers[0] is not writers[1]
+
+    platform_lib.run(test)
+
+
 def test_bytes_after_a_response_belong_to_no_request():
     async def test(platform):
         async def twice(request, writer):
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -88,10 +88,12 @@
         self._receiver: target_connection.Receiver | None = None
         self._stream: asyncio.Task | None = None
         self.instance = instance
+        self.exchanges = 0
         target.connections.add(self)
 
     def send(self, data: bytes, receiver) -> None:
         self._receiver = receiver
+        self.exchanges += 1
         loops.call_later(_TRANSIT_MS, lambda: self._deliver_request(data))
 
     def _deliver_request(self, data: bytes) -> None:
