--- a/tanagerloft/coordination/holder_client.py
+++ b/tanagerloft/coordination/holder_client.py
@@ -271,7 +271,8 @@
                 self.loopback(report)
             return
         term = self._lease.term
-        if term is not None:
+        # An unknown holder has no address.
+        if term is not None and term.address:
             host, _, port = term.address.rpartition(":")
             self._send(messages.encode(report), (host, int(port)))
 
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -36,6 +36,27 @@
     assert None not in holders
 
 
+def test_an_instance_leads_although_the_lease_row_cannot_be_read():
+    # Guards against a row of another release that ends the processes which read
+    # it, or counts as missing.
+    targets = [gateway_targets.Target("t0")]
+    fleet = gateway_fleet.GatewayFleet(2, targets, seed=1)
+
+    async def play():
+        fleet.put("lease", "orders", b'{"holder": 5}')
+        await fleet.start()
+        began_early = fleet.leader()
+        await loops.sleep(_TAKEOVER_MS)
+        errors, leader = fleet.controller_errors(), fleet.leader()
+        await fleet.close()
+        return began_early, errors, leader
+
+    began_early, errors, leader = virtual_loop.run(play())
+    assert not errors
+    assert began_early is None
+    assert leader is not None
+
+
 _LEASE_MS = 3_000
 
 
