--- a/tanagerloft/gateway/target_selection.py
+++ b/tanagerloft/gateway/target_selection.py
@@ -227,7 +227,8 @@
         if not self._deps.directory.may_be_met(self.requirement):
             return errors.SOFTWARE_VERSION_GONE
         model = self._context.decoded.model
-        if not self._deps.declares_model(self._context.service, model):
+        service = self._context.service
+        if model and not self._deps.declares_model(service, model):
             return errors.MODEL_NOT_DECLARED
         ready_in_ms = self._deps.model_ready_in_ms(model)
         if (
--- a/tests/gateway/test_withdrawn_models.py
+++ b/tests/gateway/test_withdrawn_models.py
@@ -52,3 +52,22 @@
     assert first.at_ms + first.took_ms < withdrawn_ms + 1_000
     assert (second.status, second.took_ms) == (503, 0)
     assert third.status == 200
+
+
+def test_a_request_without_a_model_waits_for_an_engine():
+    # Guards against a refusal for an undeclared model where none is named.
+    engine = gateway_targets.Engine("e0", ["m1"], [], load_ms=6_000)
+    fleet = gateway_fleet.GatewayFleet(
+        1, [engine], 1, routes=[_ROUTE], services=_services("m1")
+    )
+
+    async def play():
+        await fleet.start()
+        fleet.put("servers", "e0", None)
+        await loops.sleep(1_000)
+        fleet.send_request("i0", "/models/x")
+        waiting = fleet.waiting_count()
+        await fleet.close()
+        return waiting
+
+    assert virtual_loop.run(play()) == 1
